Lay out the workspace with names, clocks, verdicts and records

Cause: an empty repository. Change: one crate for each area of the design; shared names and identifiers, replaceable clocks, the verdict type, the records of the control stream with a first fold, and the protocols of the systems outside as typed messages. Conclusion: the areas can grow apart from each other on shared types; nothing serves yet.

--- /dev/null
+++ b/crates/admit/src/lib.rs
@@ -0,0 +1,1 @@
+//! Admission: slots, warmth, fair shares, bounded queues.
--- /dev/null
+++ b/crates/bench/src/lib.rs
@@ -0,0 +1,1 @@
+//! Load, experiments and measurements of the whole path.
--- /dev/null
+++ b/crates/clock/src/lib.rs
@@ -0,0 +1,121 @@
+//! Monotonic moments and wall-clock time, replaceable in tests.
+//!
+//! Decisions take [`Moment`] and [`Wall`] as arguments and never read a clock.
+//! Drivers hold a [`Clock`] and read it once for each event.
+
+use std::{
+    fmt,
+    ops::{Add, Sub},
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+/// A reading of a monotonic clock, in microseconds since the process started.
+#[common::key]
+#[derive(Default)]
+#[serde(transparent)]
+pub struct Moment(pub u64);
+
+impl Moment {
+    /// The moment at which the process started.
+    pub const START: Self = Self(0);
+
+    /// Returns the moment `millis` milliseconds after the start.
+    pub fn from_millis(millis: u64) -> Self {
+        Self(millis * 1_000)
+    }
+
+    /// Returns how long ago `earlier` was; zero if it lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.0.saturating_sub(earlier.0))
+    }
+
+    /// Returns how long it is until `later`; zero if it has passed.
+    pub fn until(self, later: Self) -> Duration {
+        later.since(self)
+    }
+}
+
+impl Add<Duration> for Moment {
+    type Output = Self;
+
+    fn add(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_add(micros))
+    }
+}
+
+impl Sub<Duration> for Moment {
+    type Output = Self;
+
+    fn sub(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self(self.0.saturating_sub(micros))
+    }
+}
+
+/// A reading of the wall clock, in milliseconds since the Unix epoch.
+#[common::key]
+#[derive(Default)]
+#[serde(transparent)]
+pub struct Wall(pub u64);
+
+impl Wall {
+    /// Returns how long ago `earlier` was; zero if it lies ahead.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.0.saturating_sub(earlier.0))
+    }
+}
+
+/// A source of both times.
+#[derive(Clone)]
+pub struct Clock {
+    now: Arc<dyn Fn() -> Moment + Send + Sync>,
+    wall: Arc<dyn Fn() -> Wall + Send + Sync>,
+}
+
+impl fmt::Debug for Clock {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Clock")
+            .field("now", &self.now())
+            .finish_non_exhaustive()
+    }
+}
+
+impl Clock {
+    /// Returns a clock that reads the two closures.
+    pub fn new(
+        now: impl Fn() -> Moment + Send + Sync + 'static,
+        wall: impl Fn() -> Wall + Send + Sync + 'static,
+    ) -> Self {
+        Self {
+            now: Arc::new(now),
+            wall: Arc::new(wall),
+        }
+    }
+
+    /// Returns a clock that reads those of the operating system.
+    pub fn system() -> Self {
+        let start = Instant::now();
+        let now = move || Moment::START + start.elapsed();
+        Self::new(now, system_wall)
+    }
+
+    /// Returns the monotonic time.
+    pub fn now(&self) -> Moment {
+        (self.now)()
+    }
+
+    /// Returns the wall-clock time.
+    pub fn wall(&self) -> Wall {
+        (self.wall)()
+    }
+}
+
+/// Returns the operating system's wall-clock time.
+fn system_wall() -> Wall {
+    let since_epoch = SystemTime::now()
+        .duration_since(UNIX_EPOCH)
+        .unwrap_or_default();
+    Wall(u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/crates/entry/src/lib.rs
@@ -0,0 +1,1 @@
+//! The entry node: callers' API, peers, and the drivers of every decision.
--- /dev/null
+++ b/crates/log/src/lib.rs
@@ -0,0 +1,1 @@
+//! Client of the platform's append-only log service.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership of entry nodes, the directory of entries, freshness.
--- /dev/null
+++ b/crates/once/src/lib.rs
@@ -0,0 +1,1 @@
+//! At most once: claims, tickets, outcomes.
--- /dev/null
+++ b/crates/replica/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicas: assignment, watchers, orders, servability.
--- /dev/null
+++ b/crates/route/src/lib.rs
@@ -0,0 +1,1 @@
+//! Routing: choice of replica, prefix affinity, retries, resume.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings of the processes, read from TOML and checked whole.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small fakes of the systems outside, with fault switches.
--- /dev/null
+++ b/crates/state/src/lib.rs
@@ -0,0 +1,38 @@
+//! The control state: records, their fold, snapshots.
+//!
+//! Every entry node reads the same control stream of the platform's log
+//! service and folds it with [`State::apply`]. The fold is pure and
+//! deterministic, so that nodes at the same offset hold the same state. A
+//! record names the revision that it is based on; the first record for a base
+//! is accepted and later ones are rejected, which gives compare-and-set without
+//! any support from the log.
+
+mod change;
+mod fold;
+
+pub use change::{Assignment, Change, Epoch, Operation, Peer, Record, Scope, Snapshot, Writer};
+pub use fold::{Outcome, Rejection, State};
+
+/// Serializes a map with keys that are not strings as a list of pairs.
+mod pairs {
+    use serde::{Deserialize, Deserializer, Serialize, Serializer};
+    use std::collections::BTreeMap;
+
+    /// Writes `map` as a list of pairs.
+    pub(crate) fn serialize<K: Serialize, V: Serialize, S: Serializer>(
+        map: &BTreeMap<K, V>,
+        to: S,
+    ) -> Result<S::Ok, S::Error> {
+        to.collect_seq(map)
+    }
+
+    /// Reads a map from a list of pairs.
+    pub(crate) fn deserialize<'a, K, V, D>(from: D) -> Result<BTreeMap<K, V>, D::Error>
+    where
+        K: Deserialize<'a> + Ord,
+        V: Deserialize<'a>,
+        D: Deserializer<'a>,
+    {
+        Vec::<(K, V)>::deserialize(from).map(|pairs| pairs.into_iter().collect())
+    }
+}
--- /dev/null
+++ b/crates/verdict/src/lib.rs
@@ -0,0 +1,206 @@
+//! Whether a request may have run, and the errors that say so.
+//!
+//! Every error that reaches a caller is an [`Error`]: it always carries a
+//! [`Verdict`]. The weakest true statement is the default, so code that does
+//! not know says [`Verdict::MayHaveRun`].
+
+use std::{fmt, time::Duration};
+
+/// What is known about the execution of a request.
+#[common::key]
+#[serde(rename_all = "kebab-case")]
+pub enum Verdict {
+    /// The request was not run and will not be.
+    NotRun,
+    /// The request may or may not have run.
+    MayHaveRun,
+    /// The request ran.
+    Ran,
+}
+
+impl Verdict {
+    /// Returns the text used in headers and bodies.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::NotRun => "not-run",
+            Self::MayHaveRun => "may-have-run",
+            Self::Ran => "ran",
+        }
+    }
+
+    /// Returns the verdict that holds when either of two attempts is meant.
+    pub fn or(self, other: Self) -> Self {
+        match (self, other) {
+            (Self::Ran, _) | (_, Self::Ran) => Self::Ran,
+            (Self::MayHaveRun, _) | (_, Self::MayHaveRun) => Self::MayHaveRun,
+            (Self::NotRun, Self::NotRun) => Self::NotRun,
+        }
+    }
+}
+
+impl fmt::Display for Verdict {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// A text that names no verdict.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unknown;
+
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected not-run, may-have-run or ran")
+    }
+}
+
+impl std::error::Error for Unknown {}
+
+impl std::str::FromStr for Verdict {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Self, Unknown> {
+        [Self::NotRun, Self::MayHaveRun, Self::Ran]
+            .into_iter()
+            .find(|v| v.as_str() == text)
+            .ok_or(Unknown)
+    }
+}
+
+/// The situation that an error reports, which decides its HTTP status.
+#[common::key]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// The request is malformed.
+    Malformed,
+    /// The caller did not say who it is, or could not prove it.
+    Unauthenticated,
+    /// The caller is known and may not do this.
+    Forbidden,
+    /// The thing named does not exist.
+    NotFound,
+    /// The request took too long to arrive.
+    SlowRequest,
+    /// The request conflicts with an earlier one.
+    Conflict,
+    /// The request is larger than the bound.
+    TooLarge,
+    /// The request is well formed and cannot be carried out as it stands.
+    Unprocessable,
+    /// The client account is above its limit.
+    Limited,
+    /// The system has no room for the request now.
+    Overloaded,
+    /// No back end can serve the request now.
+    Unavailable,
+    /// The deadline passed.
+    Deadline,
+    /// The backend server failed or answered wrongly.
+    Upstream,
+    /// A fault in this system.
+    Internal,
+}
+
+impl Kind {
+    /// Returns the HTTP status.
+    pub fn status(self) -> http::StatusCode {
+        use http::StatusCode;
+        match self {
+            Self::Malformed => StatusCode::BAD_REQUEST,
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
+            Self::Forbidden => StatusCode::FORBIDDEN,
+            Self::NotFound => StatusCode::NOT_FOUND,
+            Self::SlowRequest => StatusCode::REQUEST_TIMEOUT,
+            Self::Conflict => StatusCode::CONFLICT,
+            Self::TooLarge => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unprocessable => StatusCode::UNPROCESSABLE_ENTITY,
+            Self::Limited => StatusCode::TOO_MANY_REQUESTS,
+            Self::Overloaded | Self::Unavailable => StatusCode::SERVICE_UNAVAILABLE,
+            Self::Deadline => StatusCode::GATEWAY_TIMEOUT,
+            Self::Upstream => StatusCode::BAD_GATEWAY,
+            Self::Internal => StatusCode::INTERNAL_SERVER_ERROR,
+        }
+    }
+}
+
+/// An error with its verdict.
+#[common::value]
+pub struct Error {
+    kind: Kind,
+    verdict: Verdict,
+    message: String,
+    retry_after: Option<Duration>,
+}
+
+impl Error {
+    /// Returns an error of `kind` about a request that was not run.
+    pub fn not_run(kind: Kind, message: impl Into<String>) -> Self {
+        Self::new(kind, Verdict::NotRun, message)
+    }
+
+    /// Returns an error of `kind` about a request that may have run.
+    pub fn may_have_run(kind: Kind, message: impl Into<String>) -> Self {
+        Self::new(kind, Verdict::MayHaveRun, message)
+    }
+
+    /// Returns an error of `kind` with `verdict`.
+    pub fn new(kind: Kind, verdict: Verdict, message: impl Into<String>) -> Self {
+        Self {
+            kind,
+            verdict,
+            message: message.into(),
+            retry_after: None,
+        }
+    }
+
+    /// Returns the error with the time after which a retry makes sense.
+    #[must_use]
+    pub fn with_retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the error with the verdict of this attempt or an `earlier` one.
+    #[must_use]
+    pub fn after(mut self, earlier: Verdict) -> Self {
+        self.verdict = self.verdict.or(earlier);
+        self
+    }
+
+    /// Returns the situation.
+    pub fn kind(&self) -> Kind {
+        self.kind
+    }
+
+    /// Returns whether the request may have run.
+    pub fn verdict(&self) -> Verdict {
+        self.verdict
+    }
+
+    /// Returns the explanation for people.
+    pub fn message(&self) -> &str {
+        &self.message
+    }
+
+    /// Returns the time after which a retry makes sense.
+    pub fn retry_after(&self) -> Option<Duration> {
+        self.retry_after
+    }
+
+    /// Returns whether another attempt cannot cause a second run.
+    pub fn is_safe_to_retry(&self) -> bool {
+        self.verdict == Verdict::NotRun
+            && matches!(
+                self.kind,
+                Kind::Overloaded | Kind::Unavailable | Kind::Upstream
+            )
+    }
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} ({})", self.message, self.verdict)
+    }
+}
+
+impl std::error::Error for Error {}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,1 @@
+//! Messages between entry nodes and their conversions.
--- /dev/null
+++ b/src/bin/arbutusford.rs
@@ -0,0 +1,2 @@
+//! Starts the command line.
+fn main() {}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,1 @@
+//! The `arbutusford` command line.
