--- /dev/null
+++ b/crates/entry/src/http/body.rs
@@ -0,0 +1,132 @@
+//! Requests of callers: bounded bodies and typed drafts.
+
+use axum::body::Body;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use name::{Class, Model};
+use serde::{Deserialize, de::DeserializeOwned};
+use std::time::Duration;
+use verdict::{Error, Kind};
+
+/// The largest number of tokens that a draft may ask for.
+pub(crate) const MAX_TOKENS: u32 = 8_192;
+
+/// The number of tokens of a draft that does not say.
+const DEFAULT_TOKENS: u32 = 256;
+
+/// Reads a body of at most `max_bytes` that arrives within `timeout`.
+///
+/// # Errors
+///
+/// Returns an error with the verdict "not run" for a body that is too large,
+/// too slow or cut off.
+pub(crate) async fn read(body: Body, max_bytes: usize, timeout: Duration) -> Result<Vec<u8>, Error> {
+    let collected = tokio::time::timeout(timeout, Limited::new(body, max_bytes).collect());
+    match collected.await {
+        Err(_) => Err(Error::not_run(Kind::SlowRequest, "the body did not arrive in time")),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Error::not_run(
+            Kind::TooLarge,
+            format!("the body is larger than {max_bytes} bytes"),
+        )),
+        Ok(Err(_)) => Err(Error::not_run(Kind::Malformed, "the body was cut off")),
+        Ok(Ok(whole)) => Ok(whole.to_bytes().into()),
+    }
+}
+
+/// Parses JSON.
+///
+/// # Errors
+///
+/// Returns an error with the verdict "not run" that names the place.
+pub(crate) fn json<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    serde_json::from_slice(bytes)
+        .map_err(|error| Error::not_run(Kind::Malformed, format!("the body is not valid: {error}")))
+}
+
+/// The body of `/v1/completions` and `/v1/chat/completions`.
+#[derive(Debug, Deserialize)]
+struct Completion {
+    model: String,
+    #[serde(default)]
+    prompt: Option<String>,
+    #[serde(default)]
+    messages: Vec<Message>,
+    #[serde(default)]
+    stream: bool,
+    #[serde(default)]
+    max_tokens: Option<u32>,
+    #[serde(default)]
+    max_completion_tokens: Option<u32>,
+    #[serde(default)]
+    seed: Option<u64>,
+    #[serde(default)]
+    class: Option<String>,
+}
+
+/// A message of a chat.
+#[derive(Debug, Deserialize)]
+struct Message {
+    role: String,
+    content: String,
+}
+
+/// Which of the two completion routes was called.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Route {
+    /// `/v1/completions`.
+    Text,
+    /// `/v1/chat/completions`.
+    Chat,
+}
+
+/// A draft as a caller asks for it.
+#[derive(Debug, Clone)]
+pub(crate) struct Draft {
+    /// The model or adapter.
+    pub(crate) model: Model,
+    /// The prompt.
+    pub(crate) prompt: String,
+    /// Whether the answer is streamed.
+    pub(crate) stream: bool,
+    /// The largest number of tokens.
+    pub(crate) max_tokens: u32,
+    /// The seed, if the caller fixes it.
+    pub(crate) seed: Option<u64>,
+    /// The class of work, if the caller names it.
+    pub(crate) class: Option<Class>,
+}
+
+/// Parses the body of a completion route.
+///
+/// # Errors
+///
+/// Returns an error with the verdict "not run" that names the field.
+pub(crate) fn draft(route: Route, bytes: &[u8]) -> Result<Draft, Error> {
+    let body: Completion = json(bytes)?;
+    let prompt = match route {
+        Route::Text => body.prompt.ok_or_else(|| field("prompt", "a text"))?,
+        Route::Chat if body.messages.is_empty() => return Err(field("messages", "at least one message")),
+        Route::Chat => chat_prompt(&body.messages),
+    };
+    let max_tokens = body.max_tokens.or(body.max_completion_tokens).unwrap_or(DEFAULT_TOKENS);
+    if !(1..=MAX_TOKENS).contains(&max_tokens) {
+        return Err(field("max_tokens", &format!("1 to {MAX_TOKENS}")));
+    }
+    let model = Model::try_from(body.model).map_err(|e| field("model", &e.to_string()))?;
+    let class = body
+        .class
+        .map(Class::try_from)
+        .transpose()
+        .map_err(|e| field("class", &e.to_string()))?;
+    Ok(Draft { model, prompt, stream: body.stream, max_tokens, seed: body.seed, class })
+}
+
+/// Returns the error for a field that is not as expected.
+fn field(key: &str, expected: &str) -> Error {
+    Error::not_run(Kind::Malformed, format!("{key}: expected {expected}"))
+}
+
+/// Joins the messages of a chat to one prompt.
+fn chat_prompt(messages: &[Message]) -> String {
+    let lines = messages.iter().map(|m| format!("{}: {}", m.role, m.content));
+    lines.collect::<Vec<_>>().join("\n")
+}
--- /dev/null
+++ b/crates/entry/src/http/listen.rs
@@ -0,0 +1,107 @@
+//! Listeners: bounded connections, bounded time for a request's head.
+
+use axum::Router;
+use hyper_util::{
+    rt::{TokioIo, TokioTimer},
+    service::TowerToHyperService,
+};
+use slog::{Logger, debug, warn};
+use std::{io, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{OwnedSemaphorePermit, Semaphore, watch},
+};
+
+/// The time that a listener rests after an accept error, such as too many open files.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// The largest head of a request, in bytes.
+const MAX_HEAD_BYTES: usize = 16 << 10;
+
+/// The bounds of a listener.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Bounds {
+    /// Connections at once.
+    pub(crate) connections: usize,
+    /// The time for a request's head to arrive.
+    pub(crate) header_timeout: Duration,
+}
+
+/// Binds a listener that may be bound again at once after a restart.
+///
+/// # Errors
+///
+/// Returns the operating system's error.
+pub(crate) fn bind(address: SocketAddr) -> io::Result<TcpListener> {
+    let listener = std::net::TcpListener::bind(address)?;
+    listener.set_nonblocking(true)?;
+    TcpListener::from_std(listener)
+}
+
+/// Serves `router` until `stop` turns true, then finishes open requests.
+pub(crate) async fn serve(
+    listener: TcpListener,
+    router: Router,
+    bounds: Bounds,
+    mut stop: watch::Receiver<bool>,
+    log: Logger,
+) {
+    let room = Arc::new(Semaphore::new(bounds.connections));
+    loop {
+        let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stop.wait_for(|stopped| *stopped) => return,
+        };
+        match accepted {
+            Ok((stream, peer)) => {
+                let connection = Connection { stream, permit, bounds, stop: stop.clone() };
+                let router = router.clone();
+                let log = log.clone();
+                tokio::spawn(async move {
+                    if let Err(error) = connection.serve(router).await {
+                        debug!(log, "connection ended with an error"; "peer" => %peer, "error" => %error);
+                    }
+                });
+            }
+            Err(error) => {
+                warn!(log, "accept failed"; "error" => %error);
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+/// An accepted connection.
+struct Connection {
+    stream: TcpStream,
+    permit: OwnedSemaphorePermit,
+    bounds: Bounds,
+    stop: watch::Receiver<bool>,
+}
+
+impl Connection {
+    /// Serves the requests of the connection, the last one to its end.
+    async fn serve(mut self, router: Router) -> Result<(), hyper::Error> {
+        // Tokens are small writes; waiting for more of them would delay each.
+        let _ = self.stream.set_nodelay(true);
+        let service = TowerToHyperService::new(router);
+        let connection = hyper::server::conn::http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(self.bounds.header_timeout)
+            .max_buf_size(MAX_HEAD_BYTES)
+            .serve_connection(TokioIo::new(self.stream), service);
+        tokio::pin!(connection);
+        let result = tokio::select! {
+            result = connection.as_mut() => result,
+            _ = self.stop.wait_for(|stopped| *stopped) => {
+                connection.as_mut().graceful_shutdown();
+                connection.await
+            }
+        };
+        drop(self.permit);
+        result
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/job.rs
@@ -0,0 +1,98 @@
+//! Requests on their way through a node, and the events of their answers.
+
+use clock::Moment;
+use name::{Account, Class, Model};
+use std::{sync::Arc, time::Duration};
+use tokio::sync::mpsc;
+use verdict::Error;
+
+/// Events that may wait between the node and a slow caller.
+const EVENTS_WAITING: usize = 64;
+
+/// A draft to serve.
+#[derive(Debug, Clone)]
+pub(crate) struct Draft {
+    /// The client account.
+    pub(crate) account: Account,
+    /// The class of work.
+    pub(crate) class: Class,
+    /// The model or adapter.
+    pub(crate) model: Model,
+    /// The prompt.
+    pub(crate) prompt: Arc<str>,
+    /// The largest number of tokens in the whole answer.
+    pub(crate) max_tokens: u32,
+    /// The seed that fixes the answer.
+    pub(crate) seed: u64,
+    /// Text that the caller already has.
+    pub(crate) resume_after: String,
+    /// The number of tokens that the caller already has.
+    pub(crate) resume_tokens: u32,
+    /// When the answer is of no use any more.
+    pub(crate) deadline: Moment,
+    /// Attempts made so far, here and at other nodes.
+    pub(crate) attempts: u32,
+    /// Whether another entry node sent it here; it is not forwarded again.
+    pub(crate) forwarded: bool,
+}
+
+impl Draft {
+    /// Returns the estimated cost in tokens, prompt and answer.
+    pub(crate) fn estimate(&self) -> u64 {
+        prompt_tokens(&self.prompt) + u64::from(self.max_tokens.saturating_sub(self.resume_tokens))
+    }
+}
+
+/// Bytes of text in a token, on average.
+const BYTES_A_TOKEN: u64 = 4;
+
+/// Returns the estimated number of tokens in a prompt.
+pub(crate) fn prompt_tokens(prompt: &str) -> u64 {
+    (prompt.len() as u64).div_ceil(BYTES_A_TOKEN)
+}
+
+/// An event of a streamed answer.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) enum Event {
+    /// The next token.
+    Token {
+        /// Its place in the whole answer, from 0.
+        index: u32,
+        /// Its text.
+        text: String,
+    },
+    /// The whole answer has been delivered.
+    End {
+        /// Whether the largest length ended it.
+        by_length: bool,
+    },
+    /// The answer ends here and is not whole.
+    Failed(Error),
+}
+
+/// Returns a bounded channel for the events of one answer.
+pub(crate) fn channel() -> (mpsc::Sender<Event>, mpsc::Receiver<Event>) {
+    mpsc::channel(EVENTS_WAITING)
+}
+
+/// A call of a plain service.
+#[derive(Debug, Clone)]
+pub(crate) struct Call {
+    /// The client account.
+    pub(crate) account: Account,
+    /// The service.
+    pub(crate) service: name::Service,
+    /// The call.
+    pub(crate) call: Arc<str>,
+    /// The body, JSON.
+    pub(crate) body: Arc<[u8]>,
+    /// When the answer is of no use any more.
+    pub(crate) deadline: Moment,
+    /// Attempts made so far, here and at other nodes.
+    pub(crate) attempts: u32,
+    /// Whether another entry node sent it here.
+    pub(crate) forwarded: bool,
+}
+
+/// The longest a request may take from arrival to the end of its answer.
+pub(crate) const LONGEST_REQUEST: Duration = Duration::from_secs(120);
--- a/src/bin/arbutusford.rs
+++ b/src/bin/arbutusford.rs
@@ -1,2 +1,8 @@
 //! Starts the command line.
-fn main() {}
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    let arguments: Vec<String> = std::env::args().collect();
+    arbutusford::commands::run(&arguments).into()
+}
