--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -1,1 +1,3 @@
 //! Client of the platform's append-only log service.
+
+pub mod proto;
