Parse the operators' lists, naming every fault in one pass

A derived deserializer stops at the first fault, so an operator would learn of a bad list one fault at a time. Each key is now read on its own from the spanned TOML tree and faults are collected with line, path and expectation. Differences of two texts are listed by path for conflict answers.

--- a/crates/plan/src/lib.rs
+++ b/crates/plan/src/lib.rs
@@ -6,6 +6,15 @@
 //! limits, and the models, adapters and services open to it. Both are one
 //! TOML document, so that one revision covers them.
 
+mod difference;
+mod fault;
 mod lists;
+mod parse;
+mod read;
+mod secret;
 
+pub use difference::{Difference, difference};
+pub use fault::{Fault, Faults};
 pub use lists::{Account, Call, Digest, Lists, Model, Operator, Plan, Service};
+pub use parse::{MAX_MEMBERS, MAX_TEXT_BYTES, MAX_WEIGHT, parse};
+pub use secret::digest;
