Decide slots, shares and limits of client accounts

Entry nodes need a bound on requests in progress at each server that holds without a message per request. Slots divided by rendezvous hash over the epoch give it; a gate opens them by evidence that expires. Limits over all nodes are half split evenly and half leased by the account's home node, so that the sum holds also when the home is lost.

--- /dev/null
+++ b/crates/admit/src/limit/bucket.rs
@@ -0,0 +1,160 @@
+//! Token buckets for what one account uses on one node.
+
+use super::portion::Limit;
+use clock::Moment;
+use std::time::Duration;
+use verdict::{Error, Kind};
+
+/// The span whose whole rate may be used at once.
+const BURST: Duration = Duration::from_secs(1);
+
+/// The retry time given when the concurrency limit is reached.
+const RETRY_CONCURRENCY: Duration = Duration::from_millis(250);
+
+/// The longest retry time given.
+const RETRY_MAX: Duration = Duration::from_secs(30);
+
+/// A token bucket.
+#[common::plain]
+pub struct Bucket {
+    /// Units per second.
+    rate: f64,
+    /// May be negative: an answer that was longer than estimated is paid back.
+    level: f64,
+    at: Moment,
+}
+
+impl Bucket {
+    /// Returns a bucket of `rate` units per second that starts full.
+    pub fn new(rate: u32, now: Moment) -> Self {
+        let rate = f64::from(rate);
+        Self {
+            rate,
+            level: rate * BURST.as_secs_f64(),
+            at: now,
+        }
+    }
+
+    /// Changes the rate; what has accrued is kept up to the new burst.
+    pub fn set_rate(&mut self, rate: u32, now: Moment) {
+        self.refill(now);
+        self.rate = f64::from(rate);
+        self.level = self.level.min(self.burst());
+    }
+
+    /// Returns how long until `units` may be taken, zero if now.
+    ///
+    /// More than the burst may be taken from a full bucket, which then owes.
+    pub fn wait(&mut self, units: f64, now: Moment) -> Duration {
+        self.refill(now);
+        let missing = units.min(self.burst()) - self.level;
+        if self.rate <= 0.0 {
+            return RETRY_MAX;
+        }
+        // A rounding error must not look like a missing unit.
+        if missing <= 1e-9 {
+            return Duration::ZERO;
+        }
+        Duration::from_secs_f64((missing / self.rate).min(RETRY_MAX.as_secs_f64()))
+    }
+
+    /// Takes `units`, or gives them back if negative.
+    pub fn take(&mut self, units: f64) {
+        self.level = (self.level - units).min(self.burst());
+    }
+
+    /// Returns the units that may accrue.
+    fn burst(&self) -> f64 {
+        self.rate * BURST.as_secs_f64()
+    }
+
+    /// Adds what has accrued.
+    fn refill(&mut self, now: Moment) {
+        let accrued = self.rate * now.since(self.at).as_secs_f64();
+        self.level = (self.level + accrued).min(self.burst());
+        self.at = self.at.max(now);
+    }
+}
+
+/// Which limit refused a request.
+#[common::key]
+pub enum Refusal {
+    /// The tokens in a second.
+    Tokens,
+    /// The requests in a second.
+    Requests,
+    /// The requests in progress.
+    Concurrency,
+}
+
+/// What one account uses on one node, against the node's portion.
+#[common::plain]
+pub struct Usage {
+    tokens: Bucket,
+    requests: Bucket,
+    concurrency: u32,
+    in_progress: u32,
+}
+
+impl Usage {
+    /// Returns an unused account under `limit`, the node's portion.
+    pub fn new(limit: Limit, now: Moment) -> Self {
+        Self {
+            tokens: Bucket::new(limit.tokens_per_s, now),
+            requests: Bucket::new(limit.requests_per_s, now),
+            concurrency: limit.concurrency,
+            in_progress: 0,
+        }
+    }
+
+    /// Changes the node's portion.
+    pub fn set(&mut self, limit: Limit, now: Moment) {
+        self.tokens.set_rate(limit.tokens_per_s, now);
+        self.requests.set_rate(limit.requests_per_s, now);
+        self.concurrency = limit.concurrency;
+    }
+
+    /// Starts a request of `estimated` tokens.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error with verdict not-run if a limit is reached.
+    pub fn start(&mut self, estimated: u64, now: Moment) -> Result<(), Error> {
+        if let Some((refusal, wait)) = self.refusal(estimated, now) {
+            let message = match refusal {
+                Refusal::Tokens => "the account's tokens per second are used up",
+                Refusal::Requests => "the account's requests per second are used up",
+                Refusal::Concurrency => "the account has too many requests in progress",
+            };
+            return Err(Error::not_run(Kind::Limited, message).with_retry_after(wait));
+        }
+        self.requests.take(1.0);
+        self.tokens.take(estimated as f64);
+        self.in_progress += 1;
+        Ok(())
+    }
+
+    /// Ends a request, and corrects its tokens to `actual`.
+    pub fn finish(&mut self, estimated: u64, actual: u64) {
+        self.in_progress = self.in_progress.saturating_sub(1);
+        self.tokens.take(actual as f64 - estimated as f64);
+    }
+
+    /// Returns the requests in progress.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress
+    }
+
+    /// Returns the limit that would refuse a request now, and for how long.
+    fn refusal(&mut self, estimated: u64, now: Moment) -> Option<(Refusal, Duration)> {
+        if self.in_progress >= self.concurrency {
+            return Some((Refusal::Concurrency, RETRY_CONCURRENCY));
+        }
+        let waits = [
+            (Refusal::Requests, self.requests.wait(1.0, now)),
+            (Refusal::Tokens, self.tokens.wait(estimated as f64, now)),
+        ];
+        let longest = waits.into_iter().max_by_key(|(_, wait)| *wait)?;
+        (longest.1 > Duration::ZERO).then_some(longest)
+    }
+}
--- /dev/null
+++ b/crates/admit/src/limit/mod.rs
@@ -0,0 +1,22 @@
+//! Rates and concurrency of client accounts, over all nodes together.
+//!
+//! A plan's limit holds for an account on all entry nodes together. Half of it
+//! is split evenly, so that each node has something without asking; the rest is
+//! divided by demand by the account's home node, as leased grants:
+//!
+//! 1. a node's [`Portion`] sends a [`Demand`] in its heartbeat to [`home`];
+//! 2. the home's [`Portions`] answers with a [`Grant`];
+//! 3. the node's [`Bucket`]s admit requests at base plus grant.
+//!
+//! When the home is lost, grants lapse and the even split of the reserved half
+//! remains. The sum over all nodes never exceeds the limit: see
+//! `docs/design/admit.md` for the argument.
+
+mod bucket;
+mod home;
+mod portion;
+mod rising;
+
+pub use bucket::{Bucket, Refusal, Usage};
+pub use home::{Portions, home};
+pub use portion::{Demand, Grant, Lease, Limit, Portion};
--- /dev/null
+++ b/crates/admit/src/slot/ownership.rs
@@ -0,0 +1,68 @@
+//! Which entry node owns which slot in one epoch.
+
+use name::{Incarnation, Node, Offset};
+use state::Epoch;
+
+/// The entry nodes of one epoch, among which slots are divided.
+///
+/// The owner of a slot is found by rendezvous hashing, so a change of one peer
+/// moves only that peer's slots.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ownership {
+    revision: Offset,
+    peers: Vec<(Node, Incarnation)>,
+}
+
+impl From<&Epoch> for Ownership {
+    fn from(epoch: &Epoch) -> Self {
+        let peers = epoch.peers.iter();
+        Self {
+            revision: epoch.revision,
+            peers: peers.map(|p| (p.node.clone(), p.incarnation)).collect(),
+        }
+    }
+}
+
+impl Ownership {
+    /// Returns the offset of the epoch's record.
+    pub fn revision(&self) -> Offset {
+        self.revision
+    }
+
+    /// Returns the number of entry nodes.
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// Returns whether this life of `node` belongs to the epoch.
+    pub fn includes(&self, node: &Node, incarnation: Incarnation) -> bool {
+        self.peers
+            .iter()
+            .any(|(n, i)| n == node && *i == incarnation)
+    }
+
+    /// Returns the node that owns `slot` of the server `key`.
+    ///
+    /// Takes time linear in the number of peers.
+    pub fn owner(&self, key: &str, slot: u32) -> Option<&Node> {
+        self.owner_of(&format!("{key}/{slot}"))
+    }
+
+    /// Returns the slots below `slots` of the server `key` that this life of `node` owns.
+    ///
+    /// Takes time linear in `slots` and in the number of peers; a [`super::Gate`]
+    /// calls it once for each epoch.
+    pub fn owned(&self, key: &str, node: &Node, incarnation: Incarnation, slots: u32) -> Vec<u32> {
+        if !self.includes(node, incarnation) {
+            return Vec::new();
+        }
+        let is_owned = |slot: &u32| self.owner(key, *slot) == Some(node);
+        (0..slots).filter(is_owned).collect()
+    }
+
+    /// Returns the highest-scoring node for `topic`.
+    fn owner_of(&self, topic: &str) -> Option<&Node> {
+        let nodes = self.peers.iter().map(|(node, _)| node);
+        nodes.max_by_key(|node| (name::score(topic, node.as_str()), *node))
+    }
+}
--- /dev/null
+++ b/crates/admit/src/stats/mod.rs
@@ -0,0 +1,82 @@
+//! Latency histograms for each client account and class.
+//!
+//! This module records; [`query`] reads. The number of series is bounded: when
+//! it is reached, further accounts share one series named [`OTHER`].
+
+pub mod query;
+
+use hdrhistogram::Histogram;
+use name::{Account, Class};
+use std::{collections::BTreeMap, time::Duration};
+
+/// The name under which accounts beyond the bound are recorded.
+pub const OTHER: &str = "other";
+
+/// The longest time that is told apart, in microseconds: 10 minutes.
+const MAX_MICROS: u64 = 600_000_000;
+
+/// The significant decimal digits of a recorded time.
+const DIGITS: u8 = 2;
+
+/// What a time measures.
+#[common::key]
+#[serde(rename_all = "snake_case")]
+pub enum Phase {
+    /// From arrival until a slot was granted.
+    Queueing,
+    /// From arrival until the first token left.
+    FirstToken,
+    /// Between two tokens of one answer.
+    BetweenTokens,
+    /// From arrival until the answer was whole.
+    Total,
+}
+
+/// The key of one series.
+pub(crate) type Key = (Account, Class, Phase);
+
+/// Latency histograms for each client account and class.
+#[derive(Debug, Clone)]
+pub struct Stats {
+    max_series: usize,
+    series: BTreeMap<Key, Histogram<u64>>,
+}
+
+impl Stats {
+    /// Returns empty statistics of at most `max_series` series, and those of [`OTHER`].
+    pub fn new(max_series: usize) -> Self {
+        Self {
+            max_series,
+            series: BTreeMap::new(),
+        }
+    }
+
+    /// Records one time.
+    pub fn record(&mut self, account: &Account, class: &Class, phase: Phase, time: Duration) {
+        let micros = u64::try_from(time.as_micros()).unwrap_or(u64::MAX);
+        let key = self.key(account, class, phase);
+        let histogram = self.series.entry(key).or_insert_with(empty);
+        histogram.saturating_record(micros.max(1));
+    }
+
+    /// Forgets every time.
+    pub fn clear(&mut self) {
+        self.series.clear();
+    }
+
+    /// Returns the series that a time belongs to.
+    fn key(&self, account: &Account, class: &Class, phase: Phase) -> Key {
+        let key = (account.clone(), class.clone(), phase);
+        if self.series.contains_key(&key) || self.series.len() < self.max_series {
+            return key;
+        }
+        let other = Account::try_from(OTHER).expect("the constant is a name");
+        let any = Class::try_from(OTHER).expect("the constant is a name");
+        (other, any, phase)
+    }
+}
+
+/// Returns a histogram that grows up to the longest time.
+fn empty() -> Histogram<u64> {
+    Histogram::new_with_bounds(1, MAX_MICROS, DIGITS).expect("the constants are valid bounds")
+}
--- /dev/null
+++ b/crates/admit/src/stats/query.rs
@@ -0,0 +1,57 @@
+//! Reads latency histograms.
+
+use super::{Phase, Stats};
+use name::{Account, Class};
+use std::time::Duration;
+
+/// The percentiles of one series.
+#[common::value]
+pub struct Row {
+    /// The client account.
+    pub account: Account,
+    /// The class of work.
+    pub class: Class,
+    /// What was measured.
+    pub phase: Phase,
+    /// The number of times recorded.
+    pub count: u64,
+    /// The median.
+    pub p50: Duration,
+    /// The 95th percentile.
+    pub p95: Duration,
+    /// The 99th percentile.
+    pub p99: Duration,
+    /// The longest.
+    pub max: Duration,
+}
+
+/// Returns a row for each series, in order of account, class and phase.
+pub fn rows(stats: &Stats) -> Vec<Row> {
+    let series = stats.series.iter();
+    series
+        .map(|((account, class, phase), histogram)| {
+            let at = |q| Duration::from_micros(histogram.value_at_quantile(q));
+            Row {
+                account: account.clone(),
+                class: class.clone(),
+                phase: *phase,
+                count: histogram.len(),
+                p50: at(0.5),
+                p95: at(0.95),
+                p99: at(0.99),
+                max: Duration::from_micros(histogram.max()),
+            }
+        })
+        .collect()
+}
+
+/// Returns the 95th percentile of one phase over an account's classes, if recorded.
+pub fn p95(stats: &Stats, account: &Account, phase: Phase) -> Option<Duration> {
+    let series = stats.series.iter();
+    let mut own = series.filter(|((a, _, p), _)| a == account && *p == phase);
+    let mut sum = own.next()?.1.clone();
+    for (_, histogram) in own {
+        sum += histogram;
+    }
+    Some(Duration::from_micros(sum.value_at_quantile(0.95)))
+}
