Add claims, calls and tickets for requests that run at most once

A request that may not be repeated needs one winner among all entry nodes. The claim stream's fold gives it: the first claim or void of a key wins, and a call dispatches only after reading its own claim back. A call that gives up before that asks the stream with a void, since not-run must hold for the key.

Key ahead of the clock: another node's clock may accept it, so it is voided before not-run is said; one too far ahead to hold a void says may-have-run.

--- /dev/null
+++ b/crates/once/src/key.rs
@@ -0,0 +1,148 @@
+//! Keys of requests that may not be repeated.
+
+use clock::Wall;
+use name::Account;
+use sha2::{Digest as _, Sha256};
+use std::{fmt, time::Duration};
+use uuid::Uuid;
+use verdict::{Error, Kind};
+
+/// The SHA-256 digest of a request's target and body.
+#[common::key]
+pub struct Digest(Uuid, Uuid);
+
+impl Digest {
+    /// Returns the digest of `target` (method and path) and `body`.
+    pub fn new(target: &str, body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        hash.update(target.len().to_be_bytes());
+        hash.update(target);
+        hash.update(body);
+        let bytes: [u8; 32] = hash.finalize().into();
+        let (high, low) = bytes.split_at(16);
+        Self(half(high), half(low))
+    }
+}
+
+/// Returns 16 bytes as a number.
+fn half(bytes: &[u8]) -> Uuid {
+    Uuid::from_slice(bytes).expect("half of a SHA-256 digest has 16 bytes")
+}
+
+/// A client account's name for one request that may not be repeated.
+#[common::value]
+#[derive(PartialOrd, Ord, Hash)]
+pub struct Key {
+    /// The client account.
+    pub account: Account,
+    /// The UUIDv7 that the caller made.
+    pub id: Uuid,
+}
+
+impl Key {
+    /// Returns the key in the header text of a call by `account`.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says not-run if the text is missing or is no
+    /// UUIDv7: no node ever runs such a request.
+    pub fn parse(account: &Account, text: Option<&str>) -> Result<Self, Error> {
+        let Some(text) = text else {
+            return Err(malformed("a request that may not be repeated needs a key"));
+        };
+        match Uuid::try_parse(text) {
+            Ok(id) if is_v7(&id) => Ok(Self {
+                account: account.clone(),
+                id,
+            }),
+            _ => Err(malformed("the key is not a UUIDv7")),
+        }
+    }
+
+    /// Returns the time inside the key.
+    pub fn time(&self) -> Wall {
+        let millis = self.id.as_u128() >> 80;
+        Wall(u64::try_from(millis).unwrap_or(u64::MAX))
+    }
+}
+
+impl fmt::Display for Key {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.account, self.id)
+    }
+}
+
+/// Returns whether `id` is of version 7 and the standard variant.
+fn is_v7(id: &Uuid) -> bool {
+    id.get_version_num() == 7 && id.get_variant() == uuid::Variant::RFC4122
+}
+
+/// Returns the error for a key that no node accepts.
+fn malformed(message: &str) -> Error {
+    Error::not_run(Kind::Malformed, message)
+}
+
+/// Which keys are remembered, and so may run.
+#[common::value]
+pub struct Window {
+    /// How long a key is remembered after the time inside it.
+    ///
+    /// Must be shorter than the log's retention by at least twice `skew`.
+    pub remembered: Duration,
+    /// How far ahead of a node's clock the time inside a key may lie.
+    pub skew: Duration,
+}
+
+impl Default for Window {
+    /// Returns 10 minutes with 5 seconds of skew.
+    fn default() -> Self {
+        Self {
+            remembered: Duration::from_secs(600),
+            skew: Duration::from_secs(5),
+        }
+    }
+}
+
+/// Where the time inside a key lies.
+#[common::key]
+pub enum Position {
+    /// The key may run.
+    Inside,
+    /// The key may have been forgotten: it never runs any more.
+    TooOld,
+    /// The key lies ahead of the clock, near enough to be remembered as void.
+    Ahead,
+    /// The key lies so far ahead that its void could not be held in bounds.
+    FarAhead,
+}
+
+impl Window {
+    /// Returns where `key` lies at `wall`.
+    pub fn position(&self, key: &Key, wall: Wall) -> Position {
+        let ahead = key.time().since(wall);
+        if wall.since(key.time()) > self.remembered {
+            Position::TooOld
+        } else if ahead <= self.skew {
+            Position::Inside
+        } else if ahead <= self.remembered {
+            Position::Ahead
+        } else {
+            Position::FarAhead
+        }
+    }
+
+    /// Returns whether logs that keep records for `retention` suffice.
+    pub fn fits(&self, retention: Duration) -> bool {
+        self.remembered + 2 * self.skew < retention
+    }
+}
+
+/// Returns the partition of the stream, below `count`, that holds `key`.
+///
+/// All nodes must use the same `count`, at least 1; it changes only while no
+/// key of the old count is inside the window.
+pub fn partition(key: &Key, count: u32) -> u32 {
+    let text = key.id.simple().to_string();
+    let score = name::score(key.account.as_str(), &text);
+    u32::try_from(score % u64::from(count.max(1))).unwrap_or(0)
+}
--- a/crates/once/src/lib.rs
+++ b/crates/once/src/lib.rs
@@ -1,1 +1,26 @@
 //! At most once: claims, tickets, outcomes.
+//!
+//! A request that may not be repeated carries a [`Key`]. The nodes append
+//! [`Record`]s about keys to a log stream of their own and fold it into a
+//! [`Table`]; the first claim or void for a key wins. A [`Call`] carries one
+//! request through: it appends a claim, reads it back and dispatches once.
+//! While the log is down, [`Tickets`] bind a request to one life of one node.
+//!
+//! The invariant: over all nodes a key is dispatched at most once, and never
+//! if any caller was or will be told that it was not run.
+
+mod answer;
+mod batch;
+mod call;
+mod key;
+mod record;
+mod table;
+mod ticket;
+
+pub use answer::Answer;
+pub use batch::Batch;
+pub use call::{Action, Append, Call, Event, Limits, Reply, Request};
+pub use key::{Digest, Key, Position, Window, partition};
+pub use record::{Claim, Malformed, Record};
+pub use table::{Bounds, Standing, Table};
+pub use ticket::{Place, Quota, Start, Ticket, Tickets};
