Read settings and report every fault with its line

The daemons need settings that are checked whole at their start. A faulty value is replaced by that of a sample document, so that one reading finds the next fault too; ten cases show line, key and expectation, three faults in one document among them. The page of keys is made from the code, and a test holds it against the file. Nine entry nodes and one stand-in process for each deployment have files whose ports do not clash.

--- /dev/null
+++ b/crates/settings/src/page.rs
@@ -0,0 +1,56 @@
+//! The operators' page of keys, made from the code.
+
+use crate::{Document, Entry, Standin};
+use std::fmt::Write;
+
+/// Returns all keys of a kind of document, as `section.key`.
+pub fn keys<T: Document>() -> Vec<String> {
+    let full = |section: &str, name: &str| match section {
+        "" => name.into(),
+        section => format!("{section}.{name}"),
+    };
+    let sections = T::sections().into_iter();
+    sections
+        .flat_map(|(section, keys)| keys.into_iter().map(move |key| full(section, key.name)))
+        .collect()
+}
+
+/// Returns the page `docs/SETTINGS.md`.
+pub fn page() -> String {
+    let mut page = String::from(
+        "# Settings\n\n\
+         Documents are TOML. The unit of a quantity is part of its key's name. A key\n\
+         without a default is required where the default column says so. An unknown key,\n\
+         a wrong type or unit, clashing addresses or a missing failure domain stop the\n\
+         process at its start with exit code 2; `entry --check` only checks. All faults\n\
+         are printed, each with file, line, key and what was expected.\n\n\
+         Examples: `examples/settings/`. `SETTINGS_BLESS=1 cargo test -p\n\
+         arbutusford-settings` writes this page anew from the code.\n\n\
+         ## `arbutusford entry`\n",
+    );
+    tables::<Entry>(&mut page);
+    page.push_str("\n## `arbutusford standin`\n");
+    tables::<Standin>(&mut page);
+    page
+}
+
+/// Adds a table for each section.
+fn tables<T: Document>(page: &mut String) {
+    for (section, keys) in T::sections() {
+        if !section.is_empty() {
+            let _ = write!(page, "\n### `[{section}]`\n");
+        }
+        page.push_str("\n| key | unit | default | effect |\n|---|---|---|---|\n");
+        for key in keys {
+            let optional = ["advertise", "peers", "metrics"].contains(&section);
+            let default = match key.default.as_str() {
+                "" if optional => "none".into(),
+                "" => "required".into(),
+                default => format!("`{default}`"),
+            };
+            let effect = key.effect.concat();
+            let (name, unit) = (key.name, key.unit());
+            let _ = writeln!(page, "| `{name}` | {unit} | {default} |{effect} |");
+        }
+    }
+}
--- /dev/null
+++ b/crates/settings/src/read.rs
@@ -0,0 +1,273 @@
+//! Reads a document and collects its faults.
+//!
+//! A faulty value is replaced by that of the document's sample, so that one
+//! reading goes on to the next fault.
+
+use crate::{Fault, Faults, section::Key};
+use serde::de::DeserializeOwned;
+use std::{net::SocketAddr, path::Path};
+use toml::{
+    Value,
+    de::{DeTable, DeValue},
+};
+
+/// The most faults that one reading looks for.
+const MAX_FAULTS: usize = 100;
+
+/// A kind of document.
+pub trait Document: DeserializeOwned {
+    /// A faultless document with the required keys only.
+    const SAMPLE: &'static str;
+
+    /// Returns what is wrong with values that are well formed by themselves.
+    fn problems(&self) -> Vec<Problem>;
+
+    /// Returns the keys of each section in order.
+    fn sections() -> Vec<(&'static str, Vec<Key>)>;
+}
+
+/// What is wrong with the value of a key.
+#[derive(Debug, Clone)]
+pub struct Problem {
+    key: String,
+    text: String,
+}
+
+impl Problem {
+    /// Returns the problem `text` of `key`.
+    pub(crate) fn new(key: &str, text: String) -> Self {
+        let key = key.into();
+        Self { key, text }
+    }
+}
+
+/// Adds a problem for each address that an earlier key has too.
+pub(crate) fn clashes(addresses: &[(&str, SocketAddr)], problems: &mut Vec<Problem>) {
+    for (n, (key, address)) in addresses.iter().enumerate() {
+        let same = |other: &&(&str, SocketAddr)| other.1 == *address && address.port() != 0;
+        if let Some((earlier, _)) = addresses[..n].iter().find(same) {
+            let text = format!("{address} clashes with {earlier}: expected another address");
+            problems.push(Problem::new(key, text));
+        }
+    }
+}
+
+/// Reads the document in the file at `path`.
+///
+/// # Errors
+///
+/// Returns all faults that were found, or one if the file cannot be read.
+pub fn load<T: Document>(path: &Path) -> Result<T, Faults> {
+    let file = path.display().to_string();
+    let text = std::fs::read_to_string(path).map_err(|error| {
+        Faults(vec![Fault {
+            file: file.clone(),
+            line: 0,
+            key: String::new(),
+            problem: format!("cannot be read: {error}"),
+        }])
+    })?;
+    parse(&text, &file)
+}
+
+/// Reads the document `text`, which faults attribute to `file`.
+///
+/// # Errors
+///
+/// Returns all faults that were found.
+pub fn parse<T: Document>(text: &str, file: &str) -> Result<T, Faults> {
+    let spans = match DeTable::parse(text) {
+        Ok(spans) => spans.into_inner(),
+        Err(error) => {
+            let at = error.span().map_or(0, |span| span.start);
+            let fault = Fault {
+                file: file.into(),
+                line: line(text, at),
+                key: String::new(),
+                problem: format!("is not TOML: {}", error.message()),
+            };
+            return Err(Faults(vec![fault]));
+        }
+    };
+    let (read, problems) = collect::<T>(text);
+    let fault = |problem: Problem| Fault {
+        file: file.into(),
+        line: line(text, offset(&spans, &problem.key)),
+        key: problem.key,
+        problem: problem.text,
+    };
+    let mut faults: Vec<_> = problems.into_iter().map(fault).collect();
+    faults.sort_by_key(|fault| fault.line);
+    match read {
+        Some(read) if faults.is_empty() => Ok(read),
+        _ => Err(Faults(faults)),
+    }
+}
+
+/// Returns the document, patched where it is faulty, and all problems.
+fn collect<T: Document>(text: &str) -> (Option<T>, Vec<Problem>) {
+    let mut problems: Vec<Problem> = Vec::new();
+    let parsed = (
+        text.parse::<toml::Table>(),
+        T::SAMPLE.parse::<toml::Table>(),
+    );
+    let (Ok(table), Ok(sample)) = parsed else {
+        let text = "is not TOML".into();
+        return (None, vec![Problem::new("", text)]);
+    };
+    let mut table = Value::Table(table);
+    let sample = Value::Table(sample);
+    while problems.len() < MAX_FAULTS {
+        let error = match serde_path_to_error::deserialize::<_, T>(table.clone()) {
+            Ok(read) => {
+                let known = |new: &Problem| !problems.iter().any(|old| old.key == new.key);
+                let more: Vec<_> = read.problems().into_iter().filter(known).collect();
+                problems.extend(more);
+                return (Some(read), problems);
+            }
+            Err(error) => error,
+        };
+        let path = path(&error);
+        let key = path.join(".");
+        let stuck = problems.iter().any(|problem| problem.key == key);
+        if !stuck {
+            let text = explain::<T>(&path, error.inner().message());
+            problems.push(Problem::new(&key, text));
+        }
+        if !patch(&mut table, &sample, &path, stuck) {
+            break;
+        }
+    }
+    (None, problems)
+}
+
+/// Returns the steps to the faulty key.
+fn path(error: &serde_path_to_error::Error<toml::de::Error>) -> Vec<String> {
+    use serde_path_to_error::Segment;
+    let step = |segment: &Segment| match segment {
+        Segment::Seq { index } => Some(index.to_string()),
+        Segment::Map { key } => Some(key.clone()),
+        Segment::Enum { .. } | Segment::Unknown => None,
+    };
+    let mut path: Vec<String> = error.path().iter().filter_map(step).collect();
+    let message = error.inner().message();
+    let named = ["missing field `", "unknown field `"];
+    let rest = named.iter().find_map(|start| message.strip_prefix(start));
+    let name = rest.and_then(|rest| rest.split('`').next());
+    if let Some(name) = name.filter(|name| path.last().is_none_or(|last| last != name)) {
+        path.push(name.into());
+    }
+    path
+}
+
+/// Returns the message, with the right key where only the unit is wrong.
+fn explain<T: Document>(path: &[String], message: &str) -> String {
+    let message = message.trim().replace('\n', "; ");
+    if !message.starts_with("unknown field") {
+        return message;
+    }
+    let name = path.last().map_or("", String::as_str);
+    let section = path.iter().rev().nth(1).map_or("", String::as_str);
+    let stem = |name: &str| {
+        name.rsplit_once('_')
+            .map_or(name, |(stem, _)| stem)
+            .to_owned()
+    };
+    let sections = T::sections();
+    let keys = sections.iter().filter(|(of, _)| *of == section);
+    let known: Vec<&Key> = keys.flat_map(|(_, keys)| keys).collect();
+    let near = |key: &&&Key| stem(key.name) == stem(name) || stem(key.name) == name;
+    match known.iter().find(near) {
+        Some(key) => format!(
+            "unknown key: expected {}, in {}",
+            key.name,
+            if key.unit().is_empty() {
+                "no unit"
+            } else {
+                key.unit()
+            }
+        ),
+        None => message.replace("unknown field", "unknown key"),
+    }
+}
+
+/// Replaces the value at `path` by that of `sample`, or removes it.
+///
+/// Goes one step up when `stuck`; returns whether anything was changed.
+fn patch(table: &mut Value, sample: &Value, path: &[String], stuck: bool) -> bool {
+    let depth = path.len() - usize::from(stuck && !path.is_empty());
+    let Some((name, parents)) = path[..depth].split_last() else {
+        return false;
+    };
+    let step = |value: &Value, name: &String| match value {
+        Value::Table(table) => table.get(name).cloned(),
+        Value::Array(items) => name.parse().ok().and_then(|n: usize| items.get(n).cloned()),
+        _ => None,
+    };
+    let better = path[..depth]
+        .iter()
+        .try_fold(sample.clone(), |at, name| step(&at, name));
+    let mut at = table;
+    for parent in parents {
+        let below = match at {
+            Value::Table(table) => table.get_mut(parent),
+            Value::Array(items) => parent.parse().ok().and_then(|n: usize| items.get_mut(n)),
+            _ => None,
+        };
+        let Some(below) = below else { return false };
+        at = below;
+    }
+    match (at, better) {
+        (Value::Table(table), Some(better)) => {
+            table.insert(name.clone(), better);
+            true
+        }
+        (Value::Table(table), None) => table.remove(name).is_some(),
+        (Value::Array(items), better) => {
+            let Some(n) = name.parse().ok().filter(|n: &usize| *n < items.len()) else {
+                return false;
+            };
+            match better {
+                Some(better) => items[n] = better,
+                None => drop(items.remove(n)),
+            }
+            true
+        }
+        _ => false,
+    }
+}
+
+/// Returns the byte offset of `key`, or of the nearest table around it.
+fn offset(spans: &DeTable<'_>, key: &str) -> usize {
+    let mut found = 0;
+    let mut table = Some(spans);
+    let mut items = None;
+    for step in key.split('.') {
+        let value = if let Some(inner) = table {
+            let Some((at, value)) = inner.iter().find(|(name, _)| name.get_ref() == step) else {
+                break;
+            };
+            found = at.span().start;
+            value
+        } else if let Some(value) = items.and_then(|items: &toml::de::DeArray<'_>| {
+            step.parse().ok().and_then(|n: usize| items.get(n))
+        }) {
+            found = value.span().start;
+            value
+        } else {
+            break;
+        };
+        (table, items) = match value.get_ref() {
+            DeValue::Table(inner) => (Some(inner), None),
+            DeValue::Array(inner) => (None, Some(inner)),
+            _ => (None, None),
+        };
+    }
+    found
+}
+
+/// Returns the line, from 1, of the byte offset `at`.
+fn line(text: &str, at: usize) -> usize {
+    let before = text.as_bytes().iter().take(at);
+    1 + before.filter(|byte| **byte == b'\n').count()
+}
--- /dev/null
+++ b/crates/settings/src/section.rs
@@ -0,0 +1,106 @@
+//! Sections of a document: structs whose keys are also a list.
+
+/// A key of a document.
+#[common::plain]
+pub struct Key {
+    /// The name, which ends in the unit.
+    pub name: &'static str,
+    /// What it does.
+    pub effect: &'static [&'static str],
+    /// The default as TOML; empty without one.
+    pub default: String,
+}
+
+impl Key {
+    /// Returns the unit that the name's ending states, or nothing.
+    pub fn unit(&self) -> &'static str {
+        let units = [
+            ("_ms", "milliseconds"),
+            ("_us", "microseconds"),
+            ("_s", "seconds"),
+            ("_bytes", "bytes"),
+            ("_mib", "MiB"),
+            ("_mib_per_s", "MiB/s"),
+            ("_per_s", "1/s"),
+        ];
+        let ending = |(end, _): &&(&str, &str)| self.name.ends_with(end);
+        let longest = |(end, _): &&(&str, &str)| end.len();
+        let unit = units.iter().filter(ending).max_by_key(longest);
+        unit.map_or("", |(_, unit)| unit)
+    }
+}
+
+/// Returns `value` as TOML; empty if it has no TOML form, as an absent one.
+pub(crate) fn shown(value: &impl serde::Serialize) -> String {
+    let value = toml::Value::try_from(value);
+    value.map(|v| v.to_string()).unwrap_or_default()
+}
+
+/// Defines a section in which every key has a default.
+macro_rules! section {
+    (
+        $(#[doc = $doc:literal])*
+        $name:ident {$(
+            $(#[doc = $effect:literal])*
+            $field:ident: $kind:ty = $default:expr,
+        )*}
+    ) => {
+        $(#[doc = $doc])*
+        #[common::value]
+        #[serde(deny_unknown_fields, default)]
+        pub struct $name {$(
+            $(#[doc = $effect])*
+            pub $field: $kind,
+        )*}
+
+        impl Default for $name {
+            fn default() -> Self {
+                Self { $($field: $default,)* }
+            }
+        }
+
+        impl $name {
+            /// Returns the keys in order.
+            pub(crate) fn keys() -> Vec<crate::section::Key> {
+                let defaults = Self::default();
+                vec![$(crate::section::Key {
+                    name: stringify!($field),
+                    effect: &[$($effect),*],
+                    default: crate::section::shown(&defaults.$field),
+                }),*]
+            }
+        }
+    };
+}
+
+/// Defines a section in which every key without `Option` is required.
+macro_rules! required {
+    (
+        $(#[doc = $doc:literal])*
+        $name:ident {$(
+            $(#[doc = $effect:literal])*
+            $field:ident: $kind:ty,
+        )*}
+    ) => {
+        $(#[doc = $doc])*
+        #[common::value]
+        #[serde(deny_unknown_fields)]
+        pub struct $name {$(
+            $(#[doc = $effect])*
+            pub $field: $kind,
+        )*}
+
+        impl $name {
+            /// Returns the keys in order.
+            pub(crate) fn keys() -> Vec<crate::section::Key> {
+                vec![$(crate::section::Key {
+                    name: stringify!($field),
+                    effect: &[$($effect),*],
+                    default: String::new(),
+                }),*]
+            }
+        }
+    };
+}
+
+pub(crate) use {required, section};
--- /dev/null
+++ b/crates/settings/src/standin.rs
@@ -0,0 +1,170 @@
+//! The settings of the stand-ins for the systems outside.
+
+use crate::{
+    read::{Document, Problem},
+    section::{Key, required, section},
+};
+use name::Service;
+use std::net::SocketAddr;
+
+/// A document with all required keys, which stand in for faulty ones.
+const SAMPLE: &str = r#"
+ports = { log = "127.0.0.1:1", instances = "127.0.0.1:2", weights = "127.0.0.1:3", control = "127.0.0.1:4", backends = "127.0.0.1:5" }
+[[domains]]
+name = "domain"
+fabrics = 1
+engines_per_fabric = 1
+services = []
+"#;
+
+/// The settings of the stand-ins.
+#[common::value]
+#[serde(deny_unknown_fields)]
+pub struct Standin {
+    /// The seed of everything random.
+    #[serde(default)]
+    pub seed: u64,
+    /// Where the stand-ins listen.
+    pub ports: Ports,
+    /// The failure domains.
+    pub domains: Vec<Domain>,
+    /// How fast the stand-ins are.
+    #[serde(default)]
+    pub speed: Speed,
+}
+
+required! {
+    /// Where the stand-ins listen.
+    Ports {
+        /// The address of the log service.
+        log: SocketAddr,
+        /// The address of the instance list.
+        instances: SocketAddr,
+        /// The address of the weight store.
+        weights: SocketAddr,
+        /// The address for fault switches and counters.
+        control: SocketAddr,
+        /// The address of the first backend server; the others follow by port.
+        backends: SocketAddr,
+    }
+}
+
+required! {
+    /// A failure domain; `[[domains]]` repeats.
+    Domain {
+        /// The name of the failure domain.
+        name: name::Domain,
+        /// The number of fabric domains in it.
+        fabrics: u32,
+        /// The number of engines in each fabric domain.
+        engines_per_fabric: u32,
+        /// The services that have one instance here.
+        services: Vec<Service>,
+    }
+}
+
+section! {
+    /// How fast the stand-ins are and how much they bear.
+    Speed {
+        /// The time to the first token.
+        first_token_ms: u64 = 60,
+        /// The time to the first token where the prefix is cached.
+        cached_first_token_ms: u64 = 20,
+        /// The time between two tokens.
+        token_ms: u64 = 12,
+        /// The factor, in hundredths, for a replica over several fabric domains.
+        cross_fabric_percent: u32 = 200,
+        /// The time of a call to a plain service.
+        call_ms: u64 = 10,
+        /// The requests that a warm backend server bears at once.
+        warm_limit: u32 = 16,
+        /// The requests that a cold backend server bears at once.
+        cold_limit: u32 = 2,
+        /// The completions after which a backend server is warm.
+        warm_completions: u32 = 8,
+        /// The time after which a backend server is warm in any case.
+        warm_ms: u64 = 10_000,
+        /// The prefixes that an engine caches.
+        cached_prefixes: u32 = 256,
+        /// The rate that concurrent loads of weights share.
+        load_mib_per_s: u64 = 8_192,
+        /// The concurrent loads above which the weight store refuses.
+        max_loads: u32 = 16,
+        /// The size of each model's weights.
+        model_mib: u32 = 16_384,
+        /// The lag of the instance list.
+        list_lag_ms: u64 = 500,
+        /// The requests for appends a second above which the log refuses.
+        appends_per_s: u32 = 500,
+    }
+}
+
+impl Standin {
+    /// Returns the number of backend servers.
+    pub fn backends(&self) -> u32 {
+        let count = |domain: &Domain| {
+            let services = u32::try_from(domain.services.len()).unwrap_or(u32::MAX);
+            let engines = domain.fabrics.saturating_mul(domain.engines_per_fabric);
+            engines.saturating_add(services)
+        };
+        self.domains.iter().map(count).fold(0, u32::saturating_add)
+    }
+
+    /// Adds a problem for each port that a backend server would also take.
+    fn check_backends(&self, fixed: &[(&str, SocketAddr)], problems: &mut Vec<Problem>) {
+        let first = u32::from(self.ports.backends.port());
+        let end = first.saturating_add(self.backends());
+        if first > 0 && end > u32::from(u16::MAX) {
+            let text = format!("ports {first} to {end}: expected ports up to {}", u16::MAX);
+            problems.push(Problem::new("ports.backends", text));
+        }
+        for (key, address) in fixed {
+            let port = u32::from(address.port());
+            if first > 0 && address.ip() == self.ports.backends.ip() && (first..end).contains(&port)
+            {
+                let text =
+                    format!("{address} lies among the backend servers' ports {first}..{end}");
+                problems.push(Problem::new(key, text));
+            }
+        }
+    }
+}
+
+impl Document for Standin {
+    const SAMPLE: &'static str = SAMPLE;
+
+    fn problems(&self) -> Vec<Problem> {
+        let mut problems = Vec::new();
+        let fixed = [
+            ("ports.log", self.ports.log),
+            ("ports.instances", self.ports.instances),
+            ("ports.weights", self.ports.weights),
+            ("ports.control", self.ports.control),
+        ];
+        crate::read::clashes(&fixed, &mut problems);
+        self.check_backends(&fixed, &mut problems);
+        if self.domains.is_empty() {
+            let text = "no failure domain: expected at least one".into();
+            problems.push(Problem::new("domains", text));
+        }
+        if self.speed.load_mib_per_s == 0 {
+            let text = "0 is too small: expected at least 1".into();
+            problems.push(Problem::new("speed.load_mib_per_s", text));
+        }
+        problems
+    }
+
+    fn sections() -> Vec<(&'static str, Vec<Key>)> {
+        let seed = Key {
+            name: "seed",
+            effect: &[" The seed of everything random."],
+            default: "0".into(),
+        };
+        vec![
+            ("", vec![seed]),
+            ("ports", Ports::keys()),
+            ("domains", Domain::keys()),
+            ("speed", Speed::keys()),
+        ]
+    }
+}
--- /dev/null
+++ b/crates/settings/tests/documents.rs
@@ -0,0 +1,157 @@
+//! Faults of documents, the examples and the page.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use settings::{Entry, Standin};
+use std::{fs, path::Path};
+
+/// A faultless document.
+const GOOD: &str = r#"node = "entry-1"
+region = "cymru-west"
+domain = "teifi"
+listen = { caller = "127.0.0.1:1", peer = "127.0.0.1:2", admin = "127.0.0.1:3" }
+outside = { log = "127.0.0.1:4", instances = "127.0.0.1:5", weights = "127.0.0.1:6" }
+"#;
+
+/// A change of the document and the faults expected: line, key, a part of the problem.
+struct Case {
+    name: &'static str,
+    replace: (&'static str, &'static str),
+    faults: &'static [(usize, &'static str, &'static str)],
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "faultless",
+        replace: ("", ""),
+        faults: &[],
+    },
+    Case {
+        name: "missing failure domain",
+        replace: ("domain = \"teifi\"\n", ""),
+        faults: &[(1, "domain", "missing field")],
+    },
+    Case {
+        name: "unknown key",
+        replace: ("domain =", "colour = 3\ndomain ="),
+        faults: &[(3, "colour", "unknown key")],
+    },
+    Case {
+        name: "wrong unit",
+        replace: (
+            "admin = \"127.0.0.1:3\" }",
+            "admin = \"127.0.0.1:3\" }\ntimings.heartbeat_s = 1",
+        ),
+        faults: &[(
+            5,
+            "timings.heartbeat_s",
+            "expected heartbeat_ms, in milliseconds",
+        )],
+    },
+    Case {
+        name: "wrong type",
+        replace: ("outside", "limits.max_body_bytes = \"1 MB\"\noutside"),
+        faults: &[(5, "limits.max_body_bytes", "expected u64")],
+    },
+    Case {
+        name: "clashing addresses",
+        replace: ("peer = \"127.0.0.1:2\"", "peer = \"127.0.0.1:1\""),
+        faults: &[(4, "listen.peer", "clashes with listen.caller")],
+    },
+    Case {
+        name: "no address",
+        replace: ("caller = \"127.0.0.1:1\"", "caller = \"localhost:1\""),
+        faults: &[(4, "listen.caller", "invalid socket address")],
+    },
+    Case {
+        name: "three faults at once",
+        replace: (
+            "domain = \"teifi\"",
+            "colour = 3\nlimits.queue_bytes = -1\ntimings.heartbeat_ms = 0",
+        ),
+        faults: &[
+            (1, "domain", "missing field"),
+            (3, "colour", "unknown key"),
+            (4, "limits.queue_bytes", "invalid value"),
+            (5, "timings.heartbeat_ms", "too small"),
+        ],
+    },
+    Case {
+        name: "two secrets, one short",
+        replace: ("outside", "peers.secret_hex = \"00ff\"\noutside"),
+        faults: &[(5, "peers.secret_hex", "at least 16 bytes")],
+    },
+    Case {
+        name: "not TOML",
+        replace: ("region =", "region"),
+        faults: &[(2, "", "is not TOML")],
+    },
+];
+
+#[test]
+fn faults_have_line_and_key() {
+    for case in CASES {
+        let text = GOOD.replacen(case.replace.0, case.replace.1, 1);
+        let faults = match settings::parse::<Entry>(&text, "x.toml") {
+            Ok(_) => Vec::new(),
+            Err(faults) => faults.0,
+        };
+        let shown = format!("{}: {faults:#?}", case.name);
+        assert_eq!(faults.len(), case.faults.len(), "{shown}");
+        for (fault, (line, key, problem)) in faults.iter().zip(case.faults) {
+            assert_eq!((fault.line, fault.key.as_str()), (*line, *key), "{shown}");
+            assert!(fault.problem.contains(problem), "{shown}");
+            assert_eq!(fault.file, "x.toml");
+        }
+    }
+}
+
+#[test]
+fn secrets_do_not_show() {
+    let text = format!("{GOOD}peers.secret_hex = \"a1b2c3d4e5f60718293a4b5c6d7e8f90\"\n");
+    let entry: Entry = settings::parse(&text, "x.toml").unwrap();
+    assert_eq!(entry.peers.secret().unwrap().unwrap().expose()[0], 0xa1);
+    assert!(!format!("{entry:?}").contains("161"));
+    assert!(format!("{entry:?}").contains("redacted"));
+}
+
+#[test]
+fn examples_parse_and_do_not_clash() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../examples/settings");
+    let mut taken = Vec::new();
+    for deployment in ["hafod-tegid", "lena"] {
+        let folder = root.join(deployment);
+        let standin: Standin = settings::load(&folder.join("standin.toml")).unwrap();
+        let ports = &standin.ports;
+        taken.extend([ports.log, ports.instances, ports.weights, ports.control]);
+        let mut backend = ports.backends;
+        for _ in 0..standin.backends() {
+            taken.push(backend);
+            backend.set_port(backend.port() + 1);
+        }
+        for n in 1..=9 {
+            let file = folder.join(format!("entry-{n}.toml"));
+            let entry: Entry = settings::load(&file).unwrap();
+            assert_eq!(entry.node.as_str(), format!("entry-{n}"));
+            assert!(standin.domains.iter().any(|d| d.name == entry.domain));
+            assert_eq!(entry.outside.log, ports.log);
+            assert_eq!(entry.outside.instances, ports.instances);
+            assert_eq!(entry.outside.weights, ports.weights);
+            taken.extend([entry.listen.caller, entry.listen.peer, entry.listen.admin]);
+        }
+    }
+    let count = taken.len();
+    taken.sort();
+    taken.dedup();
+    assert_eq!(taken.len(), count);
+}
+
+#[test]
+fn page_matches_code() {
+    let file = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../docs/SETTINGS.md");
+    if std::env::var_os("SETTINGS_BLESS").is_some() {
+        fs::write(&file, settings::page()).unwrap();
+    }
+    assert_eq!(fs::read_to_string(file).unwrap(), settings::page());
+    assert!(settings::keys::<Entry>().contains(&"timings.heartbeat_ms".into()));
+}
