Decide the choice of replica, retries and whole answers

A node knows of replicas only by late cache events and lagging reports. Attempts are bounded by a budget that starts empty, and only the next frame of the current attempt passes to the caller.

--- /dev/null
+++ b/crates/route/src/answer.rs
@@ -0,0 +1,170 @@
+//! One streamed answer, followed over several attempts.
+//!
+//! Only the next frame of the current attempt passes. Anything else is a sign
+//! that the connection carries another answer's frames, so the driver discards
+//! the frame and closes the connection. Without an explicit end, what was
+//! delivered is a part.
+
+use name::{Attempt, Generation};
+
+/// A frame of a generated answer.
+#[common::value]
+pub struct Frame {
+    /// The attempt that it belongs to.
+    pub attempt: Attempt,
+    /// The generation of the replica that served it.
+    pub generation: Generation,
+    /// Its place in the whole answer, from 0 for the first token.
+    pub index: u32,
+    /// The text.
+    pub text: String,
+    /// Set in the last frame only.
+    pub end: Option<End>,
+}
+
+/// How the server ended an answer.
+#[common::key]
+#[serde(rename_all = "snake_case")]
+pub enum End {
+    /// The answer is whole.
+    Whole,
+    /// The server gave up.
+    Failed,
+}
+
+/// Why a frame was discarded.
+#[common::key]
+#[serde(rename_all = "snake_case")]
+pub enum Fault {
+    /// It belongs to another attempt.
+    Attempt,
+    /// It comes from another generation of the replica.
+    Generation,
+    /// Its place was delivered already.
+    Repeated,
+    /// A frame before it is missing.
+    Gap,
+    /// The answer had ended.
+    Ended,
+}
+
+/// What to do with a frame.
+#[common::key]
+#[serde(rename_all = "snake_case")]
+pub enum Step {
+    /// Deliver its text; more follows.
+    Deliver,
+    /// Deliver its text; the answer is whole.
+    Finish,
+    /// The server gave up; another attempt may go on from the resume point.
+    Fail,
+    /// Discard it and close its connection.
+    Discard(Fault),
+}
+
+/// Where another attempt goes on.
+#[common::value]
+pub struct Resume {
+    /// The text already delivered.
+    pub text: String,
+    /// The number of tokens already delivered.
+    pub tokens: u32,
+}
+
+/// One streamed answer, followed over several attempts.
+#[common::plain]
+#[derive(Default)]
+pub struct Progress {
+    current: Option<(Attempt, Generation)>,
+    attempts: u32,
+    text: String,
+    tokens: u32,
+    is_whole: bool,
+}
+
+impl Progress {
+    /// Makes `attempt` the only one whose frames pass from now on.
+    ///
+    /// Does nothing once the answer is whole.
+    pub fn begin(&mut self, attempt: Attempt, generation: Generation) {
+        if self.is_whole {
+            return;
+        }
+        self.current = Some((attempt, generation));
+        self.attempts += 1;
+    }
+
+    /// Ends the current attempt; its late frames are discarded.
+    pub fn abandon(&mut self) {
+        self.current = None;
+    }
+
+    /// Decides what to do with a frame.
+    pub fn accept(&mut self, frame: &Frame) -> Step {
+        if let Some(fault) = self.fault(frame) {
+            return Step::Discard(fault);
+        }
+        if frame.end == Some(End::Failed) {
+            self.current = None;
+            return Step::Fail;
+        }
+        self.text.push_str(&frame.text);
+        self.tokens += 1;
+        if frame.end.is_none() {
+            return Step::Deliver;
+        }
+        self.is_whole = true;
+        self.current = None;
+        Step::Finish
+    }
+
+    /// Returns where another attempt goes on.
+    pub fn resume_point(&self) -> Resume {
+        Resume {
+            text: self.text.clone(),
+            tokens: self.tokens,
+        }
+    }
+
+    /// Returns the text delivered so far.
+    pub fn text(&self) -> &str {
+        &self.text
+    }
+
+    /// Returns the number of tokens delivered so far.
+    pub fn tokens(&self) -> u32 {
+        self.tokens
+    }
+
+    /// Returns the number of attempts begun.
+    pub fn attempts(&self) -> u32 {
+        self.attempts
+    }
+
+    /// Returns whether the explicit end arrived.
+    pub fn is_whole(&self) -> bool {
+        self.is_whole
+    }
+
+    /// Returns why a frame must be discarded, if so.
+    fn fault(&self, frame: &Frame) -> Option<Fault> {
+        let Some((attempt, generation)) = self.current else {
+            return Some(if self.is_whole {
+                Fault::Ended
+            } else {
+                Fault::Attempt
+            });
+        };
+        if frame.attempt != attempt {
+            return Some(Fault::Attempt);
+        }
+        if frame.generation != generation {
+            return Some(Fault::Generation);
+        }
+        match frame.index.cmp(&self.tokens) {
+            std::cmp::Ordering::Less => Some(Fault::Repeated),
+            std::cmp::Ordering::Equal => None,
+            std::cmp::Ordering::Greater => Some(Fault::Gap),
+        }
+    }
+}
--- /dev/null
+++ b/crates/route/src/load.rs
@@ -0,0 +1,75 @@
+//! Lagging load reports, corrected by what this node itself sent.
+
+use clock::Moment;
+use std::{collections::VecDeque, time::Duration};
+
+/// Own events that are remembered; older ones count as reported.
+const MAX_EVENTS: usize = 512;
+
+/// How long a report counts; after that, only own requests do.
+const REPORT_AGE: Duration = Duration::from_secs(5);
+
+/// The estimated load of one replica.
+#[common::plain]
+#[derive(Default)]
+pub struct Load {
+    reported: u32,
+    at: Option<Moment>,
+    in_progress: u32,
+    /// Starts and ends since the report was made, oldest first.
+    events: VecDeque<(Moment, bool)>,
+}
+
+impl Load {
+    /// Notes a request that this node sent.
+    pub fn start(&mut self, now: Moment) {
+        self.in_progress += 1;
+        self.note(now, true);
+    }
+
+    /// Notes the end of a request that this node sent.
+    pub fn end(&mut self, now: Moment) {
+        self.in_progress = self.in_progress.saturating_sub(1);
+        self.note(now, false);
+    }
+
+    /// Takes in a report of requests running and waiting that was made at `at`.
+    ///
+    /// A driver passes the moment at which it asked, less the server's lag if known.
+    pub fn report(&mut self, running_and_waiting: u32, at: Moment) {
+        if self.at.is_some_and(|held| at < held) {
+            return;
+        }
+        self.at = Some(at);
+        self.reported = running_and_waiting;
+        while self.events.front().is_some_and(|(event, _)| *event <= at) {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the estimated number of requests in progress.
+    pub fn estimate(&self, now: Moment) -> u32 {
+        let is_fresh = self.at.is_some_and(|at| now.since(at) < REPORT_AGE);
+        if !is_fresh {
+            return self.in_progress;
+        }
+        let starts = self.events.iter().filter(|(_, is_start)| *is_start).count();
+        let ends = self.events.len() - starts;
+        let count = |n: usize| u32::try_from(n).unwrap_or(u32::MAX);
+        let corrected = self.reported.saturating_add(count(starts));
+        corrected.saturating_sub(count(ends)).max(self.in_progress)
+    }
+
+    /// Returns the requests of this node in progress.
+    pub fn in_progress(&self) -> u32 {
+        self.in_progress
+    }
+
+    /// Remembers a start or end, within the bound.
+    fn note(&mut self, now: Moment, is_start: bool) {
+        if self.events.len() == MAX_EVENTS {
+            self.events.pop_front();
+        }
+        self.events.push_back((now, is_start));
+    }
+}
--- /dev/null
+++ b/crates/route/src/policy.rs
@@ -0,0 +1,68 @@
+//! The policies by which a replica is chosen.
+
+use std::{fmt, str::FromStr};
+
+/// How a replica is chosen.
+#[common::key]
+#[derive(Default)]
+#[serde(rename_all = "kebab-case")]
+pub enum Policy {
+    /// By cached prefix, bounded by load, with nearness.
+    #[default]
+    Affinity,
+    /// At random.
+    Random,
+    /// In turn.
+    RoundRobin,
+    /// By least reported load.
+    LeastLoad,
+}
+
+impl Policy {
+    /// Every policy.
+    pub const ALL: [Self; 4] = [
+        Self::Affinity,
+        Self::Random,
+        Self::RoundRobin,
+        Self::LeastLoad,
+    ];
+
+    /// Returns the name used in settings.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Affinity => "affinity",
+            Self::Random => "random",
+            Self::RoundRobin => "round-robin",
+            Self::LeastLoad => "least-load",
+        }
+    }
+}
+
+impl fmt::Display for Policy {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.pad(self.as_str())
+    }
+}
+
+/// A text that names no policy.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Unknown;
+
+impl fmt::Display for Unknown {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str("expected affinity, random, round-robin or least-load")
+    }
+}
+
+impl std::error::Error for Unknown {}
+
+impl FromStr for Policy {
+    type Err = Unknown;
+
+    fn from_str(text: &str) -> Result<Self, Unknown> {
+        Self::ALL
+            .into_iter()
+            .find(|policy| policy.as_str() == text)
+            .ok_or(Unknown)
+    }
+}
--- /dev/null
+++ b/crates/route/src/prefix.rs
@@ -0,0 +1,180 @@
+//! Which replicas hold which prompt prefixes, from late and incomplete events.
+//!
+//! A prompt is cut into blocks; the hash of a block covers all before it, so
+//! the longest known hash is the longest cached prefix. Entries are kept in two
+//! generations: when the young one is full or old it replaces the other, so
+//! memory is bounded and entries age out without a scan.
+
+use clock::Moment;
+use std::{collections::HashMap, time::Duration};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The bytes of prompt in one block.
+pub const BLOCK_BYTES: usize = 256;
+
+/// The blocks of a prompt that are hashed; what follows does not route.
+pub const MAX_BLOCKS: usize = 64;
+
+/// The replicas remembered for one prefix.
+const MAX_HOLDERS: usize = 4;
+
+/// Returns the hashes of the whole blocks of `prompt` for `model`, shortest prefix first.
+pub fn hashes(model: &str, prompt: &str) -> Vec<u64> {
+    let blocks = prompt.as_bytes().chunks_exact(BLOCK_BYTES).take(MAX_BLOCKS);
+    let start = xxh3_64_with_seed(model.as_bytes(), 0);
+    let chained = blocks.scan(start, |before, block| {
+        *before = xxh3_64_with_seed(block, *before);
+        Some(*before)
+    });
+    chained.collect()
+}
+
+/// The replicas that hold a prefix of one prompt, with its length in blocks.
+#[common::plain]
+#[derive(Default)]
+pub struct Match {
+    /// Sorted by replica key.
+    holders: Vec<(u64, u32)>,
+}
+
+impl Match {
+    /// Returns how many blocks the replica with `key` holds.
+    pub fn blocks(&self, key: u64) -> u32 {
+        let found = self.holders.binary_search_by_key(&key, |(held, _)| *held);
+        found.map_or(0, |at| self.holders[at].1)
+    }
+
+    /// Returns whether no replica holds a prefix.
+    pub fn is_empty(&self) -> bool {
+        self.holders.is_empty()
+    }
+}
+
+/// One life of a replica's cache: its key and a number that grows.
+#[common::key]
+pub struct Holder {
+    /// The replica, by [`crate::key`].
+    pub key: u64,
+    /// The replica's generation; entries of an older one count no more.
+    pub life: u64,
+}
+
+/// Which replicas hold which prompt prefixes.
+#[derive(Debug, Clone)]
+pub struct Index {
+    max_entries: usize,
+    max_age: Duration,
+    young: HashMap<u64, Vec<Holder>>,
+    old: HashMap<u64, Vec<Holder>>,
+    since: Moment,
+    /// The present life of each replica.
+    lives: HashMap<u64, u64>,
+}
+
+impl Index {
+    /// Returns an empty index of at most `max_entries` prefixes.
+    ///
+    /// An entry that is not renewed ages out after `max_age` at the latest.
+    pub fn new(max_entries: usize, max_age: Duration) -> Self {
+        Self {
+            max_entries,
+            max_age,
+            young: HashMap::new(),
+            old: HashMap::new(),
+            since: Moment::START,
+            lives: HashMap::new(),
+        }
+    }
+
+    /// Notes that a replica holds a prefix, by an event or by a request sent to it.
+    pub fn store(&mut self, prefix: u64, holder: Holder, now: Moment) {
+        self.age(now);
+        let life = self.lives.entry(holder.key).or_insert(holder.life);
+        if holder.life < *life {
+            return;
+        }
+        *life = holder.life;
+        if self.young.len() >= self.max_entries / 2 && !self.young.contains_key(&prefix) {
+            self.rotate(now);
+        }
+        let old = self.old.remove(&prefix).unwrap_or_default();
+        let holders = self.young.entry(prefix).or_insert(old);
+        holders.retain(|held| held.key != holder.key);
+        if holders.len() == MAX_HOLDERS {
+            holders.remove(0);
+        }
+        holders.push(holder);
+    }
+
+    /// Notes that a replica evicted a prefix.
+    pub fn evict(&mut self, prefix: u64, holder: Holder) {
+        for entries in [&mut self.young, &mut self.old] {
+            let Some(holders) = entries.get_mut(&prefix) else {
+                continue;
+            };
+            // A late event of an earlier life says nothing about this one.
+            holders.retain(|held| held.key != holder.key || held.life > holder.life);
+            if holders.is_empty() {
+                entries.remove(&prefix);
+            }
+        }
+    }
+
+    /// Drops what is known of replicas for which `is_known` says no.
+    pub fn retain(&mut self, is_known: impl Fn(u64) -> bool) {
+        self.lives.retain(|key, _| is_known(*key));
+    }
+
+    /// Returns the replicas that hold a prefix, longest prefix of each.
+    pub fn find(&self, hashes: &[u64], now: Moment) -> Match {
+        let mut holders: Vec<(u64, u32)> = Vec::new();
+        if now.since(self.since) >= self.max_age {
+            return Match::default();
+        }
+        for (at, prefix) in hashes.iter().enumerate().rev() {
+            let blocks = u32::try_from(at + 1).unwrap_or(u32::MAX);
+            for holder in self.holders(*prefix) {
+                let is_new = !holders.iter().any(|(key, _)| *key == holder.key);
+                if is_new && self.lives.get(&holder.key) == Some(&holder.life) {
+                    holders.push((holder.key, blocks));
+                }
+            }
+        }
+        holders.sort_unstable();
+        Match { holders }
+    }
+
+    /// Returns the number of prefixes remembered.
+    pub fn len(&self) -> usize {
+        self.young.len() + self.old.len()
+    }
+
+    /// Returns whether no prefix is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    /// Returns the holders of a prefix in either generation.
+    fn holders(&self, prefix: u64) -> impl Iterator<Item = &Holder> {
+        let young = self.young.get(&prefix).into_iter().flatten();
+        young.chain(self.old.get(&prefix).into_iter().flatten())
+    }
+
+    /// Starts a new generation if the young one is half of the greatest age.
+    fn age(&mut self, now: Moment) {
+        let span = now.since(self.since);
+        if span >= self.max_age {
+            self.old.clear();
+            self.young.clear();
+            self.since = now;
+        } else if span >= self.max_age / 2 {
+            self.rotate(now);
+        }
+    }
+
+    /// Makes the young generation the old one.
+    fn rotate(&mut self, now: Moment) {
+        self.old = std::mem::take(&mut self.young);
+        self.since = now;
+    }
+}
--- /dev/null
+++ b/crates/route/src/retry.rs
@@ -0,0 +1,165 @@
+//! Whether and when to try a request again.
+//!
+//! A retry needs four things: a verdict that allows it, or a request that may
+//! be repeated; that this node is where the caller came in, so that retries are
+//! not retried; time before the deadline; and credit in the account's
+//! [`Budget`], which bounds attempts to 1.2 times the requests.
+
+use clock::Moment;
+use rand::Rng;
+use std::time::Duration;
+use verdict::{Error, Kind};
+
+/// Requests that earn one further attempt.
+const REQUESTS_FOR_ATTEMPT: u32 = 5;
+
+/// The further attempts that may be saved up.
+const MAX_SAVED: u32 = 100;
+
+/// The attempts of one request, the first included.
+pub const MAX_ATTEMPTS: u32 = 4;
+
+/// The longest backoff before the second attempt; it doubles for each further one.
+const BACKOFF: Duration = Duration::from_millis(50);
+
+/// The longest backoff.
+const MAX_BACKOFF: Duration = Duration::from_secs(2);
+
+/// The credit of one account for further attempts.
+///
+/// It starts empty and each request adds a fifth, so that at every moment
+/// attempts are at most 1.2 times the requests.
+#[common::plain]
+#[derive(Default)]
+pub struct Budget {
+    /// In fifths of an attempt.
+    credit: u32,
+}
+
+impl Budget {
+    /// Notes a request that came from a caller.
+    pub fn request(&mut self) {
+        self.credit = (self.credit + 1).min(MAX_SAVED * REQUESTS_FOR_ATTEMPT);
+    }
+
+    /// Takes the credit for one attempt, if there is enough.
+    pub fn take(&mut self) -> bool {
+        let left = self.credit.checked_sub(REQUESTS_FOR_ATTEMPT);
+        self.credit = left.unwrap_or(self.credit);
+        left.is_some()
+    }
+
+    /// Gives back the credit of an attempt that was not made.
+    pub fn give_back(&mut self) {
+        self.credit = (self.credit + REQUESTS_FOR_ATTEMPT).min(MAX_SAVED * REQUESTS_FOR_ATTEMPT);
+    }
+}
+
+/// What is known of a request that might be tried again.
+#[common::value]
+pub struct Situation {
+    /// The attempts made so far, the first included.
+    pub attempts: u32,
+    /// Whether another node sent the request here; then that node retries.
+    pub is_forwarded: bool,
+    /// Whether the request may be repeated without effect.
+    pub is_idempotent: bool,
+    /// When the answer must be complete.
+    pub deadline: Moment,
+    /// The time that another attempt is expected to take.
+    pub expected: Duration,
+}
+
+/// Why a request is not tried again.
+#[common::key]
+#[serde(rename_all = "snake_case")]
+pub enum Refusal {
+    /// The request may have run, or another attempt cannot succeed.
+    Verdict,
+    /// The node that forwarded the request decides.
+    Forwarded,
+    /// Enough attempts were made.
+    Attempts,
+    /// The answer would come too late.
+    Deadline,
+    /// The account's budget is used up.
+    Budget,
+}
+
+/// What to do after a failed attempt.
+#[common::key]
+pub enum Decision {
+    /// Try again after the time.
+    After(Duration),
+    /// Report the error.
+    Stop(Refusal),
+}
+
+/// Decides what to do after an attempt failed with `error`.
+pub fn decide(
+    situation: &Situation,
+    error: &Error,
+    budget: &mut Budget,
+    now: Moment,
+    rng: &mut impl Rng,
+) -> Decision {
+    if !allows(situation, error) {
+        return Decision::Stop(Refusal::Verdict);
+    }
+    if situation.is_forwarded {
+        return Decision::Stop(Refusal::Forwarded);
+    }
+    if situation.attempts >= MAX_ATTEMPTS {
+        return Decision::Stop(Refusal::Attempts);
+    }
+    let wait = error.retry_after().unwrap_or_default() + backoff(situation.attempts, rng);
+    if now + wait + situation.expected >= situation.deadline {
+        return Decision::Stop(Refusal::Deadline);
+    }
+    if !budget.take() {
+        return Decision::Stop(Refusal::Budget);
+    }
+    Decision::After(wait)
+}
+
+/// Returns whether to send a second attempt beside one that is slow.
+///
+/// `waited` is the time since the first was sent, `p95` the 95th percentile of
+/// the first-token or answer time. Takes the attempt from the budget.
+pub fn hedge(
+    situation: &Situation,
+    waited: Duration,
+    p95: Option<Duration>,
+    budget: &mut Budget,
+    now: Moment,
+) -> bool {
+    let is_slow = p95.is_some_and(|usual| waited > usual);
+    let is_allowed = situation.is_idempotent && !situation.is_forwarded && situation.attempts == 1;
+    let is_in_time = now + situation.expected < situation.deadline;
+    is_slow && is_allowed && is_in_time && budget.take()
+}
+
+/// Returns the time to name to the next server, `margin` kept for the way back.
+///
+/// `None` if nothing would be left.
+pub fn pass_on(deadline: Moment, margin: Duration, now: Moment) -> Option<Duration> {
+    let left = now.until(deadline).checked_sub(margin)?;
+    (left > Duration::ZERO).then_some(left)
+}
+
+/// Returns a random time up to the exponential backoff after `attempts`.
+fn backoff(attempts: u32, rng: &mut impl Rng) -> Duration {
+    let doubled = BACKOFF.saturating_mul(1 << attempts.saturating_sub(1).min(16));
+    let micros = doubled.min(MAX_BACKOFF).as_micros();
+    let most = u64::try_from(micros).unwrap_or(u64::MAX);
+    Duration::from_micros(rng.random_range(0..=most))
+}
+
+/// Returns whether the error allows another attempt at all.
+fn allows(situation: &Situation, error: &Error) -> bool {
+    let is_passing = matches!(
+        error.kind(),
+        Kind::Overloaded | Kind::Unavailable | Kind::Upstream
+    );
+    error.is_safe_to_retry() || (situation.is_idempotent && is_passing)
+}
