Decide which replicas to form, serve and order

Replicas need a pure decision layer over the control state: who may serve, what to re-form after a loss, and which engines to tell.

View holds listing, reports and votes; servable and dispatch_check judge replicas; propose names the changes under one of four policies (adaptive, fixed, spare, merge); orders projects the state onto the engines.

No tests yet; the formatter and linter pass.

--- a/crates/replica/src/lib.rs
+++ b/crates/replica/src/lib.rs
@@ -1,1 +1,40 @@
 //! Replicas: assignment, watchers, orders, servability.
+//!
+//! A [`View`] holds what one entry node knows of the instances: the platform's
+//! list, the engines' reports and the watchers' votes. Four pure functions read
+//! it together with the control state:
+//!
+//! - [`servable`] says which replicas may take requests,
+//! - [`propose`] says which replicas to form, repair or dissolve,
+//! - [`orders`] says which engines must be told of their membership,
+//! - [`watchers`] says which entry nodes watch an instance.
+//!
+//! Drivers poll, gossip, append and send. No function here reads a clock, opens
+//! a socket or draws a random number.
+
+mod drain;
+mod form;
+mod merge;
+mod order;
+mod pace;
+mod policy;
+mod pool;
+mod propose;
+mod repair;
+mod report;
+mod serve;
+mod settings;
+mod survey;
+mod target;
+mod view;
+mod watch;
+
+pub use order::{Ledger, orders};
+pub use pace::Pacer;
+pub use policy::{Loss, Policy};
+pub use propose::propose;
+pub use report::{Command, Order, Phase, Report, weights};
+pub use serve::{Blocked, Cause, Servable, dispatch_check, servable};
+pub use settings::Settings;
+pub use view::{Listed, Listing, Seen, Sighting, View};
+pub use watch::{Judgement, Vote, Watch, watchers};
