--- /dev/null
+++ b/crates/member/src/beat.rs
@@ -0,0 +1,55 @@
+//! The message that two members exchange.
+
+use crate::Word;
+use name::{Incarnation, Node, Offset};
+use std::time::Duration;
+
+/// A reading of the log's tail, passed on with its age.
+#[common::value]
+pub struct Voucher {
+    /// The last offset on the log when it was read.
+    pub offset: Offset,
+    /// The time since before the reading was asked for; never less.
+    pub age: Duration,
+}
+
+/// What a node says about its view of the log.
+#[common::value]
+#[derive(Default)]
+pub struct Report {
+    /// Whether its own last reading of the log succeeded.
+    pub reads_log: bool,
+    /// Its youngest voucher; used by the receiver of a reply only.
+    pub voucher: Option<Voucher>,
+}
+
+/// One direction of an exchange between two members.
+#[common::value]
+pub struct Beat {
+    /// The sender.
+    pub node: Node,
+    /// The sender's life.
+    pub incarnation: Incarnation,
+    /// The life of the receiver to which `seen` refers.
+    pub to: Option<Incarnation>,
+    /// The receiver's last change that the sender has taken.
+    pub seen: u64,
+    /// The sender's last change that `words` include.
+    pub sent: u64,
+    /// A digest of the sender's words for each bucket; empty unless asked for.
+    pub digests: Vec<u32>,
+    /// Words that may be new to the receiver.
+    pub words: Vec<Word>,
+    /// The sender's view of the log.
+    pub report: Report,
+}
+
+impl Beat {
+    /// Returns the estimated length on the wire, in bytes, without transport.
+    pub fn bytes(&self) -> usize {
+        const TAGS: usize = 2 * 8;
+        const NUMBERS: usize = 16 + 16 + 4 + 4 + 1 + 12;
+        let words: usize = self.words.iter().map(|word| word.bytes() + 2).sum();
+        TAGS + NUMBERS + self.node.as_str().len() + 4 * self.digests.len() + words
+    }
+}
