Add clients that are bound to one life of a backend server

A retry is safe only if it is known whether a byte of the request left. The check whether a request may still be sent and the count of bytes written therefore sit in the stream itself, below the HTTP library, and shutting it makes the count final. A connection reads the boot id when it opens, so that a request over it reaches that life or none.

--- /dev/null
+++ b/crates/backend/src/connection.rs
@@ -0,0 +1,221 @@
+//! A connection that is bound to one life of a backend server.
+
+use crate::{
+    Bounds, Failure,
+    gate::{Check, Gate, Sent, Watch},
+    proto::Report,
+};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
+use hyper::{
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use serde::de::DeserializeOwned;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{net::TcpStream, task::JoinHandle, time};
+use uuid::Uuid;
+use verdict::Kind;
+
+/// A connection without a report, as those to lists and stores.
+#[derive(Debug)]
+pub(crate) struct Wire {
+    address: SocketAddr,
+    sender: SendRequest<Full<Bytes>>,
+    watch: Watch,
+    driver: JoinHandle<()>,
+}
+
+impl Drop for Wire {
+    fn drop(&mut self) {
+        self.watch.shut();
+        self.driver.abort();
+    }
+}
+
+impl Wire {
+    /// Connects to `address`.
+    pub(crate) async fn open(address: SocketAddr, bounds: &Bounds) -> Result<Self, Failure> {
+        let failed = |problem: String| {
+            let message = format!("cannot connect to {address}: {problem}");
+            Failure::not_run(Kind::Unavailable, message)
+        };
+        let stream = time::timeout(bounds.connect, TcpStream::connect(address)).await;
+        let stream = stream.map_err(|_| failed("timed out".into()))?;
+        let stream = stream.map_err(|error| failed(error.to_string()))?;
+        // Small requests would otherwise wait for the acknowledgement of the last.
+        let _ = stream.set_nodelay(true);
+        let (gate, watch) = Gate::new(stream);
+        let io = TokioIo::new(gate);
+        let (sender, driver) = http1::handshake(io)
+            .await
+            .map_err(|error| failed(error.to_string()))?;
+        let driver = tokio::spawn(async move {
+            // Its error also reaches whoever waits for an answer.
+            let _ = driver.await;
+        });
+        Ok(Self {
+            address,
+            sender,
+            watch,
+            driver,
+        })
+    }
+
+    /// Returns whether a request can be sent.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.sender.is_closed()
+    }
+
+    /// Sends `request` if `check` holds directly before the first byte.
+    ///
+    /// After a failure the connection is of no use.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+        check: Check,
+        within: Duration,
+    ) -> Result<Response<Incoming>, Failure> {
+        self.watch.arm(check);
+        let sender = &mut self.sender;
+        let sent = time::timeout(within, async {
+            sender.ready().await?;
+            sender.send_request(request).await
+        });
+        let (kind, problem) = match sent.await {
+            Ok(Ok(response)) => return Ok(response),
+            Ok(Err(error)) => (Kind::Upstream, error.to_string()),
+            Err(_) => (Kind::Deadline, "timed out".into()),
+        };
+        let message = format!("request to {} failed: {problem}", self.address);
+        Err(match self.watch.shut() {
+            Sent::Something => Failure::may_have_run(kind, message),
+            Sent::Nothing => Failure::not_run(Kind::Unavailable, message),
+            Sent::Forbidden => {
+                let message = "the request may no longer be sent";
+                Failure::not_run(Kind::Unavailable, message)
+            }
+        })
+    }
+}
+
+/// A connection to a backend server whose boot id was read over it.
+#[derive(Debug)]
+pub struct Connection {
+    pub(crate) wire: Wire,
+    report: Report,
+}
+
+impl Connection {
+    /// Connects to the backend server at `address` and reads its report.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure, always `not-run`, if no report arrives in time.
+    pub async fn open(address: SocketAddr, bounds: &Bounds) -> Result<Self, Failure> {
+        let mut wire = Wire::open(address, bounds).await?;
+        let report = read_report(&mut wire, bounds).await?;
+        Ok(Self { wire, report })
+    }
+
+    /// Returns the boot id of the life that this connection reaches.
+    pub fn boot(&self) -> Uuid {
+        self.report.boot
+    }
+
+    /// Returns the latest report read over this connection.
+    pub fn report(&self) -> &Report {
+        &self.report
+    }
+
+    /// Returns whether a request can be sent.
+    pub fn is_open(&self) -> bool {
+        self.wire.is_open()
+    }
+
+    /// Reads another report.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure if none arrives in time, or if it has another boot id,
+    /// which no server sends over one connection.
+    pub async fn read_report(&mut self, bounds: &Bounds) -> Result<&Report, Failure> {
+        let report = read_report(&mut self.wire, bounds).await?;
+        if report.boot != self.report.boot {
+            return Err(Failure::changed(self.report.boot, report));
+        }
+        self.report = report;
+        Ok(&self.report)
+    }
+}
+
+/// Reads a report, which asks for no work and so never has run any.
+async fn read_report(wire: &mut Wire, bounds: &Bounds) -> Result<Report, Failure> {
+    let read = read_json(wire, "/v1/report", bounds).await;
+    read.map_err(|failure| Failure::not_run(Kind::Unavailable, failure.error().message()))
+}
+
+/// Gets `path` and reads the answer.
+pub(crate) async fn read_json<T: DeserializeOwned>(
+    wire: &mut Wire,
+    path: &str,
+    bounds: &Bounds,
+) -> Result<T, Failure> {
+    let request = request("GET", path, wire.address, Bytes::new())?;
+    let exchange = async {
+        let response = wire.send(request, Box::new(|| true), bounds.answer).await?;
+        let status = response.status();
+        let body = read_body(response.into_body(), bounds).await?;
+        if status != StatusCode::OK {
+            let message = format!("{path} was answered with {status}");
+            return Err(Failure::may_have_run(Kind::Upstream, message));
+        }
+        parse(&body)
+    };
+    let read = time::timeout(bounds.answer, exchange).await;
+    read.unwrap_or_else(|_| Err(slow()))
+}
+
+/// Returns a request with a JSON body.
+pub(crate) fn request(
+    method: &str,
+    path: &str,
+    address: SocketAddr,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, Failure> {
+    Request::builder()
+        .method(method)
+        .uri(path)
+        .header(header::HOST, address.to_string())
+        .header(header::CONTENT_TYPE, "application/json")
+        .body(Full::new(body))
+        .map_err(|error| Failure::not_run(Kind::Malformed, error.to_string()))
+}
+
+/// Reads a whole body within the bound on its size.
+pub(crate) async fn read_body(body: Incoming, bounds: &Bounds) -> Result<Bytes, Failure> {
+    let read = Limited::new(body, bounds.answer_bytes).collect().await;
+    let read = read.map_err(|error| {
+        let message = match error.downcast_ref::<LengthLimitError>() {
+            Some(_) => "the answer is too large".into(),
+            None => format!("the answer broke off: {error}"),
+        };
+        Failure::may_have_run(Kind::Upstream, message)
+    })?;
+    Ok(read.to_bytes())
+}
+
+/// Returns the failure of an answer that did not arrive whole in time.
+pub(crate) fn slow() -> Failure {
+    Failure::may_have_run(Kind::Deadline, "the answer did not arrive in time")
+}
+
+/// Returns the answer in `body`.
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, Failure> {
+    serde_json::from_slice(body).map_err(|error| {
+        let message = format!("the answer is malformed: {error}");
+        Failure::may_have_run(Kind::Upstream, message)
+    })
+}
--- /dev/null
+++ b/crates/backend/src/engine.rs
@@ -0,0 +1,143 @@
+//! Requests to model engines.
+
+use crate::{
+    Answer, Connection, Failure, Pool, Target,
+    connection::{read_body, read_json, request, slow},
+    pool::{attempt_request, send_attempt},
+    proto::{CacheEvents, Cancel, Generate, Order, Refusal, Report},
+};
+use bytes::Bytes;
+use http::StatusCode;
+use name::Attempt;
+use serde::Serialize;
+use std::{net::SocketAddr, time::Duration};
+use tokio::time;
+use verdict::Kind;
+
+/// Returns `body` as JSON.
+fn json(body: &impl Serialize) -> Result<Bytes, Failure> {
+    let text = serde_json::to_vec(body);
+    let text = text.map_err(|error| Failure::not_run(Kind::Internal, error.to_string()))?;
+    Ok(text.into())
+}
+
+/// Reads the report of the backend server at `address`, of either role.
+///
+/// # Errors
+///
+/// Returns a failure, always `not-run`, if no report arrives in time.
+pub async fn report(pool: &Pool, address: SocketAddr) -> Result<Report, Failure> {
+    if let Some(mut connection) = pool.take_idle(address, None)
+        && let Ok(report) = connection.read_report(pool.bounds()).await
+    {
+        let report = report.clone();
+        pool.put(address, connection);
+        return Ok(report);
+    }
+    let connection = Connection::open(address, pool.bounds()).await?;
+    let report = connection.report().clone();
+    pool.put(address, connection);
+    Ok(report)
+}
+
+/// Sends an order over a connection used for it alone.
+///
+/// `still_allowed` is asked directly before the first byte is written.
+///
+/// # Errors
+///
+/// Returns a failure with its verdict; [`Failure::refusal`] if the engine
+/// refused the order as stale.
+pub async fn order(
+    pool: &Pool,
+    address: SocketAddr,
+    order: &Order,
+    still_allowed: impl FnOnce() -> bool + Send + 'static,
+) -> Result<(), Failure> {
+    let bounds = pool.bounds();
+    let mut connection = Connection::open(address, bounds).await?;
+    let request = request("POST", "/v1/order", address, json(order)?)?;
+    let exchange = async {
+        let check = Box::new(still_allowed);
+        let response = connection.wire.send(request, check, bounds.answer).await?;
+        let status = response.status();
+        let body = read_body(response.into_body(), bounds).await?;
+        match status {
+            StatusCode::OK => Ok(()),
+            StatusCode::CONFLICT => {
+                let refusal: Refusal = crate::connection::parse(&body)?;
+                Err(Failure::stale(refusal))
+            }
+            status => {
+                let message = format!("the order was answered with {status}");
+                Err(Failure::may_have_run(Kind::Upstream, message))
+            }
+        }
+    };
+    let sent = time::timeout(bounds.answer, exchange).await;
+    sent.unwrap_or_else(|_| Err(slow()))
+}
+
+/// Starts a generation at the first member of a replica.
+///
+/// `still_allowed` is asked directly before the first byte is written. `within`
+/// is the longest time until the engine accepts.
+///
+/// # Errors
+///
+/// Returns a failure with its verdict; [`Failure::changed_life`] if the engine
+/// is in another life than the target's.
+pub async fn generate(
+    pool: &Pool,
+    target: Target,
+    generate: &Generate,
+    still_allowed: impl FnOnce() -> bool + Send + 'static,
+    within: Duration,
+) -> Result<Answer, Failure> {
+    let mut connection = pool.take(target.address, target.boot).await?;
+    let attempt = generate.attempt;
+    let request = attempt_request("/v1/generate", &target, attempt, json(generate)?)?;
+    let check = Box::new(still_allowed);
+    let bounds = pool.bounds();
+    let response = send_attempt(&mut connection, request, attempt, check, within, bounds).await?;
+    let first = generate.resume_tokens;
+    let body = response.into_body();
+    Ok(Answer::new(pool, target, attempt, first, body, connection))
+}
+
+/// Asks the engine to stop an attempt.
+///
+/// # Errors
+///
+/// Returns a failure if the engine did not confirm.
+pub async fn cancel(pool: &Pool, address: SocketAddr, attempt: Attempt) -> Result<(), Failure> {
+    let bounds = pool.bounds();
+    let mut connection = pool.take(address, None).await?;
+    let request = request("POST", "/v1/cancel", address, json(&Cancel { attempt })?)?;
+    let exchange = async {
+        let check = Box::new(|| true);
+        let response = connection.wire.send(request, check, bounds.answer).await?;
+        read_body(response.into_body(), bounds).await
+    };
+    let sent = time::timeout(bounds.answer, exchange).await;
+    sent.unwrap_or_else(|_| Err(slow()))?;
+    pool.put(address, connection);
+    Ok(())
+}
+
+/// Reads the events of the engine's prefix cache from number `from` on.
+///
+/// # Errors
+///
+/// Returns a failure if no answer arrives in time.
+pub async fn cache_events(
+    pool: &Pool,
+    address: SocketAddr,
+    from: u64,
+) -> Result<CacheEvents, Failure> {
+    let mut connection = pool.take(address, None).await?;
+    let path = format!("/v1/cache-events?from={from}");
+    let events = read_json(&mut connection.wire, &path, pool.bounds()).await?;
+    pool.put(address, connection);
+    Ok(events)
+}
--- /dev/null
+++ b/crates/backend/src/pool.rs
@@ -0,0 +1,171 @@
+//! Idle connections to backend servers, by address.
+
+use crate::{
+    Bounds, Connection, Failure,
+    connection::{parse, read_body, request, slow},
+    gate::Check,
+    proto::{ATTEMPT_HEADER, GENERATION_HEADER, REFUSED_HEADER, Refusal},
+};
+use bytes::Bytes;
+use http::{HeaderValue, Request, Response, StatusCode};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use name::{Attempt, Generation};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time;
+use uuid::Uuid;
+use verdict::Kind;
+
+/// Where a request goes, and which life and generation it is meant for.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Target {
+    /// The address of the backend server.
+    pub address: SocketAddr,
+    /// The boot id of the life that may run it; any life without one.
+    pub boot: Option<Uuid>,
+    /// The replica's generation.
+    pub generation: Generation,
+}
+
+/// Idle connections and the bounds for all; a clone shares them.
+#[derive(Debug, Clone)]
+pub struct Pool {
+    bounds: Arc<Bounds>,
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Connection>>>>,
+}
+
+impl Pool {
+    /// Returns a pool without connections.
+    pub fn new(bounds: Bounds) -> Self {
+        Self {
+            bounds: Arc::new(bounds),
+            idle: Arc::default(),
+        }
+    }
+
+    /// Returns the bounds.
+    pub fn bounds(&self) -> &Bounds {
+        &self.bounds
+    }
+
+    fn lock(&self) -> MutexGuard<'_, HashMap<SocketAddr, Vec<Connection>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Takes an idle connection to `address`, of the life `boot` if one is given.
+    pub(crate) fn take_idle(&self, address: SocketAddr, boot: Option<Uuid>) -> Option<Connection> {
+        let mut idle = self.lock();
+        let connections = idle.get_mut(&address)?;
+        connections.retain(Connection::is_open);
+        let fits = |c: &Connection| boot.is_none_or(|boot| c.boot() == boot);
+        let at = connections.iter().rposition(fits)?;
+        let taken = connections.swap_remove(at);
+        if connections.is_empty() {
+            idle.remove(&address);
+        }
+        Some(taken)
+    }
+
+    /// Takes an idle connection to `address` or opens one.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure, always `not-run`, if none can be opened, or if the
+    /// backend server is in another life than `boot`.
+    pub async fn take(
+        &self,
+        address: SocketAddr,
+        boot: Option<Uuid>,
+    ) -> Result<Connection, Failure> {
+        if let Some(connection) = self.take_idle(address, boot) {
+            return Ok(connection);
+        }
+        let connection = Connection::open(address, &self.bounds).await?;
+        match boot {
+            Some(boot) if boot != connection.boot() => {
+                let report = connection.report().clone();
+                self.put(address, connection);
+                Err(Failure::changed(boot, report))
+            }
+            _ => Ok(connection),
+        }
+    }
+
+    /// Keeps a connection whose last answer was read whole.
+    ///
+    /// Connections of earlier lives are dropped.
+    pub fn put(&self, address: SocketAddr, connection: Connection) {
+        if !connection.is_open() {
+            return;
+        }
+        let mut idle = self.lock();
+        let connections = idle.entry(address).or_default();
+        connections.retain(|c| c.is_open() && c.boot() == connection.boot());
+        if connections.len() < self.bounds.idle_connections {
+            connections.push(connection);
+        }
+    }
+
+    /// Drops all idle connections to `address`.
+    pub fn forget(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+}
+
+/// Returns a request with the headers of an attempt.
+pub(crate) fn attempt_request(
+    path: &str,
+    target: &Target,
+    attempt: Attempt,
+    body: Bytes,
+) -> Result<Request<Full<Bytes>>, Failure> {
+    let mut request = request("POST", path, target.address, body)?;
+    let attempt = HeaderValue::try_from(attempt.to_string());
+    let attempt = attempt.map_err(|error| Failure::not_run(Kind::Internal, error.to_string()))?;
+    let headers = request.headers_mut();
+    headers.insert(ATTEMPT_HEADER, attempt);
+    headers.insert(GENERATION_HEADER, target.generation.0.into());
+    Ok(request)
+}
+
+/// Sends an attempt and returns the head of its accepted answer.
+///
+/// An answer that does not repeat the attempt id is discarded, whatever it says.
+pub(crate) async fn send_attempt(
+    connection: &mut Connection,
+    request: Request<Full<Bytes>>,
+    attempt: Attempt,
+    check: Check,
+    within: Duration,
+    bounds: &Bounds,
+) -> Result<Response<Incoming>, Failure> {
+    let response = connection.wire.send(request, check, within).await?;
+    let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
+    let repeated = header(ATTEMPT_HEADER).and_then(|text| text.parse().ok());
+    if repeated != Some(attempt) {
+        let message = "the answer belongs to another attempt";
+        return Err(Failure::may_have_run(Kind::Upstream, message));
+    }
+    match response.status() {
+        StatusCode::OK => Ok(response),
+        StatusCode::CONFLICT => {
+            let body = time::timeout(bounds.answer, read_body(response.into_body(), bounds)).await;
+            let body = body.unwrap_or_else(|_| Err(slow()))?;
+            let refusal: Refusal = parse(&body)?;
+            Err(Failure::stale(refusal))
+        }
+        StatusCode::SERVICE_UNAVAILABLE if header(REFUSED_HEADER) == Some("1") => {
+            let message = "the backend server refused the request";
+            Err(Failure::not_run(Kind::Overloaded, message))
+        }
+        status => {
+            let message = format!("the backend server answered with {status}");
+            Err(Failure::may_have_run(Kind::Upstream, message))
+        }
+    }
+}
--- a/crates/backend/src/proto.rs
+++ b/crates/backend/src/proto.rs
@@ -14,6 +14,9 @@
 //! Requests to an engine or service carry [`ATTEMPT_HEADER`]; the answer and
 //! each of its frames repeat it. A request to a service that may not be repeated
 //! carries the idempotency key in [`KEY_HEADER`].
+//!
+//! 409 with [`Refusal`], and 503 with [`REFUSED_HEADER`], state that the request
+//! was not run and will not be. No other status states that.
 
 use name::{Attempt, Domain, Fabric, Generation, Instance, Model, Replica};
 use std::{net::SocketAddr, sync::Arc};
@@ -28,6 +31,9 @@
 /// The header with the idempotency key.
 pub const KEY_HEADER: &str = "idempotency-key";
 
+/// The header, with the value `1`, of a 503 to a request that was not run.
+pub const REFUSED_HEADER: &str = "x-refused";
+
 /// What runs on an instance.
 #[common::key]
 #[serde(rename_all = "snake_case")]
--- /dev/null
+++ b/crates/backend/src/service.rs
@@ -0,0 +1,65 @@
+//! Requests to plain services.
+
+use crate::{
+    Failure, Pool, Target,
+    connection::{parse, read_body, slow},
+    pool::{attempt_request, send_attempt},
+    proto::{CallAnswer, KEY_HEADER},
+};
+use bytes::Bytes;
+use http::HeaderValue;
+use name::Attempt;
+use std::time::Duration;
+use tokio::time;
+use verdict::Kind;
+
+/// A call to a plain service.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Call {
+    /// The attempt.
+    pub attempt: Attempt,
+    /// The name of the call; letters, digits, `-`, `_`, `.` and `/`.
+    pub name: String,
+    /// The idempotency key, for a call that may not be repeated.
+    pub key: Option<String>,
+    /// The body, as JSON.
+    pub body: Bytes,
+}
+
+/// Sends a call and reads its answer within `within`.
+///
+/// `still_allowed` is asked directly before the first byte is written.
+///
+/// # Errors
+///
+/// Returns a failure with its verdict; [`Failure::changed_life`] if the service
+/// is in another life than the target's.
+pub async fn call(
+    pool: &Pool,
+    target: Target,
+    call: &Call,
+    still_allowed: impl FnOnce() -> bool + Send + 'static,
+    within: Duration,
+) -> Result<CallAnswer, Failure> {
+    let path = format!("/v1/call/{}", call.name);
+    let mut request = attempt_request(&path, &target, call.attempt, call.body.clone())?;
+    if let Some(key) = &call.key {
+        let key = HeaderValue::try_from(key.as_str());
+        let key = key.map_err(|error| Failure::not_run(Kind::Malformed, error.to_string()))?;
+        request.headers_mut().insert(KEY_HEADER, key);
+    }
+    let bounds = pool.bounds();
+    let mut connection = pool.take(target.address, target.boot).await?;
+    let check = Box::new(still_allowed);
+    let attempt = call.attempt;
+    let response = send_attempt(&mut connection, request, attempt, check, within, bounds).await?;
+    let body = time::timeout(within, read_body(response.into_body(), bounds)).await;
+    let body = body.unwrap_or_else(|_| Err(slow()))?;
+    let answer: CallAnswer = parse(&body)?;
+    if answer.attempt != attempt {
+        let message = "the answer belongs to another attempt";
+        return Err(Failure::may_have_run(Kind::Upstream, message));
+    }
+    pool.put(target.address, connection);
+    Ok(answer)
+}
