Add the stand-ins: log, list, weight store, engines, services

The whole path needs something to run against. Every fake is a server of its own on loopback; commands bring faults about, in process or over a control route, and counters tell what the servers have seen. An answer is a function of seed, prompt and length, so a test can compute the right one.

--- a/crates/backend/src/proto.rs
+++ b/crates/backend/src/proto.rs
@@ -246,3 +246,15 @@
     /// The size in MiB.
     pub mib: u32,
 }
+
+/// The bytes of a prompt that make its prefix.
+pub const PREFIX_BYTES: usize = 256;
+
+/// Returns the hash of the prompt's prefix, as [`CacheEvent::prefix`] states it.
+pub fn prefix(prompt: &str) -> u64 {
+    let mut end = prompt.len().min(PREFIX_BYTES);
+    while !prompt.is_char_boundary(end) {
+        end -= 1;
+    }
+    name::score("prefix", &prompt[..end])
+}
--- /dev/null
+++ b/crates/standin/src/engine.rs
@@ -0,0 +1,488 @@
+//! A model engine: orders, generation, its prefix cache.
+
+use crate::{
+    host::{Mode, broken_body, while_hung},
+    server::{Life, Membership, Prefixes, Running, Server},
+    service::{attempt, rejected},
+};
+use axum::{
+    Json, Router,
+    body::Body,
+    extract::{Query, State},
+    http::{HeaderMap, StatusCode, header},
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use backend::proto::{
+    self, ATTEMPT_HEADER, CacheEvent, CacheEvents, Cancel, Finish, Frame, GENERATION_HEADER,
+    Generate, Order, Phase, REFUSED_HEADER, Refusal,
+};
+use bytes::Bytes;
+use futures_util::stream;
+use name::{Attempt, Generation, Model};
+use std::{collections::VecDeque, io, sync::Arc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{self, Instant},
+};
+
+/// The time between two looks at the other members.
+const JOIN_STEP: Duration = Duration::from_millis(10);
+
+/// The time before another try when the weight store refused.
+const LOAD_RETRY: Duration = Duration::from_millis(100);
+
+/// The time after which an event of the cache shows.
+const EVENT_LAG: Duration = Duration::from_millis(200);
+
+/// The events of the cache that are kept.
+const MAX_EVENTS: usize = 4_096;
+
+/// Every event with a number divisible by this is lost.
+const LOST_EVENT: u64 = 13;
+
+/// The words of answers.
+const WORDS: [&str; 16] = [
+    "river", "slate", "harbour", "ledger", "maple", "stone", "valley", "bridge", "lantern",
+    "field", "orchard", "signal", "meadow", "anchor", "copper", "window",
+];
+
+/// Returns the tokens of the whole answer to a prompt.
+pub fn answer(seed: u64, prompt: &str, max_tokens: u32) -> Vec<String> {
+    let topic = format!("{seed}:{prompt}");
+    let length = name::score(&topic, "length");
+    let count = match length % 4 {
+        0 => length / 4 % u64::from(max_tokens.max(1)) + 1,
+        _ => u64::from(max_tokens.max(1)),
+    };
+    let token = |index: u64| {
+        let score = name::score(&topic, &index.to_string());
+        let word = WORDS[(score % WORDS.len() as u64) as usize];
+        match index {
+            0 => word.into(),
+            _ => format!(" {word}"),
+        }
+    };
+    (0..count).map(token).collect()
+}
+
+/// The prefix cache and its events.
+#[derive(Debug, Default)]
+pub(crate) struct Cache {
+    prefixes: Prefixes,
+    events: VecDeque<(Instant, CacheEvent)>,
+    next: u64,
+}
+
+impl Cache {
+    /// Uses a prefix; returns whether it was cached.
+    fn touch(&mut self, prefix: u64, max: usize) -> bool {
+        let before = self.prefixes.len();
+        self.prefixes.retain(|cached| *cached != prefix);
+        let hit = self.prefixes.len() < before;
+        self.prefixes.push_back(prefix);
+        if !hit {
+            self.record(prefix, true);
+        }
+        if self.prefixes.len() > max
+            && let Some(evicted) = self.prefixes.pop_front()
+        {
+            self.record(evicted, false);
+        }
+        hit
+    }
+
+    fn record(&mut self, prefix: u64, stored: bool) {
+        let number = self.next;
+        self.next += 1;
+        if number % LOST_EVENT == LOST_EVENT - 1 {
+            return;
+        }
+        let event = CacheEvent {
+            number,
+            prefix,
+            stored,
+        };
+        self.events.push_back((Instant::now(), event));
+        if self.events.len() > MAX_EVENTS {
+            self.events.pop_front();
+        }
+    }
+
+    /// Returns the events from number `from` on that already show.
+    fn since(&self, from: u64) -> CacheEvents {
+        let shows = |(at, event): &&(Instant, CacheEvent)| {
+            event.number >= from && at.elapsed() >= EVENT_LAG
+        };
+        let events = self.events.iter().filter(shows);
+        let events: Vec<_> = events.map(|(_, event)| event.clone()).collect();
+        let next = events.last().map_or(from, |event| event.number + 1);
+        CacheEvents { next, events }
+    }
+}
+
+/// Returns the routes.
+pub(crate) fn routes() -> Router<Arc<Server>> {
+    Router::new()
+        .route("/v1/order", post(order))
+        .route("/v1/generate", post(generate))
+        .route("/v1/cancel", post(cancel))
+        .route("/v1/cache-events", get(cache_events))
+}
+
+/// Returns a refusal that states what the engine has seen.
+fn refuse(seen: Generation) -> Response {
+    (StatusCode::CONFLICT, Json(Refusal { seen })).into_response()
+}
+
+/// Obeys an order, or refuses it as stale.
+async fn order(State(server): State<Arc<Server>>, Json(order): Json<Order>) -> Response {
+    let (Order::Join { generation, .. } | Order::Leave { generation }) = order;
+    let shared = &server.around.shared;
+    let mut life = server.lock();
+    if generation < life.seen {
+        if life.faults.fences {
+            shared.count(|c| c.stale_orders_refused += 1);
+            return refuse(life.seen);
+        }
+        shared.count(|c| c.stale_orders_obeyed += 1);
+    }
+    life.seen = life.seen.max(generation);
+    match order {
+        Order::Join { .. } => join(&server, &mut life, order),
+        Order::Leave { .. } => {
+            life.phase = Phase::Idle;
+            life.membership = None;
+        }
+    }
+    StatusCode::OK.into_response()
+}
+
+/// Becomes a member; the same order again changes nothing.
+fn join(server: &Arc<Server>, life: &mut Life, order: Order) {
+    let Order::Join {
+        replica,
+        generation,
+        member,
+        peers,
+        model,
+        version,
+        adapters,
+    } = order
+    else {
+        return;
+    };
+    let current = life.membership.as_ref();
+    if current.is_some_and(|m| m.replica == replica && m.generation == generation) {
+        return;
+    }
+    let mut wanted: Vec<Arc<str>> = vec![format!("{model}@{version}").into()];
+    wanted.extend(adapters.iter().map(|a| Arc::from(format!("{a}@{version}"))));
+    let membership = Membership {
+        replica,
+        generation,
+        member,
+        peers,
+        model,
+        adapters,
+    };
+    life.membership = Some(membership.clone());
+    life.phase = Phase::Loading;
+    let boot = life.boot;
+    let server = Arc::clone(server);
+    tokio::spawn(async move {
+        become_ready(&server, boot, &membership, wanted).await;
+    });
+}
+
+/// Loads what is missing, waits for the other members and serves.
+async fn become_ready(
+    server: &Arc<Server>,
+    boot: uuid::Uuid,
+    membership: &Membership,
+    wanted: Vec<Arc<str>>,
+) {
+    let current = |life: &Life| {
+        let same = |m: &Membership| {
+            m.generation == membership.generation && m.replica == membership.replica
+        };
+        life.boot == boot && life.membership.as_ref().is_some_and(same)
+    };
+    // Only the base model is large; adapters come with it.
+    let base = Arc::clone(&wanted[0]);
+    while !server.lock().loaded.contains(&base) {
+        if server.around.store.load().await {
+            break;
+        }
+        time::sleep(LOAD_RETRY).await;
+        if !current(&server.lock()) {
+            return;
+        }
+    }
+    {
+        let mut life = server.lock();
+        if life.boot == boot {
+            life.loaded.extend(wanted);
+        }
+        if !current(&life) {
+            return;
+        }
+        life.phase = Phase::Joining;
+    }
+    while !members_present(server, membership) {
+        time::sleep(JOIN_STEP).await;
+        if !current(&server.lock()) {
+            return;
+        }
+    }
+    let mut life = server.lock();
+    if current(&life) {
+        life.phase = Phase::Ready;
+    }
+}
+
+/// Returns whether every member is there at the same generation.
+fn members_present(server: &Server, membership: &Membership) -> bool {
+    let Some(registry) = server.around.registry.get() else {
+        return false;
+    };
+    membership.peers.iter().all(|address| {
+        let peer = registry.get(address).and_then(std::sync::Weak::upgrade);
+        peer.is_some_and(|peer| peer.is_member(&membership.replica, membership.generation))
+    })
+}
+
+/// Returns whether the members lie in several fabric domains.
+fn is_spread(server: &Server, membership: &Membership) -> bool {
+    let Some(registry) = server.around.registry.get() else {
+        return false;
+    };
+    let peer = |address| registry.get(address).and_then(std::sync::Weak::upgrade);
+    let mut peers = membership.peers.iter().filter_map(peer);
+    peers.any(|peer| peer.listed.fabric != server.listed.fabric)
+}
+
+/// Returns the membership to serve a request with, or the answer that refuses it.
+fn servable(
+    server: &Server,
+    request: &Generate,
+    headers: &HeaderMap,
+) -> Result<Membership, Box<Response>> {
+    let generation = headers.get(GENERATION_HEADER).and_then(|g| g.to_str().ok());
+    let generation = generation.and_then(|g| g.parse().ok()).map(Generation);
+    let life = server.lock();
+    let (seen, faults) = (life.seen, life.faults.clone());
+    let membership = life
+        .membership
+        .clone()
+        .filter(|_| life.phase == Phase::Ready);
+    drop(life);
+    let refused =
+        || Box::new((StatusCode::SERVICE_UNAVAILABLE, [(REFUSED_HEADER, "1")]).into_response());
+    let Some(membership) = membership.filter(|m| m.member == 0) else {
+        return Err(refused());
+    };
+    if faults.fences && generation != Some(membership.generation) {
+        return Err(Box::new(refuse(seen)));
+    }
+    let offers = |model: &Model| *model == membership.model || membership.adapters.contains(model);
+    if !offers(&request.model) {
+        return Err(refused());
+    }
+    if !members_present(server, &membership) {
+        let shared = &server.around.shared;
+        if faults.checks_members {
+            shared.count(|c| c.refused_with_missing_member += 1);
+            return Err(refused());
+        }
+        shared.count(|c| c.served_with_missing_member += 1);
+    }
+    Ok(membership)
+}
+
+/// Generates an answer.
+async fn generate(
+    State(server): State<Arc<Server>>,
+    headers: HeaderMap,
+    Json(request): Json<Generate>,
+) -> Response {
+    let Some(attempt) = attempt(&headers).filter(|attempt| *attempt == request.attempt) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let faults = server.faults();
+    let echoed = match faults.cross_answers {
+        true => Attempt::random(),
+        false => attempt,
+    };
+    let echoed = [(ATTEMPT_HEADER, echoed.to_string())];
+    let membership = match servable(&server, &request, &headers) {
+        Ok(membership) => membership,
+        Err(refusal) => return (echoed, *refusal).into_response(),
+    };
+    let tokens = answer(request.seed, &request.prompt, request.max_tokens);
+    let resumed = tokens.iter().take(request.resume_tokens as usize);
+    if resumed.cloned().collect::<String>() != request.resume_after {
+        server.around.shared.count(|c| c.wrong_resumes += 1);
+        return (echoed, StatusCode::BAD_REQUEST).into_response();
+    }
+    let running = match server.take(attempt).await {
+        Ok(running) => running,
+        Err(why) => return rejected(why),
+    };
+    if faults.lose_answers {
+        return Response::new(broken_body());
+    }
+    let stream = Stream::new(running, &request, tokens, membership);
+    let body = Body::from_stream(stream::unfold(stream, Stream::step));
+    let kind = [(header::CONTENT_TYPE, "text/event-stream")];
+    (echoed, kind, body).into_response()
+}
+
+/// A generated answer on its way.
+struct Stream {
+    running: Running,
+    hung: watch::Receiver<Mode>,
+    attempt: Attempt,
+    membership: Membership,
+    tokens: Vec<String>,
+    full: bool,
+    index: u32,
+    sent: u32,
+    wait: u64,
+    token_ms: u64,
+    ended: bool,
+}
+
+impl Stream {
+    /// Returns the stream of `tokens` behind those already delivered.
+    fn new(
+        running: Running,
+        request: &Generate,
+        tokens: Vec<String>,
+        membership: Membership,
+    ) -> Self {
+        let server = &running.server;
+        let speed = &server.around.speed;
+        let prefix = proto::prefix(&request.prompt);
+        let cached = {
+            let max = speed.cached_prefixes as usize;
+            server.lock().cache.touch(prefix, max)
+        };
+        let percent = match is_spread(server, &membership) {
+            true => u64::from(speed.cross_fabric_percent),
+            false => 100,
+        };
+        let first = match cached {
+            true => speed.cached_first_token_ms,
+            false => speed.first_token_ms,
+        };
+        Self {
+            hung: server.host.watch(),
+            attempt: request.attempt,
+            full: tokens.len() as u64 >= u64::from(request.max_tokens),
+            index: request.resume_tokens,
+            sent: 0,
+            wait: first * percent / 100,
+            token_ms: speed.token_ms * percent / 100,
+            ended: false,
+            membership,
+            tokens,
+            running,
+        }
+    }
+
+    /// Returns the next piece of the body.
+    async fn step(mut self) -> Option<(Result<Bytes, io::Error>, Self)> {
+        if self.ended {
+            return None;
+        }
+        let server = Arc::clone(&self.running.server);
+        let cancelled = self.running.cancelled.clone();
+        tokio::select! {
+            () = time::sleep(server.pace(self.wait)) => {}
+            () = cancelled.cancelled() => return Some((Err(io::ErrorKind::Interrupted.into()), self)),
+        }
+        while_hung(&mut self.hung).await;
+        self.wait = self.token_ms;
+        let faults = server.faults();
+        if faults.stall_after.is_some_and(|after| self.sent >= after) {
+            cancelled.cancelled().await;
+        }
+        let cut = faults.cut_after.is_some_and(|after| self.sent >= after);
+        let missing = faults.checks_members && !members_present(&server, &self.membership);
+        if cut || missing {
+            return Some((Err(io::ErrorKind::ConnectionReset.into()), self));
+        }
+        let piece = self.piece(&faults);
+        Some((Ok(piece), self))
+    }
+
+    /// Returns the events of the next token, spoilt as the switches say.
+    fn piece(&mut self, faults: &crate::Faults) -> Bytes {
+        let text = self.tokens.get(self.index as usize).cloned();
+        let last = self.index as usize + 1 >= self.tokens.len();
+        let finish = match self.full {
+            true => Finish::Length,
+            false => Finish::Stop,
+        };
+        let frame = Frame {
+            attempt: self.attempt,
+            generation: self.membership.generation,
+            index: self.index,
+            text: text.unwrap_or_default(),
+            finish: last.then_some(finish),
+        };
+        let mut events = String::new();
+        if faults.crossed_at == Some(self.index) {
+            let attempt = Attempt::random();
+            events += &event(&Frame {
+                attempt,
+                ..frame.clone()
+            });
+        }
+        if faults.gap_at != Some(self.index) {
+            events += &event(&frame);
+        }
+        if faults.repeat_frames {
+            events += &event(&frame);
+        }
+        self.index += 1;
+        self.sent += 1;
+        if last {
+            self.ended = true;
+            self.running.complete();
+            let shared = &self.running.server.around.shared;
+            shared.count(|c| c.whole_answers += 1);
+        }
+        events.into()
+    }
+}
+
+/// Returns a frame as a server-sent event.
+fn event(frame: &Frame) -> String {
+    let data = serde_json::to_string(frame).unwrap_or_default();
+    format!("data: {data}\n\n")
+}
+
+/// Stops an attempt.
+async fn cancel(State(server): State<Arc<Server>>, Json(cancel): Json<Cancel>) -> StatusCode {
+    if let Some(active) = server.lock().active.get(&cancel.attempt) {
+        active.cancel();
+    }
+    StatusCode::OK
+}
+
+/// From which number events are asked for.
+#[common::value]
+struct From {
+    #[serde(default)]
+    from: u64,
+}
+
+/// Returns events of the prefix cache.
+async fn cache_events(
+    State(server): State<Arc<Server>>,
+    Query(query): Query<From>,
+) -> Json<CacheEvents> {
+    Json(server.lock().cache.since(query.from))
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,1 +1,25 @@
 //! Small fakes of the systems outside, with fault switches.
+//!
+//! A [`World`] starts a log service, an instance list, a weight store, model
+//! engines and plain services on loopback, each a server of its own. Its
+//! [`Command`]s bring about faults, and its [`Counters`] tell what the servers
+//! have seen: they are the judges of the promises, so they never help to keep
+//! them.
+
+mod command;
+mod counters;
+pub mod engine;
+mod host;
+mod log;
+mod platform;
+mod server;
+mod service;
+mod shape;
+mod world;
+
+pub use command::Command;
+pub use counters::Counters;
+pub use host::Mode;
+pub use server::{Faults, Server};
+pub use shape::{Domain, Shape};
+pub use world::{World, serve};
--- /dev/null
+++ b/crates/standin/src/log.rs
@@ -0,0 +1,254 @@
+//! The append-only log service.
+//!
+//! | route | body | answer |
+//! |---|---|---|
+//! | `POST /streams/{stream}/append` | `{"records":["..."]}` | `{"first":offset}`, or 429 above the rate |
+//! | `GET /streams/{stream}/records?from=&max=&wait_ms=` | none | `{"first","tail","records":[{"offset","at_ms","data"}]}` |
+
+use crate::{
+    counters::Shared,
+    host::{self, Host, broken_body},
+};
+use axum::{
+    Json, Router,
+    extract::{DefaultBodyLimit, Path, Query, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::{get, post},
+};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::{Duration, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    sync::Notify,
+    time::{self, Instant},
+};
+
+/// The most records of one answer.
+const MAX_RECORDS: usize = 1_000;
+
+/// The largest body of an append.
+const MAX_APPEND_BYTES: usize = 64 << 20;
+
+/// Records to append.
+#[common::value]
+struct Append {
+    records: Vec<String>,
+}
+
+/// The offset of the first record appended.
+#[common::value]
+struct Appended {
+    first: u64,
+}
+
+/// Which records are asked for.
+#[common::value]
+struct Range {
+    #[serde(default)]
+    from: u64,
+    max: Option<usize>,
+    #[serde(default)]
+    wait_ms: u64,
+}
+
+/// A record with its place.
+#[common::value]
+struct Record {
+    offset: u64,
+    at_ms: u64,
+    data: String,
+}
+
+/// Records, and which the stream keeps.
+#[common::value]
+struct Records {
+    first: u64,
+    tail: u64,
+    records: Vec<Record>,
+}
+
+/// A stream: the records from `first` on.
+#[derive(Debug)]
+struct Stream {
+    first: u64,
+    records: VecDeque<Record>,
+}
+
+impl Stream {
+    /// Returns the offset after the last record.
+    fn tail(&self) -> u64 {
+        self.first + self.records.len() as u64
+    }
+
+    /// Returns at most `max` records from `from` on.
+    fn read(&self, from: u64, max: usize) -> Records {
+        let skip = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
+        let records = self.records.iter().skip(skip).take(max).cloned();
+        Records {
+            first: self.first,
+            tail: self.tail(),
+            records: records.collect(),
+        }
+    }
+}
+
+/// What the log holds and which faults are switched on.
+#[derive(Debug, Default)]
+struct Inner {
+    streams: BTreeMap<String, Stream>,
+    slow: Duration,
+    lose_acknowledgements: u32,
+    allowance: f64,
+    refilled: Option<Instant>,
+}
+
+impl Inner {
+    fn stream(&mut self, name: &str) -> &mut Stream {
+        let empty = || Stream {
+            first: 1,
+            records: VecDeque::new(),
+        };
+        self.streams.entry(name.into()).or_insert_with(empty)
+    }
+
+    /// Takes one request from the allowance of `per_s`; the burst is a tenth of it.
+    fn allow(&mut self, per_s: u32) -> bool {
+        let now = Instant::now();
+        let rate = f64::from(per_s);
+        let burst = (rate / 10.0).max(1.0);
+        let filled = match self.refilled {
+            Some(before) => self.allowance + (now - before).as_secs_f64() * rate,
+            None => burst,
+        };
+        self.refilled = Some(now);
+        self.allowance = filled.min(burst);
+        if self.allowance < 1.0 {
+            return false;
+        }
+        self.allowance -= 1.0;
+        true
+    }
+}
+
+/// The log service.
+#[derive(Debug)]
+pub(crate) struct Log {
+    pub(crate) host: Host,
+    shared: Arc<Shared>,
+    appends_per_s: u32,
+    appended: Notify,
+    inner: Mutex<Inner>,
+}
+
+impl Log {
+    /// Starts the service at `address`.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        shared: Arc<Shared>,
+        appends_per_s: u32,
+    ) -> io::Result<Arc<Self>> {
+        let (host, bound) = Host::bind(address).await?;
+        let log = Arc::new(Self {
+            host,
+            shared,
+            appends_per_s,
+            appended: Notify::new(),
+            inner: Mutex::default(),
+        });
+        let router = Router::new()
+            .route("/streams/{stream}/append", post(append))
+            .route("/streams/{stream}/records", get(records))
+            .layer(DefaultBodyLimit::max(MAX_APPEND_BYTES))
+            .with_state(Arc::clone(&log));
+        host::serve(bound, &log, |log| &log.host, router);
+        Ok(log)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Delays every answer by `slow` and loses the next acknowledgements.
+    pub(crate) fn set_faults(&self, slow: Duration, lose_acknowledgements: u32) {
+        let mut inner = self.lock();
+        inner.slow = slow;
+        inner.lose_acknowledgements = lose_acknowledgements;
+    }
+
+    /// Drops the records of `stream` up to offset `to`.
+    pub(crate) fn expire(&self, stream: &str, to: u64) {
+        let mut inner = self.lock();
+        let stream = inner.stream(stream);
+        while stream.first <= to && stream.records.pop_front().is_some() {
+            stream.first += 1;
+        }
+    }
+
+    /// Appends `records` and returns the first offset, and whether to acknowledge it.
+    fn append(&self, stream: &str, records: Vec<String>) -> Option<(u64, bool)> {
+        let mut inner = self.lock();
+        if !inner.allow(self.appends_per_s) {
+            return None;
+        }
+        let now = SystemTime::now().duration_since(UNIX_EPOCH);
+        let at_ms = now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
+        let stream = inner.stream(stream);
+        let first = stream.tail();
+        for (offset, data) in (first..).zip(records) {
+            stream.records.push_back(Record {
+                offset,
+                at_ms,
+                data,
+            });
+        }
+        let lost = inner.lose_acknowledgements > 0;
+        inner.lose_acknowledgements -= u32::from(lost);
+        drop(inner);
+        self.appended.notify_waiters();
+        Some((first, !lost))
+    }
+}
+
+/// Appends records.
+async fn append(
+    State(log): State<Arc<Log>>,
+    Path(stream): Path<String>,
+    Json(body): Json<Append>,
+) -> Response {
+    log.shared.count(|counters| counters.appends += 1);
+    let slow = log.lock().slow;
+    time::sleep(slow).await;
+    match log.append(&stream, body.records) {
+        None => StatusCode::TOO_MANY_REQUESTS.into_response(),
+        Some((_, false)) => Response::new(broken_body()),
+        Some((first, true)) => Json(Appended { first }).into_response(),
+    }
+}
+
+/// Returns records, and waits for the first that is missing.
+async fn records(
+    State(log): State<Arc<Log>>,
+    Path(stream): Path<String>,
+    Query(range): Query<Range>,
+) -> Json<Records> {
+    log.shared.count(|counters| counters.reads += 1);
+    let slow = log.lock().slow;
+    time::sleep(slow).await;
+    let max = range.max.unwrap_or(MAX_RECORDS).min(MAX_RECORDS);
+    let end = Instant::now() + Duration::from_millis(range.wait_ms);
+    loop {
+        let appended = log.appended.notified();
+        tokio::pin!(appended);
+        // Enabled before the look, so that no append falls between them.
+        appended.as_mut().enable();
+        let read = log.lock().stream(&stream).read(range.from, max);
+        if !read.records.is_empty() || time::timeout_at(end, appended).await.is_err() {
+            return Json(read);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,182 @@
+//! The platform's instance list, which lags, and its weight store.
+
+use crate::{
+    counters::Shared,
+    host::{self, Host},
+};
+use axum::{
+    Json, Router,
+    extract::{Path, State},
+    http::StatusCode,
+    response::{IntoResponse, Response},
+    routing::get,
+};
+use backend::proto::{InstanceList, Listed, Weights};
+use name::{Instance, Model};
+use std::{
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tokio::time::{self, Instant};
+
+/// The time between two steps of a load.
+const LOAD_STEP: Duration = Duration::from_millis(10);
+
+/// The instance list.
+#[derive(Debug)]
+pub(crate) struct List {
+    pub(crate) host: Host,
+    lag: Duration,
+    versions: Mutex<Vec<(Option<Instant>, Vec<Listed>)>>,
+}
+
+impl List {
+    /// Starts the list at `address` with `instances`, which show at once.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        lag: Duration,
+        instances: Vec<Listed>,
+    ) -> io::Result<Arc<Self>> {
+        let (host, bound) = Host::bind(address).await?;
+        let list = Arc::new(Self {
+            host,
+            lag,
+            versions: Mutex::new(vec![(None, instances)]),
+        });
+        let router = Router::new()
+            .route("/v1/instances", get(instances_now))
+            .with_state(Arc::clone(&list));
+        host::serve(bound, &list, |list| &list.host, router);
+        Ok(list)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Vec<(Option<Instant>, Vec<Listed>)>> {
+        self.versions.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Changes the list, which shows after the lag.
+    pub(crate) fn change(&self, change: impl FnOnce(&mut Vec<Listed>)) {
+        let mut versions = self.lock();
+        let latest = versions.last().map(|(_, listed)| listed.clone());
+        let mut latest = latest.unwrap_or_default();
+        change(&mut latest);
+        versions.push((Some(Instant::now() + self.lag), latest));
+    }
+
+    /// Removes `instance` from the list, or marks it as leaving.
+    pub(crate) fn retire(&self, instance: &Instance, remove: bool) {
+        self.change(|listed| {
+            listed.retain(|l| !remove || l.instance != *instance);
+            for l in listed.iter_mut().filter(|l| l.instance == *instance) {
+                l.leaving = true;
+            }
+        });
+    }
+}
+
+/// Returns the list as it was one lag ago.
+async fn instances_now(State(list): State<Arc<List>>) -> Json<InstanceList> {
+    let now = Instant::now();
+    let mut versions = list.lock();
+    let shown = |(from, _): &(Option<Instant>, _)| from.is_none_or(|from| from <= now);
+    let at = versions.iter().rposition(shown).unwrap_or(0);
+    versions.drain(..at);
+    let instances = versions.first().map(|(_, listed)| listed.clone());
+    let instances = instances.unwrap_or_default();
+    Json(InstanceList { instances })
+}
+
+/// The weight store.
+#[derive(Debug)]
+pub(crate) struct Store {
+    pub(crate) host: Host,
+    shared: Arc<Shared>,
+    mib_per_s: u64,
+    max_loads: u32,
+    model_mib: u32,
+    loads: Mutex<u32>,
+}
+
+impl Store {
+    /// Starts the store at `address`.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        shared: Arc<Shared>,
+        speed: &settings::Speed,
+    ) -> io::Result<Arc<Self>> {
+        let (host, bound) = Host::bind(address).await?;
+        let store = Arc::new(Self {
+            host,
+            shared,
+            mib_per_s: speed.load_mib_per_s,
+            max_loads: speed.max_loads,
+            model_mib: speed.model_mib,
+            loads: Mutex::new(0),
+        });
+        let router = Router::new()
+            .route("/v1/weights/{*model}", get(weights))
+            .with_state(Arc::clone(&store));
+        host::serve(bound, &store, |store| &store.host, router);
+        Ok(store)
+    }
+
+    fn loads(&self) -> MutexGuard<'_, u32> {
+        self.loads.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Loads a model's weights; loads at the same time share the rate.
+    ///
+    /// Returns whether the store accepted the load.
+    pub(crate) async fn load(self: &Arc<Self>) -> bool {
+        let Some(_load) = Load::begin(self) else {
+            return false;
+        };
+        let step = LOAD_STEP.as_secs_f64();
+        let mut left = f64::from(self.model_mib);
+        let mut mode = self.host.watch();
+        while left > 0.0 {
+            time::sleep(LOAD_STEP).await;
+            host::while_hung(&mut mode).await;
+            let sharing = f64::from((*self.loads()).max(1));
+            left -= self.mib_per_s as f64 * step / sharing;
+        }
+        true
+    }
+}
+
+/// A load in progress.
+struct Load(Arc<Store>);
+
+impl Load {
+    /// Begins a load unless there are too many.
+    fn begin(store: &Arc<Store>) -> Option<Self> {
+        let mut loads = store.loads();
+        if *loads >= store.max_loads || store.host.mode() == host::Mode::Refuse {
+            return None;
+        }
+        *loads += 1;
+        drop(loads);
+        store.shared.count(|counters| counters.loads += 1);
+        Some(Self(Arc::clone(store)))
+    }
+}
+
+impl Drop for Load {
+    fn drop(&mut self) {
+        *self.0.loads() -= 1;
+    }
+}
+
+/// Returns the description of a model's weights.
+async fn weights(State(store): State<Arc<Store>>, Path(model): Path<String>) -> Response {
+    let Ok(model) = Model::try_from(model) else {
+        return StatusCode::NOT_FOUND.into_response();
+    };
+    if *store.loads() >= store.max_loads {
+        return StatusCode::TOO_MANY_REQUESTS.into_response();
+    }
+    let mib = store.model_mib;
+    Json(Weights { model, mib }).into_response()
+}
--- /dev/null
+++ b/crates/standin/src/server.rs
@@ -0,0 +1,406 @@
+//! What model engines and plain services have in common: lives, warmth, load.
+
+use crate::{
+    counters::{Begun, Shared},
+    engine,
+    host::{self, Host, Mode},
+    platform::Store,
+    service,
+};
+use axum::{Json, Router, extract::State, routing::get};
+use backend::proto::{Listed, Phase, Report, Role};
+use name::{Attempt, Generation, Model, Replica};
+use std::{
+    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    io,
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
+    time::Duration,
+};
+use tokio::{sync::Notify, time::Instant};
+use tokio_util::sync::CancellationToken;
+use uuid::Uuid;
+
+/// The most by which a server is slower or faster than the settings say.
+const SPREAD_PERCENT: u64 = 5;
+
+/// Fault switches of a backend server.
+#[common::value]
+#[serde(default, deny_unknown_fields)]
+pub struct Faults {
+    /// The factor on all its times, in hundredths.
+    pub slow_percent: u32,
+    /// Whether it refuses orders with an earlier fencing number.
+    pub fences: bool,
+    /// Whether it refuses work while a member of its replica is missing.
+    pub checks_members: bool,
+    /// Breaks each stream off after so many frames.
+    pub cut_after: Option<u32>,
+    /// Falls silent after so many frames.
+    pub stall_after: Option<u32>,
+    /// Sends each frame twice.
+    pub repeat_frames: bool,
+    /// Sends a frame of another attempt at this place.
+    pub crossed_at: Option<u32>,
+    /// Leaves the frame at this place out.
+    pub gap_at: Option<u32>,
+    /// Runs the work, and closes the connection instead of answering.
+    pub lose_answers: bool,
+    /// Answers each request with the id of another attempt.
+    pub cross_answers: bool,
+}
+
+impl Default for Faults {
+    fn default() -> Self {
+        Self {
+            slow_percent: 100,
+            fences: true,
+            checks_members: true,
+            cut_after: None,
+            stall_after: None,
+            repeat_frames: false,
+            crossed_at: None,
+            gap_at: None,
+            lose_answers: false,
+            cross_answers: false,
+        }
+    }
+}
+
+/// A membership of a replica.
+#[derive(Debug, Clone)]
+pub(crate) struct Membership {
+    pub(crate) replica: Replica,
+    pub(crate) generation: Generation,
+    pub(crate) member: u32,
+    pub(crate) peers: Vec<SocketAddr>,
+    pub(crate) model: Model,
+    pub(crate) adapters: Vec<Model>,
+}
+
+/// One life of a backend server.
+#[derive(Debug)]
+pub(crate) struct Life {
+    pub(crate) boot: Uuid,
+    born: Instant,
+    forced_cold: bool,
+    warm: bool,
+    completions: u32,
+    running: u32,
+    waiting: u32,
+    pub(crate) phase: Phase,
+    pub(crate) membership: Option<Membership>,
+    pub(crate) seen: Generation,
+    pub(crate) loaded: BTreeSet<Arc<str>>,
+    pub(crate) cache: engine::Cache,
+    pub(crate) active: HashMap<Attempt, CancellationToken>,
+    pub(crate) faults: Faults,
+}
+
+impl Life {
+    /// Returns a cold life.
+    fn new(faults: Faults, loaded: BTreeSet<Arc<str>>) -> Self {
+        Self {
+            boot: Uuid::new_v4(),
+            born: Instant::now(),
+            forced_cold: false,
+            warm: false,
+            completions: 0,
+            running: 0,
+            waiting: 0,
+            phase: Phase::Idle,
+            membership: None,
+            seen: Generation::default(),
+            loaded,
+            cache: engine::Cache::default(),
+            active: HashMap::new(),
+            faults,
+        }
+    }
+
+    /// Warms up if it is time, and returns whether it is warm.
+    fn warm(&mut self, speed: &settings::Speed) -> bool {
+        let old = self.born.elapsed() >= Duration::from_millis(speed.warm_ms);
+        let used = self.completions >= speed.warm_completions;
+        self.warm |= !self.forced_cold && (old || used);
+        self.warm
+    }
+}
+
+/// The backend servers by address; set once all are bound.
+pub(crate) type Registry = OnceLock<BTreeMap<SocketAddr, Weak<Server>>>;
+
+/// What a backend server shares with the others.
+#[derive(Debug, Clone)]
+pub(crate) struct Around {
+    pub(crate) seed: u64,
+    pub(crate) shared: Arc<Shared>,
+    pub(crate) store: Arc<Store>,
+    pub(crate) speed: Arc<settings::Speed>,
+    pub(crate) registry: Arc<Registry>,
+}
+
+/// A model engine or an instance of a plain service.
+#[derive(Debug)]
+pub struct Server {
+    pub(crate) listed: Listed,
+    pub(crate) host: Host,
+    pub(crate) around: Around,
+    /// Only the counters' lock is taken while it is held, and no other server's.
+    life: Mutex<Life>,
+    freed: Notify,
+    own_percent: u64,
+}
+
+/// Why a server did not take a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Rejected {
+    /// It fell over.
+    Overloaded,
+    /// It restarted in the meantime.
+    Restarted,
+}
+
+impl Server {
+    /// Starts a server at `address`; `listed` is completed with the address.
+    pub(crate) async fn start(
+        address: SocketAddr,
+        mut listed: Listed,
+        around: Around,
+    ) -> io::Result<Arc<Self>> {
+        let (host, bound) = Host::bind(address).await?;
+        listed.address = host.address();
+        let role = listed.role;
+        let seed = around.seed.to_string();
+        let spread = name::score(&seed, listed.instance.as_str()) % (2 * SPREAD_PERCENT + 1);
+        let own_percent = 100 - SPREAD_PERCENT + spread;
+        let server = Arc::new(Self {
+            listed,
+            host,
+            around,
+            life: Mutex::new(Life::new(Faults::default(), BTreeSet::new())),
+            freed: Notify::new(),
+            own_percent,
+        });
+        let routes = match role {
+            Role::Engine => engine::routes(),
+            Role::Service => service::routes(),
+        };
+        let router = Router::new()
+            .route("/v1/report", get(report))
+            .merge(routes)
+            .with_state(Arc::clone(&server));
+        host::serve(bound, &server, |server| &server.host, router);
+        Ok(server)
+    }
+
+    /// Returns the instance as the platform lists it.
+    pub fn listed(&self) -> &Listed {
+        &self.listed
+    }
+
+    pub(crate) fn lock(&self) -> MutexGuard<'_, Life> {
+        self.life.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns the report on itself.
+    pub fn report(&self) -> Report {
+        let speed = &self.around.speed;
+        let mut life = self.lock();
+        let warm = life.warm(speed);
+        let membership = life.membership.as_ref();
+        Report {
+            instance: self.listed.instance.clone(),
+            boot: life.boot,
+            role: self.listed.role,
+            phase: life.phase,
+            replica: membership.map(|m| m.replica.clone()),
+            generation: membership.map(|m| m.generation).unwrap_or_default(),
+            member: membership.map_or(0, |m| m.member),
+            loaded: life.loaded.iter().map(Arc::clone).collect(),
+            warm,
+            warm_limit: speed.warm_limit,
+            cold_limit: speed.cold_limit,
+            running: life.running,
+            waiting: life.waiting,
+            fences: life.faults.fences,
+        }
+    }
+
+    /// Sets the fault switches.
+    pub fn set_faults(&self, faults: Faults) {
+        self.lock().faults = faults;
+    }
+
+    /// Returns the fault switches.
+    pub fn faults(&self) -> Faults {
+        self.lock().faults.clone()
+    }
+
+    /// Ends this life and begins another: cold, in no replica, without connections.
+    pub fn restart(&self, keep_weights: bool) {
+        let mut life = self.lock();
+        let loaded = std::mem::take(&mut life.loaded);
+        let loaded = if keep_weights {
+            loaded
+        } else {
+            BTreeSet::new()
+        };
+        let faults = life.faults.clone();
+        *life = Life::new(faults, loaded);
+        drop(life);
+        self.host.cut();
+        self.freed.notify_waiters();
+    }
+
+    /// Turns cold without a restart: the boot id stays.
+    pub fn cool(&self) {
+        let mut life = self.lock();
+        life.warm = false;
+        life.completions = 0;
+        life.born = Instant::now();
+    }
+
+    /// Warms up at once, or stays cold whatever it completes.
+    pub fn set_warm(&self, warm: bool) {
+        let mut life = self.lock();
+        life.forced_cold = !warm;
+        life.warm = warm;
+    }
+
+    /// Returns `millis` as it takes this server, slowed by its fault switch.
+    pub(crate) fn pace(&self, millis: u64) -> Duration {
+        let percent = u64::from(self.lock().faults.slow_percent);
+        let percent = percent.saturating_mul(self.own_percent);
+        Duration::from_micros(millis.saturating_mul(percent) / 10)
+    }
+
+    /// Takes a request in, waits while a warm server is full, falls over while cold.
+    pub(crate) async fn take(self: &Arc<Self>, attempt: Attempt) -> Result<Running, Rejected> {
+        let boot = self.lock().boot;
+        let mut waiting = None;
+        loop {
+            let freed = self.freed.notified();
+            tokio::pin!(freed);
+            freed.as_mut().enable();
+            match self.try_take(boot, attempt) {
+                Some(taken) => return taken,
+                None if waiting.is_none() => waiting = Some(Waiting::begin(self, boot)),
+                None => {}
+            }
+            freed.await;
+        }
+    }
+
+    /// Takes a request in unless a warm server is full.
+    fn try_take(
+        self: &Arc<Self>,
+        boot: Uuid,
+        attempt: Attempt,
+    ) -> Option<Result<Running, Rejected>> {
+        let speed = &self.around.speed;
+        let mut life = self.lock();
+        if life.boot != boot {
+            return Some(Err(Rejected::Restarted));
+        }
+        let warm = life.warm(speed);
+        if warm && life.running >= speed.warm_limit {
+            return None;
+        }
+        if !warm && life.running >= speed.cold_limit {
+            drop(life);
+            self.around.shared.count(|c| c.cold_overloads += 1);
+            self.restart(true);
+            return Some(Err(Rejected::Overloaded));
+        }
+        life.running += 1;
+        let cancelled = CancellationToken::new();
+        life.active.insert(attempt, cancelled.clone());
+        drop(life);
+        let begun = Begun {
+            at_ms: self.around.shared.now_ms(),
+            domain: self.listed.domain.clone(),
+            instance: self.listed.instance.clone(),
+        };
+        self.around.shared.count(|c| c.begun.push(begun));
+        Some(Ok(Running {
+            server: Arc::clone(self),
+            boot,
+            attempt,
+            cancelled,
+            completed: false,
+        }))
+    }
+
+    /// Returns whether it is up and a member as `generation` of `replica`.
+    pub(crate) fn is_member(&self, replica: &Replica, generation: Generation) -> bool {
+        let life = self.lock();
+        let member = life.membership.as_ref();
+        self.host.mode() == Mode::Up
+            && matches!(life.phase, Phase::Joining | Phase::Ready)
+            && member.is_some_and(|m| m.replica == *replica && m.generation == generation)
+    }
+}
+
+/// A request that waits for room.
+struct Waiting<'a> {
+    server: &'a Server,
+    boot: Uuid,
+}
+
+impl<'a> Waiting<'a> {
+    fn begin(server: &'a Server, boot: Uuid) -> Self {
+        server.lock().waiting += 1;
+        Self { server, boot }
+    }
+}
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        let mut life = self.server.lock();
+        if life.boot == self.boot {
+            life.waiting = life.waiting.saturating_sub(1);
+        }
+    }
+}
+
+/// A request in progress.
+#[derive(Debug)]
+pub(crate) struct Running {
+    pub(crate) server: Arc<Server>,
+    boot: Uuid,
+    attempt: Attempt,
+    pub(crate) cancelled: CancellationToken,
+    completed: bool,
+}
+
+impl Running {
+    /// Counts the request as completed.
+    pub(crate) fn complete(&mut self) {
+        self.completed = true;
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        let mut life = self.server.lock();
+        if life.boot == self.boot {
+            life.running = life.running.saturating_sub(1);
+            life.completions += u32::from(self.completed);
+            life.active.remove(&self.attempt);
+        }
+        drop(life);
+        if !self.completed {
+            self.server.around.shared.count(|c| c.abandoned += 1);
+        }
+        self.server.freed.notify_waiters();
+    }
+}
+
+/// Returns the report.
+async fn report(State(server): State<Arc<Server>>) -> Json<Report> {
+    Json(server.report())
+}
+
+/// The prefixes in a cache, the latest used last.
+pub(crate) type Prefixes = VecDeque<u64>;
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,68 @@
+//! A plain service, as a ledger. It never recognizes a key that it has seen.
+
+use crate::{
+    host::broken_body,
+    server::{Rejected, Server},
+};
+use axum::{
+    Json, Router,
+    extract::{Path, State},
+    http::{HeaderMap, StatusCode},
+    response::{IntoResponse, Response},
+    routing::post,
+};
+use backend::proto::{ATTEMPT_HEADER, CallAnswer, KEY_HEADER};
+use name::Attempt;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use tokio::time;
+
+/// Returns the routes.
+pub(crate) fn routes() -> Router<Arc<Server>> {
+    Router::new().route("/v1/call/{*name}", post(call))
+}
+
+/// Returns the attempt in the headers.
+pub(crate) fn attempt(headers: &HeaderMap) -> Option<Attempt> {
+    let text = headers.get(ATTEMPT_HEADER)?.to_str().ok()?;
+    text.parse().ok()
+}
+
+/// Returns the answer of a server that did not take a request: the process is gone.
+pub(crate) fn rejected(_: Rejected) -> Response {
+    Response::new(broken_body())
+}
+
+/// Runs a call.
+async fn call(
+    State(server): State<Arc<Server>>,
+    Path(name): Path<String>,
+    headers: HeaderMap,
+    Json(body): Json<Value>,
+) -> Response {
+    let Some(attempt) = attempt(&headers) else {
+        return StatusCode::BAD_REQUEST.into_response();
+    };
+    let mut running = match server.take(attempt).await {
+        Ok(running) => running,
+        Err(why) => return rejected(why),
+    };
+    let key = headers.get(KEY_HEADER).and_then(|key| key.to_str().ok());
+    if let Some(key) = key {
+        let count = |c: &mut crate::Counters| *c.runs_per_key.entry(key.into()).or_default() += 1;
+        server.around.shared.count(count);
+    }
+    time::sleep(server.pace(server.around.speed.call_ms)).await;
+    running.complete();
+    let faults = server.faults();
+    if faults.lose_answers {
+        return Response::new(broken_body());
+    }
+    let attempt = match faults.cross_answers {
+        true => Attempt::random(),
+        false => attempt,
+    };
+    let result = json!({ "call": name, "done": body });
+    let header = [(ATTEMPT_HEADER, attempt.to_string())];
+    (header, Json(CallAnswer { attempt, result })).into_response()
+}
--- /dev/null
+++ b/crates/standin/src/world.rs
@@ -0,0 +1,314 @@
+//! Everything outside, started together.
+
+use crate::{
+    Command, Counters, Mode, Server, Shape,
+    counters::Shared,
+    host::{self, Host},
+    log::Log,
+    platform::{List, Store},
+    server::{Around, Registry},
+};
+use axum::{
+    Json, Router,
+    extract::State,
+    http::StatusCode,
+    routing::{get, post},
+};
+use backend::proto::{Listed, Role};
+use name::{Domain, Fabric, Instance, Service};
+use std::{
+    io,
+    net::{Ipv4Addr, SocketAddr},
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
+
+/// A loopback address whose port the system chooses.
+const ANY: SocketAddr = SocketAddr::new(std::net::IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+
+/// Everything outside. Dropping it ends all servers.
+#[derive(Debug)]
+pub struct World {
+    shared: Arc<Shared>,
+    log: Arc<Log>,
+    list: Arc<List>,
+    store: Arc<Store>,
+    servers: Vec<Arc<Server>>,
+}
+
+/// Where the servers listen.
+struct Ports {
+    log: SocketAddr,
+    instances: SocketAddr,
+    weights: SocketAddr,
+    backends: SocketAddr,
+}
+
+impl Drop for World {
+    fn drop(&mut self) {
+        // The routes of each server hold it, so they are ended one by one.
+        self.servers.iter().for_each(|server| server.host.end());
+        self.log.host.end();
+        self.list.host.end();
+        self.store.host.end();
+    }
+}
+
+impl World {
+    /// Starts everything on loopback, on ports that the system chooses.
+    ///
+    /// Servers differ in speed by a few hundredths, as `seed` says.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a server cannot listen.
+    pub async fn start(shape: &Shape, seed: u64) -> io::Result<Self> {
+        let ports = Ports {
+            log: ANY,
+            instances: ANY,
+            weights: ANY,
+            backends: ANY,
+        };
+        Self::start_at(shape, seed, &ports).await
+    }
+
+    /// Starts everything where the settings say.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a server cannot listen.
+    pub async fn start_settings(settings: &settings::Standin) -> io::Result<Self> {
+        let ports = Ports {
+            log: settings.ports.log,
+            instances: settings.ports.instances,
+            weights: settings.ports.weights,
+            backends: settings.ports.backends,
+        };
+        Self::start_at(&Shape::from_settings(settings), settings.seed, &ports).await
+    }
+
+    async fn start_at(shape: &Shape, seed: u64, ports: &Ports) -> io::Result<Self> {
+        let speed = Arc::new(shape.speed.clone());
+        let shared = Arc::new(Shared::new());
+        let log = Log::start(ports.log, Arc::clone(&shared), speed.appends_per_s).await?;
+        let store = Store::start(ports.weights, Arc::clone(&shared), &speed).await?;
+        let registry: Arc<Registry> = Arc::new(OnceLock::new());
+        let around = Around {
+            seed,
+            shared: Arc::clone(&shared),
+            store: Arc::clone(&store),
+            speed: Arc::clone(&speed),
+            registry: Arc::clone(&registry),
+        };
+        let mut servers = Vec::new();
+        let mut address = ports.backends;
+        for listed in instances(shape)? {
+            servers.push(Server::start(address, listed, around.clone()).await?);
+            if address.port() != 0 {
+                address.set_port(address.port().saturating_add(1));
+            }
+        }
+        let known = servers.iter();
+        let known = known
+            .map(|s| (s.listed.address, Arc::downgrade(s)))
+            .collect();
+        // Set exactly once, here.
+        let _ = registry.set(known);
+        let listed = servers.iter().map(|server| server.listed.clone()).collect();
+        let lag = Duration::from_millis(speed.list_lag_ms);
+        let list = List::start(ports.instances, lag, listed).await?;
+        Ok(Self {
+            shared,
+            log,
+            list,
+            store,
+            servers,
+        })
+    }
+
+    /// Returns the address of the log service.
+    pub fn log_address(&self) -> SocketAddr {
+        self.log.host.address()
+    }
+
+    /// Returns the address of the instance list.
+    pub fn instances_address(&self) -> SocketAddr {
+        self.list.host.address()
+    }
+
+    /// Returns the address of the weight store.
+    pub fn weights_address(&self) -> SocketAddr {
+        self.store.host.address()
+    }
+
+    /// Returns the backend servers: engines and services by failure domain.
+    pub fn servers(&self) -> &[Arc<Server>] {
+        &self.servers
+    }
+
+    /// Returns the backend server on `instance`.
+    pub fn server(&self, instance: &Instance) -> Option<&Arc<Server>> {
+        let mut servers = self.servers.iter();
+        servers.find(|server| server.listed.instance == *instance)
+    }
+
+    /// Returns what the servers have seen.
+    pub fn counters(&self) -> Counters {
+        self.shared.get()
+    }
+
+    /// Returns the time since the start, in milliseconds, as the counters state it.
+    pub fn now_ms(&self) -> u64 {
+        self.shared.now_ms()
+    }
+
+    /// Carries out a command; returns whether what it names exists.
+    pub fn apply(&self, command: &Command) -> bool {
+        match command {
+            Command::Domain { domain, mode } => {
+                let inside = |server: &&Arc<Server>| server.listed.domain == *domain;
+                let inside: Vec<_> = self.servers.iter().filter(inside).collect();
+                for server in &inside {
+                    set_mode(server, *mode);
+                }
+                return !inside.is_empty();
+            }
+            Command::Log {
+                mode,
+                slow_ms,
+                lose_acknowledgements,
+            } => {
+                let slow = Duration::from_millis(*slow_ms);
+                self.log.set_faults(slow, *lose_acknowledgements);
+                self.log.host.set_mode(*mode);
+            }
+            Command::Expire { stream, to } => self.log.expire(stream, *to),
+            Command::Instances { mode } => self.list.host.set_mode(*mode),
+            Command::Weights { mode } => self.store.host.set_mode(*mode),
+            Command::Restart { instance, .. }
+            | Command::Mode { instance, .. }
+            | Command::Cool { instance }
+            | Command::Warm { instance, .. }
+            | Command::Faults { instance, .. }
+            | Command::Retire { instance, .. }
+            | Command::List { instance } => {
+                let Some(server) = self.server(instance) else {
+                    return false;
+                };
+                self.apply_to(server, command);
+            }
+        }
+        true
+    }
+
+    /// Carries out a command about one backend server.
+    fn apply_to(&self, server: &Arc<Server>, command: &Command) {
+        match command {
+            Command::Restart { keep_weights, .. } => server.restart(*keep_weights),
+            Command::Mode { mode, .. } => set_mode(server, *mode),
+            Command::Cool { .. } => server.cool(),
+            Command::Warm { warm, .. } => server.set_warm(*warm),
+            Command::Faults { faults, .. } => server.set_faults(faults.clone()),
+            Command::Retire { instance, remove } => self.list.retire(instance, *remove),
+            Command::List { instance } => {
+                let listed = server.listed.clone();
+                self.list.change(|all| {
+                    all.retain(|other| other.instance != *instance);
+                    all.push(listed);
+                });
+            }
+            _ => {}
+        }
+    }
+}
+
+/// Sets how a backend server treats connections.
+fn set_mode(server: &Server, mode: Mode) {
+    if server.host.mode() == Mode::Refuse && mode != Mode::Refuse {
+        server.restart(false);
+    }
+    server.host.set_mode(mode);
+}
+
+/// Returns the instances of a shape, without addresses.
+fn instances(shape: &Shape) -> io::Result<Vec<Listed>> {
+    let mut all = Vec::new();
+    for domain in &shape.domains {
+        for fabric in 0..domain.fabrics {
+            let fabric_name = format!("{}-f{fabric}", domain.name);
+            for engine in 0..domain.engines_per_fabric {
+                let instance = format!("{fabric_name}-e{engine}");
+                all.push(listed(&domain.name, &fabric_name, &instance, None)?);
+            }
+        }
+        for service in &domain.services {
+            let instance = format!("{}-{service}", domain.name);
+            let fabric_name = format!("{}-f0", domain.name);
+            let service = Some(service.clone());
+            all.push(listed(&domain.name, &fabric_name, &instance, service)?);
+        }
+    }
+    Ok(all)
+}
+
+/// Returns an instance, without its address.
+fn listed(
+    domain: &Domain,
+    fabric: &str,
+    instance: &str,
+    service: Option<Service>,
+) -> io::Result<Listed> {
+    Ok(Listed {
+        instance: Instance::try_from(instance).map_err(io::Error::other)?,
+        address: ANY,
+        domain: domain.clone(),
+        fabric: Fabric::try_from(fabric).map_err(io::Error::other)?,
+        role: match service {
+            Some(_) => Role::Service,
+            None => Role::Engine,
+        },
+        service,
+        leaving: false,
+    })
+}
+
+/// A world with a control route.
+#[derive(Debug)]
+struct Control {
+    world: World,
+    host: Host,
+}
+
+/// Serves the stand-ins of `settings` until `stop` ends.
+///
+/// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`].
+///
+/// # Errors
+///
+/// Returns an error if a server cannot listen.
+pub async fn serve(settings: &settings::Standin, stop: impl Future<Output = ()>) -> io::Result<()> {
+    let world = World::start_settings(settings).await?;
+    let (host, bound) = Host::bind(settings.ports.control).await?;
+    let control = Arc::new(Control { world, host });
+    let router = Router::new()
+        .route("/command", post(command))
+        .route("/counters", get(counters))
+        .with_state(Arc::clone(&control));
+    host::serve(bound, &control, |control| &control.host, router);
+    stop.await;
+    control.host.end();
+    Ok(())
+}
+
+/// Carries out a command.
+async fn command(State(control): State<Arc<Control>>, Json(command): Json<Command>) -> StatusCode {
+    match control.world.apply(&command) {
+        true => StatusCode::OK,
+        false => StatusCode::NOT_FOUND,
+    }
+}
+
+/// Returns the counters.
+async fn counters(State(control): State<Arc<Control>>) -> Json<Counters> {
+    Json(control.world.counters())
+}
