--- a/crates/plan/src/parse.rs
+++ b/crates/plan/src/parse.rs
@@ -12,7 +12,7 @@
 use toml::de::{DeTable, DeValue};
 
 /// The longest text of both lists, in bytes.
-pub const MAX_TEXT_BYTES: usize = 512 << 10;
+pub const MAX_TEXT_BYTES: usize = 256 << 10;
 
 /// The most instances in a replica.
 pub const MAX_MEMBERS: u32 = 64;
--- a/crates/state/src/change.rs
+++ b/crates/state/src/change.rs
@@ -153,3 +153,14 @@
     /// The state.
     pub state: crate::State,
 }
+
+impl Snapshot {
+    /// Refuses a snapshot that cannot stand at `offset` of the log.
+    pub(crate) fn check(&self, offset: Offset) -> Result<(), crate::Rejection> {
+        if self.covers == self.state.offset && self.covers < offset {
+            return Ok(());
+        }
+        let fault = format!("a snapshot at {offset} cannot cover {}", self.covers);
+        Err(crate::check::invalid(fault))
+    }
+}
--- a/crates/state/src/fold.rs
+++ b/crates/state/src/fold.rs
@@ -1,12 +1,16 @@
 //! The fold of the control stream.
 
-use crate::{Assignment, Change, Epoch, Operation, Record, Scope, Writer};
-use name::{Domain, Generation, Instance, Offset, Replica, Sequence};
+use crate::{
+    Assignment, Change, Epoch, Index, Mark, Operation, Peer, Record, Scope, Snapshot, Undecodable,
+    Writer, check, index, writers,
+};
+use name::{Domain, Generation, Instance, Offset, Replica};
 use std::{collections::BTreeMap, fmt, sync::Arc};
 
 /// The state that the control stream defines at one offset.
 #[common::value]
 #[derive(Default)]
+#[serde(try_from = "crate::stored::Stored")]
 pub struct State {
     /// The last offset that was folded.
     pub offset: Offset,
@@ -21,9 +25,14 @@
     pub assignments: BTreeMap<Replica, Assignment>,
     /// The entry nodes that own slots.
     pub epoch: Epoch,
-    /// The highest sequence folded from each writer.
+    /// The last record folded from each writer within the retry horizon.
     #[serde(with = "crate::pairs")]
-    pub writers: BTreeMap<Writer, Sequence>,
+    pub writers: BTreeMap<Writer, Mark>,
+    /// The highest offset that a snapshot on the log covers.
+    pub covered: Offset,
+    /// What the fields above imply; [`State::reindex`] renews it.
+    #[serde(skip)]
+    pub index: Index,
 }
 
 /// What the fold made of a record.
@@ -59,6 +68,8 @@
     },
 }
 
+impl std::error::Error for Rejection {}
+
 impl fmt::Display for Rejection {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -79,32 +90,44 @@
         if offset <= self.offset {
             return Outcome::Repeated;
         }
-        self.offset = offset;
-        let last = self
-            .writers
-            .get(&record.writer)
-            .copied()
-            .unwrap_or_default();
-        if record.sequence <= last {
+        self.advance(offset);
+        if !writers::note(&mut self.writers, record.writer, record.sequence, offset) {
             return Outcome::Repeated;
         }
-        self.writers.insert(record.writer, record.sequence);
         match self.change(offset, &record.change) {
             Ok(()) => Outcome::Accepted,
             Err(rejection) => Outcome::Rejected(rejection),
         }
     }
 
+    /// Passes over data at `offset` that is not a record.
+    pub fn skip(&mut self, offset: Offset, reason: &Undecodable) -> Outcome {
+        if offset <= self.offset {
+            return Outcome::Repeated;
+        }
+        self.advance(offset);
+        Outcome::Rejected(check::invalid(reason.to_string()))
+    }
+
+    /// Moves on to `offset`.
+    fn advance(&mut self, offset: Offset) {
+        self.offset = offset;
+        writers::prune(&mut self.writers, offset);
+    }
+
     /// Makes a change, or says why not.
     fn change(&mut self, offset: Offset, change: &Change) -> Result<(), Rejection> {
         match change {
-            Change::Lists { base, text, .. } => self.replace_lists(offset, *base, text),
+            Change::Lists { base, text, by } => self.replace_lists(offset, *base, text, by),
             Change::Operation {
                 base,
                 scope,
                 operation,
-                ..
-            } => self.operate(offset, *base, scope, *operation),
+                by,
+            } => {
+                check::label("the operator", by)?;
+                self.operate(offset, *base, scope, *operation)
+            }
             Change::Assign {
                 base,
                 replica,
@@ -121,15 +144,8 @@
                 self.assign(*base, replica, assignment)
             }
             Change::Release { base, replica } => self.release(*base, replica),
-            Change::Epoch { base, peers } => {
-                check_base(*base, self.epoch.revision)?;
-                self.epoch = Epoch {
-                    revision: offset,
-                    peers: peers.clone(),
-                };
-                Ok(())
-            }
-            Change::Snapshot { .. } => Ok(()),
+            Change::Epoch { base, peers } => self.begin_epoch(offset, *base, peers),
+            Change::Snapshot { snapshot } => self.cover(offset, snapshot),
         }
     }
 
@@ -138,8 +154,11 @@
         offset: Offset,
         base: Offset,
         text: &Arc<str>,
+        by: &str,
     ) -> Result<(), Rejection> {
-        check_base(base, self.lists_revision)?;
+        check::base(base, self.lists_revision)?;
+        check::label("the operator", by)?;
+        self.index.lists = index::parse(text)?;
         self.lists_revision = offset;
         self.lists_text = Arc::clone(text);
         Ok(())
@@ -156,18 +175,43 @@
             .operations
             .get(scope)
             .map_or(Offset::ZERO, |(at, _)| *at);
-        check_base(base, current)?;
+        check::base(base, current)?;
+        if current == Offset::ZERO && self.operations.len() >= check::MAX_SCOPES {
+            self.forget_scope()?;
+        }
         self.operations.insert(scope.clone(), (offset, operation));
         Ok(())
     }
 
+    /// Forgets the scope that was brought back the longest ago.
+    ///
+    /// A scope that is out is never forgotten.
+    fn forget_scope(&mut self) -> Result<(), Rejection> {
+        let oldest = self
+            .operations
+            .iter()
+            .filter(|(_, (_, operation))| *operation == Operation::BringBack)
+            .min_by_key(|(_, (at, _))| *at)
+            .map(|(scope, _)| scope.clone());
+        let max = check::MAX_SCOPES;
+        let oldest = oldest.ok_or_else(|| check::invalid(format!("{max} scopes are out")))?;
+        self.operations.remove(&oldest);
+        Ok(())
+    }
+
     fn assign(
         &mut self,
         base: Generation,
         replica: &Replica,
         new: Assignment,
     ) -> Result<(), Rejection> {
-        check_base(Offset(base.0), Offset(self.generation_of(replica).0))?;
+        let current = self.generation_of(replica);
+        check::base(Offset(base.0), Offset(current.0))?;
+        check::assignment(&new)?;
+        if current == Generation::default() && self.assignments.len() >= check::MAX_REPLICAS {
+            let max = check::MAX_REPLICAS;
+            return Err(check::invalid(format!("there are {max} replicas")));
+        }
         for instance in &new.members {
             match self.replica_of(instance) {
                 Some(holder) if holder != replica => {
@@ -179,16 +223,64 @@
                 _ => {}
             }
         }
+        if let Some(old) = self.assignments.get(replica) {
+            self.index.free(&old.members);
+        }
+        self.index.hold(replica, &new.members);
         self.assignments.insert(replica.clone(), new);
         Ok(())
     }
 
     fn release(&mut self, base: Generation, replica: &Replica) -> Result<(), Rejection> {
-        check_base(Offset(base.0), Offset(self.generation_of(replica).0))?;
-        self.assignments.remove(replica);
+        check::base(Offset(base.0), Offset(self.generation_of(replica).0))?;
+        match self.assignments.remove(replica) {
+            Some(old) => self.index.free(&old.members),
+            None => return Err(check::invalid(format!("there is no replica {replica}"))),
+        }
         Ok(())
     }
 
+    fn begin_epoch(
+        &mut self,
+        offset: Offset,
+        base: Offset,
+        peers: &[Peer],
+    ) -> Result<(), Rejection> {
+        check::base(base, self.epoch.revision)?;
+        check::peers(peers)?;
+        self.epoch = Epoch {
+            revision: offset,
+            peers: peers.to_vec(),
+        };
+        Ok(())
+    }
+
+    /// Notes what a snapshot covers; its state is what was folded already.
+    fn cover(&mut self, offset: Offset, snapshot: &Snapshot) -> Result<(), Rejection> {
+        snapshot.check(offset)?;
+        if snapshot.covers <= self.covered {
+            let current = self.covered;
+            return Err(Rejection::Conflict { current });
+        }
+        self.covered = snapshot.covers;
+        Ok(())
+    }
+
+    /// Renews the index after the fields were set directly.
+    ///
+    /// # Errors
+    ///
+    /// Returns why no fold can have led to these fields.
+    pub fn reindex(&mut self) -> Result<(), Rejection> {
+        self.index = Index::of(&self.lists_text, &self.assignments)?;
+        Ok(())
+    }
+
+    /// Returns the lists in force.
+    pub fn lists(&self) -> &Arc<plan::Lists> {
+        &self.index.lists
+    }
+
     /// Returns the generation of `replica`; zero if there is none.
     pub fn generation_of(&self, replica: &Replica) -> Generation {
         self.assignments
@@ -199,10 +291,7 @@
 
     /// Returns the replica to which `instance` belongs.
     pub fn replica_of(&self, instance: &Instance) -> Option<&Replica> {
-        self.assignments
-            .iter()
-            .find(|(_, a)| a.members.contains(instance))
-            .map(|(replica, _)| replica)
+        self.index.holder(instance)
     }
 
     /// Returns whether operators have taken out the instance or its failure domain.
@@ -215,12 +304,3 @@
         out(Scope::Instance(instance.clone())) || out(Scope::Domain(domain.clone()))
     }
 }
-
-/// Refuses a base that is not the current revision.
-fn check_base(base: Offset, current: Offset) -> Result<(), Rejection> {
-    if base == current {
-        Ok(())
-    } else {
-        Err(Rejection::Conflict { current })
-    }
-}
--- /dev/null
+++ b/crates/state/src/history.rs
@@ -0,0 +1,71 @@
+//! A bounded run of the latest records, for peers that lag.
+
+use clock::Wall;
+use name::Offset;
+use std::{collections::VecDeque, sync::Arc};
+
+/// A record as it stands on the log.
+#[common::value]
+pub struct Entry {
+    /// Its offset.
+    pub offset: Offset,
+    /// When the log took it.
+    pub at: Wall,
+    /// Its encoded form.
+    pub data: Arc<str>,
+}
+
+/// The latest records without gaps, bounded by bytes.
+#[derive(Debug, Clone)]
+pub(crate) struct History {
+    entries: VecDeque<Entry>,
+    bytes: usize,
+    max_bytes: usize,
+}
+
+impl History {
+    /// Returns an empty history of at most `max_bytes` bytes of records.
+    pub(crate) fn new(max_bytes: usize) -> Self {
+        Self {
+            entries: VecDeque::new(),
+            bytes: 0,
+            max_bytes,
+        }
+    }
+
+    /// Adds the record after the last one.
+    pub(crate) fn push(&mut self, entry: Entry) {
+        self.bytes += entry.data.len();
+        self.entries.push_back(entry);
+        while self.bytes > self.max_bytes {
+            let Some(old) = self.entries.pop_front() else {
+                break;
+            };
+            self.bytes -= old.data.len();
+        }
+    }
+
+    /// Forgets every record.
+    pub(crate) fn clear(&mut self) {
+        self.entries.clear();
+        self.bytes = 0;
+    }
+
+    /// Returns the records from `from` on, up to `max_bytes` but at least one.
+    ///
+    /// Returns nothing if the record at `from` is not held.
+    pub(crate) fn from(&self, from: Offset, max_bytes: usize) -> Option<Vec<Entry>> {
+        let first = self.entries.front()?.offset;
+        let skip = usize::try_from(from.0.checked_sub(first.0)?).ok()?;
+        let mut out: Vec<Entry> = Vec::new();
+        let mut bytes = 0;
+        for entry in self.entries.iter().skip(skip) {
+            bytes += entry.data.len();
+            if !out.is_empty() && bytes > max_bytes {
+                break;
+            }
+            out.push(entry.clone());
+        }
+        (!out.is_empty()).then_some(out)
+    }
+}
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -8,10 +8,25 @@
 //! any support from the log.
 
 mod change;
+mod check;
+mod codec;
+mod due;
 mod fold;
+mod follower;
+mod history;
+mod index;
+mod stored;
+mod writers;
 
 pub use change::{Assignment, Change, Epoch, Operation, Peer, Record, Scope, Snapshot, Writer};
+pub use check::{MAX_PEERS, MAX_REPLICAS, MAX_SCOPES};
+pub use codec::{MAX_RECORD_BYTES, TooLong, Undecodable, decode, encode};
+pub use due::{Uncovered, snapshot_due};
 pub use fold::{Outcome, Rejection, State};
+pub use follower::{Event, Follower, Limits, Page, Relay};
+pub use history::Entry;
+pub use index::Index;
+pub use writers::{MAX_WRITERS, Mark, RETRY_HORIZON};
 
 /// Serializes a map with keys that are not strings as a list of pairs.
 mod pairs {
--- /dev/null
+++ b/crates/state/src/stored.rs
@@ -0,0 +1,48 @@
+//! The stored form of a state, checked as it is loaded.
+
+use crate::{Assignment, Epoch, Index, Mark, Operation, Rejection, Scope, State, Writer};
+use name::{Offset, Replica};
+use std::{collections::BTreeMap, sync::Arc};
+
+/// A state as it is stored, without its index.
+#[derive(serde::Deserialize)]
+pub(crate) struct Stored {
+    offset: Offset,
+    lists_revision: Offset,
+    lists_text: Arc<str>,
+    #[serde(with = "crate::pairs")]
+    operations: BTreeMap<Scope, (Offset, Operation)>,
+    assignments: BTreeMap<Replica, Assignment>,
+    epoch: Epoch,
+    #[serde(with = "crate::pairs")]
+    writers: BTreeMap<Writer, Mark>,
+    covered: Offset,
+}
+
+impl TryFrom<Stored> for State {
+    type Error = Rejection;
+
+    fn try_from(stored: Stored) -> Result<Self, Rejection> {
+        let index = Index::of(&stored.lists_text, &stored.assignments)?;
+        let latest = [stored.lists_revision, stored.epoch.revision, stored.covered]
+            .into_iter()
+            .chain(stored.operations.values().map(|(at, _)| *at))
+            .chain(stored.assignments.values().map(|a| Offset(a.generation.0)))
+            .chain(stored.writers.values().map(|mark| mark.offset))
+            .max();
+        if latest > Some(stored.offset) {
+            return Err(crate::check::invalid("a revision lies beyond the offset"));
+        }
+        Ok(Self {
+            offset: stored.offset,
+            lists_revision: stored.lists_revision,
+            lists_text: stored.lists_text,
+            operations: stored.operations,
+            assignments: stored.assignments,
+            epoch: stored.epoch,
+            writers: stored.writers,
+            covered: stored.covered,
+            index,
+        })
+    }
+}
