--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -14,7 +14,7 @@
 };
 use clock::Wall;
 use name::{Offset, Sequence};
-use std::{collections::BTreeMap, mem, sync::Arc, time::Duration};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 /// A part of the log, as one read returns it.
 #[common::value]
@@ -296,12 +296,11 @@
 
     /// Ends a search that is over and notes whether the state is whole.
     fn settle(&mut self) {
-        if let Some(search) = mem::take(&mut self.search) {
-            if self.next() < search.first {
-                self.search = Some(search);
-                return;
-            }
+        let is_searching = |search: &Search| self.next() < search.first;
+        if self.search.as_ref().is_some_and(is_searching) {
+            return;
         }
+        self.search = None;
         if self
             .target
             .is_some_and(|target| self.state.offset >= target)
