Assemble parts of the entry node: tables, queues, attempts, peers

Cause: the drivers need shared tables with one lock order. Change: the node's tables, slots by server, queues by target, guards that give slots back, attempts at drafts, connections between peers. Conclusion: not yet a running node.

--- a/crates/admit/src/slot/gate.rs
+++ b/crates/admit/src/slot/gate.rs
@@ -64,6 +64,11 @@
         self.cold
     }
 
+    /// Returns the moment from which on the request may not be written.
+    pub fn send_by(&self) -> Moment {
+        self.send_by
+    }
+
     /// Returns whether the request may be written at `now`, over a connection
     /// on which `connected` was seen (`None` for a new connection).
     pub fn may_send(&self, connected: Option<Uuid>, now: Moment) -> bool {
--- /dev/null
+++ b/crates/entry/src/peer/mod.rs
@@ -0,0 +1,107 @@
+//! The other entry nodes: connections to them, and the service that they call.
+
+mod beat;
+mod proof;
+mod room;
+pub(crate) mod server;
+
+pub(crate) use beat::{Cargo, Sighted, Returned};
+pub(crate) use proof::Proof;
+
+use clock::Moment;
+use name::Node;
+use room::FreeRoom;
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Mutex, MutexGuard, PoisonError},
+    time::Duration,
+};
+use tonic::{
+    service::interceptor::InterceptedService,
+    transport::{Channel, Endpoint},
+};
+use wire::{FreeSlots, peer_client::PeerClient};
+
+use crate::serve::servers::Target;
+
+/// The longest time for a connection to a peer to be made.
+const CONNECT_WITHIN: Duration = Duration::from_millis(500);
+
+/// The time without an answer to a ping after which a connection is closed.
+const PING_WITHIN: Duration = Duration::from_secs(2);
+
+/// The time between two pings.
+const PING_EACH: Duration = Duration::from_secs(2);
+
+/// A client of one peer.
+pub(crate) type Client = PeerClient<InterceptedService<Channel, Proof>>;
+
+/// Connections to the peers, and the slots that they have free.
+///
+/// The two locks are leaves: no other lock is taken while one is held.
+#[derive(Debug)]
+pub(crate) struct Peers {
+    proof: Proof,
+    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    free: Mutex<FreeRoom>,
+}
+
+/// Takes a lock, also after a panic elsewhere.
+fn lock<T>(table: &Mutex<T>) -> MutexGuard<'_, T> {
+    table.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Peers {
+    /// Returns no connections yet; `proof` proves to peers who calls.
+    pub(crate) fn new(proof: Proof) -> Self {
+        Self { proof, channels: Mutex::default(), free: Mutex::default() }
+    }
+
+    /// Returns the client of the peer at `address`, which connects when used.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if the address makes no endpoint.
+    pub(crate) fn client(&self, address: SocketAddr) -> Result<Client, tonic::transport::Error> {
+        let mut channels = lock(&self.channels);
+        let channel = match channels.get(&address) {
+            Some(channel) => channel.clone(),
+            None => {
+                let channel = connect(address)?;
+                channels.insert(address, channel.clone());
+                channel
+            }
+        };
+        Ok(PeerClient::with_interceptor(channel, self.proof.clone()))
+    }
+
+    /// Notes the free slots that a peer announced.
+    pub(crate) fn announce(&self, node: Node, address: SocketAddr, free: &[FreeSlots], now: Moment) {
+        lock(&self.free).announce(node, address, free, now);
+    }
+
+    /// Returns a peer with a free slot for `target`, by two random choices.
+    ///
+    /// One slot counts as taken from then on, until the peer's next word.
+    pub(crate) fn with_room(&self, target: &Target, tried: &[Node], now: Moment) -> Option<Node> {
+        lock(&self.free).take(target, tried, now, &mut rand::rng())
+    }
+
+    /// Returns the address at which `node` announced itself.
+    pub(crate) fn address(&self, node: &Node) -> Option<SocketAddr> {
+        lock(&self.free).address(node)
+    }
+}
+
+/// Returns a channel that connects when used.
+fn connect(address: SocketAddr) -> Result<Channel, tonic::transport::Error> {
+    let endpoint = Endpoint::from_shared(format!("http://{address}"))?;
+    let channel = endpoint
+        .connect_timeout(CONNECT_WITHIN)
+        .tcp_nodelay(true)
+        .http2_keep_alive_interval(PING_EACH)
+        .keep_alive_timeout(PING_WITHIN)
+        .connect_lazy();
+    Ok(channel)
+}
--- /dev/null
+++ b/crates/entry/src/peer/proof.rs
@@ -0,0 +1,78 @@
+//! How peers prove to each other that they hold the shared secret.
+//!
+//! Each call carries the caller's wall-clock time and a keyed SHA-256 hash of
+//! it. The callee compares in constant time and refuses times too far from its
+//! own clock, so that a recorded proof does not serve for long.
+
+use clock::{Clock, Wall};
+use sha2::{Digest, Sha256};
+use std::{sync::Arc, time::Duration};
+use subtle::ConstantTimeEq;
+use tonic::{Request, Status, metadata::MetadataValue, service::Interceptor};
+
+/// The metadata key of the proof.
+const PROOF_KEY: &str = "x-peer-proof";
+
+/// The largest difference between two peers' wall clocks.
+const SKEW: Duration = Duration::from_secs(60);
+
+/// Makes and checks proofs.
+#[derive(Debug, Clone)]
+pub(crate) struct Proof {
+    secret: Arc<[u8]>,
+    clock: Clock,
+}
+
+impl Proof {
+    /// Returns the proof of whoever holds `secret`.
+    pub(crate) fn new(secret: &[u8], clock: Clock) -> Self {
+        Self { secret: secret.into(), clock }
+    }
+
+    /// Returns the proof for a call at `wall`.
+    fn text(&self, wall: Wall) -> String {
+        format!("{}.{}", wall.0, hex::encode(self.hash(wall)))
+    }
+
+    /// Returns the keyed hash of a time, nested so that it cannot be extended.
+    fn hash(&self, wall: Wall) -> [u8; 32] {
+        let inner = Sha256::new()
+            .chain_update(&self.secret)
+            .chain_update(wall.0.to_be_bytes())
+            .finalize();
+        Sha256::new().chain_update(&self.secret).chain_update(inner).finalize().into()
+    }
+
+    /// Returns whether `text` is a proof for about now.
+    fn is_valid(&self, text: &str) -> bool {
+        let Some((millis, hash)) = text.split_once('.') else { return false };
+        let (Ok(millis), Ok(hash)) = (millis.parse(), hex::decode(hash)) else { return false };
+        let (wall, now) = (Wall(millis), self.clock.wall());
+        let is_near = now.since(wall).max(wall.since(now)) <= SKEW;
+        let is_same: bool = self.hash(wall).ct_eq(hash.as_slice()).into();
+        is_same && is_near
+    }
+
+    /// Checks a call.
+    ///
+    /// # Errors
+    ///
+    /// Returns a refusal if the caller proves nothing.
+    pub(crate) fn check<T>(&self, request: &Request<T>) -> Result<(), Status> {
+        let proof = request.metadata().get(PROOF_KEY).and_then(|value| value.to_str().ok());
+        match proof {
+            Some(text) if self.is_valid(text) => Ok(()),
+            _ => Err(Status::unauthenticated("the caller did not prove that it is a peer")),
+        }
+    }
+}
+
+impl Interceptor for Proof {
+    fn call(&mut self, mut request: Request<()>) -> Result<Request<()>, Status> {
+        let text = self.text(self.clock.wall());
+        let value = MetadataValue::try_from(text);
+        let value = value.map_err(|_| Status::internal("the proof is no metadata value"))?;
+        request.metadata_mut().insert(PROOF_KEY, value);
+        Ok(request)
+    }
+}
--- /dev/null
+++ b/crates/entry/src/peer/room.rs
@@ -0,0 +1,84 @@
+//! Free slots that peers announced in their heartbeats.
+
+use crate::serve::servers::Target;
+use clock::Moment;
+use name::{Model, Node, Service};
+use rand::{Rng, seq::IndexedRandom};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+use wire::FreeSlots;
+
+/// How long an announcement counts.
+const ANNOUNCED_FOR: Duration = Duration::from_secs(2);
+
+/// The mark of a service among the names of free slots.
+const SERVICE_MARK: &str = "service ";
+
+/// What one peer announced.
+#[derive(Debug)]
+struct Announced {
+    address: SocketAddr,
+    at: Moment,
+    free: BTreeMap<Target, u32>,
+}
+
+/// The free slots of all peers.
+#[derive(Debug, Default)]
+pub(super) struct FreeRoom {
+    peers: HashMap<Node, Announced>,
+}
+
+impl FreeRoom {
+    /// Replaces what `node` announced.
+    pub(super) fn announce(&mut self, node: Node, address: SocketAddr, free: &[FreeSlots], now: Moment) {
+        let free = free.iter().filter_map(|slots| Some((target_of(&slots.server)?, slots.count)));
+        self.peers.insert(node, Announced { address, at: now, free: free.collect() });
+    }
+
+    /// Takes a free slot of a peer, the better of two random ones.
+    pub(super) fn take(
+        &mut self,
+        target: &Target,
+        tried: &[Node],
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Option<Node> {
+        let with_room: Vec<(&Node, u32)> = self
+            .peers
+            .iter()
+            .filter(|(node, peer)| now.since(peer.at) < ANNOUNCED_FOR && !tried.contains(node))
+            .filter_map(|(node, peer)| Some((node, *peer.free.get(target)?)))
+            .filter(|(_, count)| *count > 0)
+            .collect();
+        let pair = [with_room.choose(rng)?, with_room.choose(rng)?];
+        let (node, _) = pair.into_iter().max_by_key(|(_, count)| *count)?;
+        let node = (*node).clone();
+        let count = self.peers.get_mut(&node)?.free.get_mut(target)?;
+        *count -= 1;
+        Some(node)
+    }
+
+    /// Returns the address at which `node` announced itself.
+    pub(super) fn address(&self, node: &Node) -> Option<SocketAddr> {
+        self.peers.get(node).map(|peer| peer.address)
+    }
+}
+
+/// Returns the name of a target among free slots.
+pub(crate) fn target_name(target: &Target) -> String {
+    match target {
+        Target::Model(model) => model.to_string(),
+        Target::Service(service) => format!("{SERVICE_MARK}{service}"),
+    }
+}
+
+/// Returns the target with a name; none for a text that is no target.
+fn target_of(text: &str) -> Option<Target> {
+    match text.strip_prefix(SERVICE_MARK) {
+        Some(service) => Service::try_from(service).ok().map(Target::Service),
+        None => Model::try_from(text).ok().map(Target::Model),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/accounts.rs
@@ -0,0 +1,210 @@
+//! What client accounts use on this node, against the node's part of their limits.
+//!
+//! Limits hold over all nodes together: each node has an even part of half the
+//! limit, and asks the account's home node for more by its recent use. Demands
+//! travel in heartbeats, grants in the answers.
+
+use admit::{
+    limit::{Demand, Grant, Lease, Limit, Portion, Portions, Usage},
+    slot::Ownership,
+};
+use clock::Moment;
+use name::{Account, Incarnation, Node, Offset};
+use plan::Lists;
+use route::retry::Budget;
+use std::{collections::BTreeMap, time::Duration};
+use verdict::{Error, Kind};
+
+/// The time over which recent use is averaged.
+const USE_WINDOW: Duration = Duration::from_secs(2);
+
+/// The factor by which a node asks for more than its recent use.
+const HEADROOM: u32 = 2;
+
+/// Requests in progress that a node asks for beyond its recent use.
+const SPARE_REQUESTS: u32 = 4;
+
+/// Use that was counted in one window.
+#[derive(Debug, Default, Clone, Copy)]
+struct Count {
+    tokens: u64,
+    requests: u32,
+    most_in_progress: u32,
+}
+
+/// One account on this node.
+#[derive(Debug)]
+struct Held {
+    limit: Limit,
+    usage: Usage,
+    portion: Portion,
+    home: Portions,
+    budget: Budget,
+    window: Moment,
+    current: Count,
+    last: Count,
+}
+
+impl Held {
+    /// Counts a request that was asked for, admitted or not.
+    fn note(&mut self, tokens: u64, now: Moment) {
+        if now.since(self.window) >= USE_WINDOW {
+            self.last = std::mem::take(&mut self.current);
+            self.window = now;
+        }
+        self.current.tokens += tokens;
+        self.current.requests += 1;
+        let in_progress = self.usage.in_progress() + 1;
+        self.current.most_in_progress = self.current.most_in_progress.max(in_progress);
+    }
+
+    /// Returns what the node could use.
+    fn wanted(&self, now: Moment) -> Limit {
+        let is_idle = now.since(self.window) >= 2 * USE_WINDOW;
+        if is_idle && self.usage.in_progress() == 0 {
+            return Limit::ZERO;
+        }
+        let seconds = u32::try_from(USE_WINDOW.as_secs()).unwrap_or(1).max(1);
+        let tokens = self.last.tokens.max(self.current.tokens);
+        let requests = self.last.requests.max(self.current.requests);
+        let most = self.last.most_in_progress.max(self.current.most_in_progress);
+        Limit {
+            tokens_per_s: u32::try_from(tokens).unwrap_or(u32::MAX) / seconds * HEADROOM,
+            requests_per_s: (requests / seconds + 1) * HEADROOM,
+            concurrency: most * HEADROOM + SPARE_REQUESTS,
+        }
+    }
+}
+
+/// The accounts of one node.
+#[derive(Debug)]
+pub(crate) struct Accounts {
+    owner: (Node, Incarnation),
+    division: Option<(Ownership, Option<Offset>, Moment)>,
+    accounts: BTreeMap<Account, Held>,
+}
+
+impl Accounts {
+    /// Returns a node's accounts before any lists are in force.
+    pub(crate) fn new(owner: (Node, Incarnation)) -> Self {
+        Self { owner, division: None, accounts: BTreeMap::new() }
+    }
+
+    /// Takes over the limits of the lists in force.
+    pub(crate) fn set_lists(&mut self, lists: &Lists, now: Moment) {
+        self.accounts.retain(|account, _| lists.accounts.contains_key(account));
+        for (account, entry) in &lists.accounts {
+            let Some(plan) = lists.plans.get(&entry.plan) else { continue };
+            self.set_limit(account, Limit::from(plan), now);
+        }
+    }
+
+    /// Sets the limit of one account, new or not.
+    fn set_limit(&mut self, account: &Account, limit: Limit, now: Moment) {
+        if let Some(held) = self.accounts.get_mut(account) {
+            if held.limit != limit {
+                held.limit = limit;
+                held.portion.set_limit(limit, now);
+                held.home.set_limit(limit, now);
+            }
+            return;
+        }
+        let lease = Lease::default();
+        let mut portion = Portion::new(account.clone(), self.owner.clone(), limit, lease.clone());
+        let mut home = Portions::new(account.clone(), self.owner.clone(), limit, lease);
+        if let Some((ownership, base, adopted)) = &self.division {
+            portion.adopt(ownership, *base, *adopted);
+            home.adopt(ownership, *base, *adopted);
+        }
+        let held = Held {
+            limit,
+            usage: Usage::new(portion.current(now), now),
+            portion,
+            home,
+            budget: Budget::default(),
+            window: now,
+            current: Count::default(),
+            last: Count::default(),
+        };
+        self.accounts.insert(account.clone(), held);
+    }
+
+    /// Takes over an epoch; `base` is the one that it replaced.
+    pub(crate) fn adopt(&mut self, ownership: &Ownership, base: Option<Offset>, now: Moment) {
+        for held in self.accounts.values_mut() {
+            held.portion.adopt(ownership, base, now);
+            held.home.adopt(ownership, base, now);
+        }
+        self.division = Some((ownership.clone(), base, now));
+    }
+
+    /// Notes until when the state is vouched for.
+    pub(crate) fn vouch(&mut self, until: Moment) {
+        for held in self.accounts.values_mut() {
+            held.home.vouch(until);
+        }
+    }
+
+    /// Returns the demands to send, each with the home node to ask.
+    pub(crate) fn demands(&self, now: Moment) -> Vec<(Node, Demand)> {
+        let Some((ownership, ..)) = &self.division else { return Vec::new() };
+        let wanting = self.accounts.iter().filter_map(|(account, held)| {
+            let wanted = held.wanted(now);
+            let home = admit::limit::home(account, ownership)?;
+            (wanted != Limit::ZERO).then(|| (home.clone(), held.portion.demand(wanted, now)))
+        });
+        wanting.collect()
+    }
+
+    /// Answers a demand, if this node is the account's home.
+    pub(crate) fn answer(&mut self, demand: &Demand, now: Moment) -> Option<Grant> {
+        self.accounts.get_mut(&demand.account)?.home.demand(demand, now)
+    }
+
+    /// Takes in a grant.
+    pub(crate) fn accept(&mut self, grant: Grant) {
+        if let Some(held) = self.accounts.get_mut(&grant.account) {
+            held.portion.accept(grant);
+        }
+    }
+
+    /// Starts a request of `estimated` tokens that came from a caller.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error that says not-run if the account is above its limit.
+    pub(crate) fn start(&mut self, account: &Account, estimated: u64, now: Moment) -> Result<(), Error> {
+        let held = self
+            .accounts
+            .get_mut(account)
+            .ok_or_else(|| Error::not_run(Kind::Forbidden, "the client account has no plan"))?;
+        held.note(estimated, now);
+        held.usage.set(held.portion.current(now), now);
+        held.usage.start(estimated, now)?;
+        held.budget.request();
+        Ok(())
+    }
+
+    /// Ends a request, and corrects its tokens to `actual`.
+    pub(crate) fn finish(&mut self, account: &Account, estimated: u64, actual: u64) {
+        if let Some(held) = self.accounts.get_mut(account) {
+            held.usage.finish(estimated, actual);
+        }
+    }
+
+    /// Returns the credit for retries of an account.
+    pub(crate) fn budget(&mut self, account: &Account) -> Option<&mut Budget> {
+        self.accounts.get_mut(account).map(|held| &mut held.budget)
+    }
+
+    /// Returns each account with its limit, this node's part and its requests in progress.
+    pub(crate) fn describe(&self, now: Moment) -> Vec<(Account, Limit, Limit, u32)> {
+        let accounts = self.accounts.iter();
+        accounts
+            .map(|(account, held)| {
+                let part = held.portion.current(now);
+                (account.clone(), held.limit, part, held.usage.in_progress())
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/delivery.rs
@@ -0,0 +1,126 @@
+//! The delivery of one streamed answer to whoever asked for it.
+
+use crate::{
+    node::Node,
+    serve::job::{Draft, Event},
+};
+use admit::stats::Phase;
+use clock::Moment;
+use name::{Attempt, Generation};
+use route::answer::{End, Frame, Progress, Step};
+use std::sync::Arc;
+use tokio::sync::mpsc::Sender;
+
+/// The caller went away, so that nothing is left to do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct Gone;
+
+/// The delivery of one answer, over all attempts.
+#[derive(Debug)]
+pub(crate) struct Delivery {
+    node: Arc<Node>,
+    events: Sender<Event>,
+    progress: Progress,
+    /// Tokens that the caller already has.
+    skip: u32,
+    started: Moment,
+    last: Option<Moment>,
+}
+
+impl Delivery {
+    /// Returns the delivery of `draft`, which arrived just now.
+    pub(crate) fn new(node: &Arc<Node>, draft: &Draft, events: Sender<Event>) -> Self {
+        Self {
+            node: Arc::clone(node),
+            events,
+            progress: Progress::from_point(draft.resume.clone()),
+            skip: draft.skip,
+            started: node.clock.now(),
+            last: None,
+        }
+    }
+
+    /// Returns the progress of the answer.
+    pub(crate) fn progress(&self) -> &Progress {
+        &self.progress
+    }
+
+    /// Makes `attempt` the only one whose frames pass.
+    pub(crate) fn begin(&mut self, attempt: Attempt, generation: Generation) {
+        self.progress.begin(attempt, generation);
+    }
+
+    /// Ends the current attempt.
+    pub(crate) fn abandon(&mut self) {
+        self.progress.abandon();
+    }
+
+    /// Takes a frame, and delivers its text if it is the next one.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if the caller went away.
+    pub(crate) async fn frame(&mut self, draft: &Draft, frame: Frame) -> Result<Step, Gone> {
+        let step = self.progress.accept(&frame);
+        let is_delivered = matches!(step, Step::Deliver | Step::Finish);
+        if is_delivered && !frame.text.is_empty() {
+            self.token(draft, frame.index, frame.text).await?;
+        }
+        Ok(step)
+    }
+
+    /// Delivers one token.
+    async fn token(&mut self, draft: &Draft, index: u32, text: String) -> Result<(), Gone> {
+        self.record(draft);
+        if index < self.skip {
+            return Ok(());
+        }
+        self.send(Event::Token { index, text }).await
+    }
+
+    /// Records the time to the first token or since the last one.
+    fn record(&mut self, draft: &Draft) {
+        let now = self.node.clock.now();
+        let (phase, since) = match self.last {
+            None => (Phase::FirstToken, self.started),
+            Some(last) => (Phase::BetweenTokens, last),
+        };
+        self.last = Some(now);
+        let time = now.since(since);
+        self.node.stats().record(&draft.account, &draft.class, phase, time);
+    }
+
+    /// Sends an event.
+    ///
+    /// # Errors
+    ///
+    /// Returns [`Gone`] if the caller went away.
+    pub(crate) async fn send(&self, event: Event) -> Result<(), Gone> {
+        self.events.send(event).await.map_err(|_| Gone)
+    }
+
+    /// Completes when the caller has gone away.
+    pub(crate) async fn gone(&self) {
+        self.events.closed().await;
+    }
+
+    /// Returns when the request arrived.
+    pub(crate) fn started(&self) -> Moment {
+        self.started
+    }
+}
+
+/// Converts a frame of an engine.
+pub(crate) fn frame_of(frame: backend::proto::Frame) -> Frame {
+    use backend::proto::Finish;
+    Frame {
+        attempt: frame.attempt,
+        generation: frame.generation,
+        index: frame.index,
+        text: frame.text,
+        end: frame.finish.map(|finish| match finish {
+            Finish::Stop | Finish::Length => End::Whole,
+            Finish::Error => End::Failed,
+        }),
+    }
+}
--- /dev/null
+++ b/crates/entry/src/serve/draft.rs
@@ -0,0 +1,240 @@
+//! A draft's way through this node: admission, place, attempts, retries.
+//!
+//! A draft waits for a slot here, or goes to a peer that has one free. A failed
+//! attempt goes on elsewhere behind the text already delivered, within the
+//! account's retry budget, so that the caller sees one stream.
+
+use crate::{
+    node::Node,
+    serve::{
+        attempt::{self, Outcome},
+        delivery::Delivery,
+        forward,
+        hold::{Hold, Waiting},
+        job::{self, Draft, Event, prompt_tokens},
+        room::Wish,
+        servers::Target,
+    },
+};
+use admit::stats::Phase;
+use clock::Moment;
+use name::Node as NodeName;
+use route::{prefix, retry};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::mpsc::{self, Receiver},
+    time::sleep,
+};
+use verdict::{Error, Kind, Verdict};
+
+/// The wait for an own slot before a peer's is looked for.
+const PEER_AFTER: Duration = Duration::from_millis(2);
+
+/// The time between two looks for a peer with a free slot.
+const PEER_AGAIN: Duration = Duration::from_millis(25);
+
+/// The wait of a draft that a peer sent here; the peer may find another place.
+const FORWARDED_WAIT: Duration = Duration::from_millis(250);
+
+/// The longest wait for a slot.
+const LONGEST_WAIT: Duration = Duration::from_secs(15);
+
+/// The time after which a request that found no place may come back.
+const RETRY_AFTER: Duration = Duration::from_secs(1);
+
+/// The time that another attempt at a draft takes at least.
+const EXPECTED: Duration = Duration::from_millis(200);
+
+/// Starts a draft and returns the events of its answer.
+///
+/// The last event is [`Event::End`] or [`Event::Failed`]. Dropping the receiver
+/// cancels the draft.
+pub(crate) fn start(node: &Arc<Node>, draft: Draft) -> Receiver<Event> {
+    let (events, received) = job::channel();
+    let node = Arc::clone(node);
+    tokio::spawn(async move { run(node, draft, events).await });
+    received
+}
+
+/// Runs a draft to its end.
+async fn run(node: Arc<Node>, mut draft: Draft, events: mpsc::Sender<Event>) {
+    if let Err(error) = admit(&node, &draft) {
+        let _ = events.send(Event::Failed(error)).await;
+        return;
+    }
+    let mut delivery = Delivery::new(&node, &draft, events);
+    let outcome = attempts(&node, &mut draft, &mut delivery).await;
+    settle(&node, &draft, &delivery);
+    // A caller that went away gets nothing.
+    let _ = match outcome {
+        Outcome::Whole { by_length } => delivery.send(Event::End { by_length }).await,
+        Outcome::Failed(error) => delivery.send(Event::Failed(error)).await,
+        Outcome::Gone => Ok(()),
+    };
+}
+
+/// Checks that this node may take work, and the account's limits.
+fn admit(node: &Node, draft: &Draft) -> Result<(), Error> {
+    let now = node.clock.now();
+    if !node.is_ready(now) {
+        let error = Error::not_run(Kind::Unavailable, "this entry node may take no work now");
+        return Err(error.with_retry_after(RETRY_AFTER));
+    }
+    if draft.forwarded {
+        return Ok(());
+    }
+    node.metrics.request(&draft.account, &draft.class);
+    node.accounts().start(&draft.account, draft.estimate(), now)
+}
+
+/// Corrects the account's use by what the draft came to.
+fn settle(node: &Node, draft: &Draft, delivery: &Delivery) {
+    let generated = delivery.progress().tokens().saturating_sub(draft.resume.tokens);
+    let actual = prompt_tokens(&draft.prompt) + u64::from(generated);
+    let now = node.clock.now();
+    let total = now.since(delivery.started());
+    if !draft.forwarded {
+        node.accounts().finish(&draft.account, draft.estimate(), actual);
+        node.stats().record(&draft.account, &draft.class, Phase::Total, total);
+    }
+}
+
+/// Makes attempts until one ends the answer or no other is allowed.
+async fn attempts(node: &Arc<Node>, draft: &mut Draft, delivery: &mut Delivery) -> Outcome {
+    let mut search = Search::default();
+    let mut verdict = Verdict::NotRun;
+    loop {
+        let place = tokio::select! {
+            place = find_place(node, draft, &mut search) => place,
+            () = delivery.gone() => return Outcome::Gone,
+        };
+        let outcome = match place {
+            Err(error) => return Outcome::Failed(error.after(verdict)),
+            Ok(Place::Here(hold)) => {
+                search.avoid.push(hold.lease().key);
+                draft.attempts += 1;
+                node.metrics.attempt(&draft.account);
+                attempt::run(node, draft, hold, delivery).await
+            }
+            Ok(Place::Peer(peer)) => {
+                search.tried.push(peer.clone());
+                forward::draft(node, &peer, draft, delivery).await
+            }
+        };
+        let Outcome::Failed(error) = outcome else {
+            return outcome;
+        };
+        let is_refused_forward = error.verdict() == Verdict::NotRun && error.kind() == Kind::Overloaded;
+        verdict = verdict.or(error.verdict());
+        if is_refused_forward && !draft.forwarded && draft.attempts < retry::MAX_ATTEMPTS {
+            continue;
+        }
+        match decide(node, draft, &error) {
+            retry::Decision::Stop(_) => return Outcome::Failed(error.after(verdict)),
+            retry::Decision::After(wait) => sleep(wait).await,
+        }
+    }
+}
+
+/// Decides whether another attempt is made.
+fn decide(node: &Node, draft: &Draft, error: &Error) -> retry::Decision {
+    let situation = retry::Situation {
+        attempts: draft.attempts.max(1),
+        is_forwarded: draft.forwarded,
+        is_idempotent: true,
+        deadline: draft.deadline,
+        expected: EXPECTED,
+    };
+    let now = node.clock.now();
+    let mut accounts = node.accounts();
+    let Some(budget) = accounts.budget(&draft.account) else {
+        return retry::Decision::Stop(retry::Refusal::Budget);
+    };
+    retry::decide(&situation, error, budget, now, &mut rand::rng())
+}
+
+/// What the search for a place remembers between attempts.
+#[derive(Debug, Default)]
+struct Search {
+    /// Servers that failed this draft.
+    avoid: Vec<u64>,
+    /// Peers that were tried.
+    tried: Vec<NodeName>,
+}
+
+/// Where the next attempt runs.
+enum Place {
+    /// On a slot of this node.
+    Here(Hold),
+    /// On a slot of a peer.
+    Peer(NodeName),
+}
+
+/// Waits for a slot here, and looks for one at the peers meanwhile.
+async fn find_place(node: &Arc<Node>, draft: &Draft, search: &mut Search) -> Result<Place, Error> {
+    let arrived = node.clock.now();
+    let target = Target::Model(draft.model.clone());
+    let until = wait_until(draft, arrived);
+    let mut waiting = Waiting::new(node, wish(node, draft, &target, search, until))?;
+    let mut look = PEER_AFTER;
+    loop {
+        tokio::select! {
+            biased;
+            hold = &mut waiting => {
+                record_queueing(node, draft, arrived);
+                return hold.map(Place::Here).map_err(|error| no_place(node, &target, &error));
+            }
+            () = sleep(look) => {}
+        }
+        let now = node.clock.now();
+        if now >= until {
+            let error = Error::not_run(Kind::Overloaded, "no slot became free in time");
+            return Err(no_place(node, &target, &error));
+        }
+        if !draft.forwarded && let Some(peer) = node.peers.with_room(&target, &search.tried, now) {
+            record_queueing(node, draft, arrived);
+            return Ok(Place::Peer(peer));
+        }
+        search.tried.clear();
+        look = PEER_AGAIN;
+    }
+}
+
+/// Returns how long the draft may wait for a slot.
+fn wait_until(draft: &Draft, now: Moment) -> Moment {
+    let longest = if draft.forwarded { FORWARDED_WAIT } else { LONGEST_WAIT };
+    draft.deadline.min(now + longest)
+}
+
+/// Returns how the draft waits.
+fn wish(node: &Node, draft: &Draft, target: &Target, search: &Search, until: Moment) -> Wish {
+    let plan = node.control().plan_of(&draft.account);
+    let classes = plan.as_ref().map(|plan| plan.classes.as_slice()).unwrap_or_default();
+    let class = classes.iter().position(|class| *class == draft.class);
+    Wish {
+        account: draft.account.clone(),
+        weight: plan.as_ref().map_or(1, |plan| plan.weight),
+        class: class.unwrap_or(classes.len()),
+        tokens: draft.estimate(),
+        deadline: until,
+        target: target.clone(),
+        prefix: prefix::hashes(draft.model.as_str(), &draft.prompt),
+        avoid: search.avoid.clone(),
+    }
+}
+
+/// Records how long the draft waited for its place.
+fn record_queueing(node: &Node, draft: &Draft, arrived: Moment) {
+    let waited = node.clock.now().since(arrived);
+    node.stats().record(&draft.account, &draft.class, Phase::Queueing, waited);
+}
+
+/// Returns the error of a draft that found no place.
+fn no_place(node: &Node, target: &Target, error: &Error) -> Error {
+    let is_served = node.servers().is_served(target);
+    let answer = match is_served {
+        true => Error::not_run(Kind::Overloaded, error.message()),
+        false => Error::not_run(Kind::Unavailable, "no replica serves the model now"),
+    };
+    answer.with_retry_after(RETRY_AFTER)
+}
--- a/crates/entry/src/serve/job.rs
+++ b/crates/entry/src/serve/job.rs
@@ -2,7 +2,8 @@
 
 use clock::Moment;
 use name::{Account, Class, Model};
-use std::{sync::Arc, time::Duration};
+use route::answer::Resume;
+use std::sync::Arc;
 use tokio::sync::mpsc;
 use verdict::Error;
 
@@ -24,10 +25,10 @@
     pub(crate) max_tokens: u32,
     /// The seed that fixes the answer.
     pub(crate) seed: u64,
-    /// Text that the caller already has.
-    pub(crate) resume_after: String,
-    /// The number of tokens that the caller already has.
-    pub(crate) resume_tokens: u32,
+    /// Where generation goes on, for an answer begun at another node.
+    pub(crate) resume: Resume,
+    /// The number of tokens that the caller already has and does not get again.
+    pub(crate) skip: u32,
     /// When the answer is of no use any more.
     pub(crate) deadline: Moment,
     /// Attempts made so far, here and at other nodes.
@@ -39,7 +40,7 @@
 impl Draft {
     /// Returns the estimated cost in tokens, prompt and answer.
     pub(crate) fn estimate(&self) -> u64 {
-        prompt_tokens(&self.prompt) + u64::from(self.max_tokens.saturating_sub(self.resume_tokens))
+        prompt_tokens(&self.prompt) + u64::from(self.max_tokens.saturating_sub(self.resume.tokens))
     }
 }
 
@@ -93,6 +94,3 @@
     /// Whether another entry node sent it here.
     pub(crate) forwarded: bool,
 }
-
-/// The longest a request may take from arrival to the end of its answer.
-pub(crate) const LONGEST_REQUEST: Duration = Duration::from_secs(120);
--- /dev/null
+++ b/crates/entry/src/serve/servers.rs
@@ -0,0 +1,306 @@
+//! Slots and loads of the replicas and plain backend servers.
+//!
+//! A survey of the backend servers replaces the offers a few times a second;
+//! between surveys, leases are granted and returned. The key of a server is
+//! the instance that takes its requests, so that slots bound what that instance
+//! has in progress whatever replica it leads.
+
+use admit::slot::{Completion, Ending, Evidence, Gate, Ownership, Permit, Timing};
+use clock::Moment;
+use name::{Domain, Generation, Incarnation, Instance, Model, Node, Offset, Region, Replica, Service};
+use rand::Rng;
+use route::{Candidate, Load, Policy, Request, choose, prefix};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+use uuid::Uuid;
+
+/// Slots that a server has at most.
+const MAX_SLOTS: u32 = 128;
+
+/// Prefixes that the affinity index holds.
+const MAX_PREFIXES: usize = 20_000;
+
+/// How long a prefix is remembered without renewal.
+const PREFIX_AGE: Duration = Duration::from_secs(300);
+
+/// What a request wants.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
+pub(crate) enum Target {
+    /// A model or adapter.
+    Model(Model),
+    /// A plain service.
+    Service(Service),
+}
+
+/// What a server offers.
+#[derive(Debug, Clone, PartialEq)]
+pub(crate) struct Offer {
+    /// What it serves: the model with its adapters, or a service.
+    pub(crate) targets: Vec<Target>,
+    /// The replica; none for a plain backend server.
+    pub(crate) replica: Option<Replica>,
+    /// The replica's generation; zero for a plain backend server.
+    pub(crate) generation: Generation,
+    /// The instance that takes requests.
+    pub(crate) instance: Instance,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// Its failure domain.
+    pub(crate) domain: Domain,
+    /// Whether the replica spans fabric domains, which is slow.
+    pub(crate) is_spread: bool,
+    /// What the reports say of its warmth.
+    pub(crate) evidence: Evidence,
+    /// Requests running and waiting, as reported.
+    pub(crate) running: u32,
+}
+
+/// A server with its slots.
+#[derive(Debug)]
+struct Server {
+    offer: Offer,
+    gate: Gate,
+    load: Load,
+    /// Whether the last survey offered it.
+    is_offered: bool,
+}
+
+/// The right to one request at one server.
+#[derive(Debug)]
+pub(crate) struct Lease {
+    /// The slot.
+    pub(crate) permit: Permit,
+    /// The server's offer when the lease was granted.
+    pub(crate) offer: Arc<Offer>,
+    /// The server, as the affinity index knows it.
+    pub(crate) key: u64,
+}
+
+impl Lease {
+    /// Returns where the request goes.
+    pub(crate) fn target(&self) -> backend::Target {
+        backend::Target {
+            address: self.offer.address,
+            boot: self.required_boot(),
+            generation: self.offer.generation,
+        }
+    }
+
+    /// Returns the life that must run the request; none if any life may.
+    fn required_boot(&self) -> Option<Uuid> {
+        (!self.permit.is_cold()).then(|| self.permit.boot())
+    }
+}
+
+/// The epoch that divides the slots, and when this node took it over.
+#[derive(Debug, Clone)]
+struct Division {
+    ownership: Ownership,
+    base: Option<Offset>,
+    adopted: Moment,
+}
+
+/// Where this node is, which decides what is near.
+#[derive(Debug, Clone)]
+pub(crate) struct Place {
+    pub(crate) node: Node,
+    pub(crate) incarnation: Incarnation,
+    pub(crate) domain: Domain,
+    pub(crate) region: Region,
+}
+
+/// The servers of one node.
+#[derive(Debug)]
+pub(crate) struct Servers {
+    place: Place,
+    timing: Timing,
+    policy: Policy,
+    division: Option<Division>,
+    vouched_until: Moment,
+    servers: BTreeMap<Instance, Server>,
+    by_target: HashMap<Target, Vec<Instance>>,
+    prefixes: prefix::Index,
+    turn: u64,
+}
+
+impl Servers {
+    /// Returns a node's servers before the first survey.
+    pub(crate) fn new(place: Place, timing: Timing, policy: Policy) -> Self {
+        Self {
+            place,
+            timing,
+            policy,
+            division: None,
+            vouched_until: Moment::START,
+            servers: BTreeMap::new(),
+            by_target: HashMap::new(),
+            prefixes: prefix::Index::new(MAX_PREFIXES, PREFIX_AGE),
+            turn: 0,
+        }
+    }
+
+    /// Takes over the epoch that divides the slots; `base` is the one it replaced.
+    pub(crate) fn adopt(&mut self, ownership: Ownership, base: Option<Offset>, now: Moment) {
+        for server in self.servers.values_mut() {
+            server.gate.adopt(&ownership, base, now);
+        }
+        self.division = Some(Division { ownership, base, adopted: now });
+    }
+
+    /// Notes until when the state is vouched for.
+    pub(crate) fn vouch(&mut self, until: Moment) {
+        self.vouched_until = self.vouched_until.max(until);
+        for server in self.servers.values_mut() {
+            server.gate.vouch(until);
+        }
+    }
+
+    /// Replaces the offers by those of a new survey.
+    pub(crate) fn survey(&mut self, offers: Vec<Offer>) {
+        for server in self.servers.values_mut() {
+            server.is_offered = false;
+        }
+        self.by_target.clear();
+        for offer in offers {
+            for target in &offer.targets {
+                self.by_target.entry(target.clone()).or_default().push(offer.instance.clone());
+            }
+            self.take(offer);
+        }
+        self.servers.retain(|_, server| server.is_offered || server.gate.in_use() > 0);
+    }
+
+    /// Takes one offer.
+    fn take(&mut self, offer: Offer) {
+        let (division, vouched) = (self.division.clone(), self.vouched_until);
+        let owner = (self.place.node.clone(), self.place.incarnation);
+        let timing = self.timing.clone();
+        let server = self.servers.entry(offer.instance.clone()).or_insert_with(|| {
+            let mut gate = Gate::new(offer.instance.as_str(), owner, MAX_SLOTS, timing);
+            if let Some(Division { ownership, base, adopted }) = &division {
+                gate.adopt(ownership, *base, *adopted);
+            }
+            gate.vouch(vouched);
+            Server { offer: offer.clone(), gate, load: Load::default(), is_offered: true }
+        });
+        server.gate.observe(offer.evidence.clone());
+        server.load.report(offer.running, offer.evidence.at);
+        server.offer = offer;
+        server.is_offered = true;
+    }
+
+    /// Returns whether a slot for `target` is free.
+    pub(crate) fn has_room(&self, target: &Target, now: Moment) -> bool {
+        self.offered(target).any(|server| server.gate.available(now) > 0)
+    }
+
+    /// Returns whether any server offers `target`.
+    pub(crate) fn is_served(&self, target: &Target) -> bool {
+        self.offered(target).next().is_some()
+    }
+
+    /// Returns the servers that offer `target`.
+    fn offered(&self, target: &Target) -> impl Iterator<Item = &Server> {
+        let instances = self.by_target.get(target).into_iter().flatten();
+        instances.filter_map(|instance| self.servers.get(instance)).filter(|s| s.is_offered)
+    }
+
+    /// Grants a slot for `target` at the best server, if one is free.
+    pub(crate) fn acquire(
+        &mut self,
+        target: &Target,
+        prefix: &[u64],
+        avoid: &[u64],
+        now: Moment,
+        rng: &mut impl Rng,
+    ) -> Option<Lease> {
+        let candidates = self.candidates(target, now);
+        let affinity = self.prefixes.find(prefix);
+        self.turn += 1;
+        let request = Request {
+            domain: &self.place.domain,
+            region: &self.place.region,
+            prefix,
+            avoid,
+            turn: self.turn,
+        };
+        let (instances, candidates): (Vec<_>, Vec<_>) = candidates.into_iter().unzip();
+        let choice = choose(&candidates, &request, &affinity, self.policy, rng)?;
+        let server = self.servers.get_mut(&instances[choice.index])?;
+        let permit = server.gate.try_acquire(now)?;
+        server.load.start(now);
+        let key = candidates[choice.index].key;
+        let life = server.offer.generation.0;
+        self.prefixes.sent(prefix::Holder { key, life }, prefix, now);
+        Some(Lease { permit, offer: Arc::new(server.offer.clone()), key })
+    }
+
+    /// Returns the servers with a free slot for `target`.
+    fn candidates(&self, target: &Target, now: Moment) -> Vec<(Instance, Candidate)> {
+        self.offered(target)
+            .filter(|server| server.gate.available(now) > 0)
+            .map(|server| (server.offer.instance.clone(), self.candidate(server, now)))
+            .collect()
+    }
+
+    /// Returns one server as the choice sees it.
+    fn candidate(&self, server: &Server, now: Moment) -> Candidate {
+        let offer = &server.offer;
+        let evidence = &offer.evidence;
+        let name = offer.replica.as_ref().map_or(offer.instance.as_str(), Replica::as_str);
+        let replica = Replica::try_from(name);
+        let replica = replica.expect("the name of an instance or replica is a name");
+        Candidate {
+            key: route::key(&replica),
+            replica,
+            generation: offer.generation,
+            domain: offer.domain.clone(),
+            region: self.place.region.clone(),
+            capacity: if evidence.warm { evidence.warm_limit } else { evidence.cold_limit },
+            load: server.load.estimate(now),
+            has_version: true,
+            has_adapter: !offer.is_spread,
+        }
+    }
+
+    /// Takes a lease back.
+    pub(crate) fn release(&mut self, lease: Lease, completion: Completion, now: Moment) {
+        if let Some(server) = self.servers.get_mut(&lease.offer.instance) {
+            server.load.end(now);
+            server.gate.release(lease.permit, completion, now);
+        }
+    }
+
+    /// Takes back a lease that was not used.
+    pub(crate) fn give_back(&mut self, lease: Lease, now: Moment) {
+        let unused = Completion { ending: Ending::Failed, first_token: None };
+        self.release(lease, unused, now);
+    }
+
+    /// Returns whether the server of a request in progress still is what it was.
+    ///
+    /// A planned removal keeps the generation, so its requests go on.
+    pub(crate) fn generation_at(&self, instance: &Instance) -> Option<Generation> {
+        self.servers.get(instance).filter(|s| s.is_offered).map(|s| s.offer.generation)
+    }
+
+    /// Returns the number of free slots for each target.
+    pub(crate) fn free(&self, now: Moment) -> BTreeMap<Target, u32> {
+        let mut free = BTreeMap::new();
+        for target in self.by_target.keys() {
+            let count: usize = self.offered(target).map(|s| s.gate.available(now)).sum();
+            free.insert(target.clone(), u32::try_from(count).unwrap_or(u32::MAX));
+        }
+        free
+    }
+
+    /// Returns each server's offer, its own requests in progress and its open slots.
+    pub(crate) fn describe(&self, now: Moment) -> Vec<(Offer, usize, usize)> {
+        let offered = self.servers.values();
+        offered.map(|s| (s.offer.clone(), s.gate.in_use(), s.gate.open(now))).collect()
+    }
+}
--- a/crates/route/src/answer.rs
+++ b/crates/route/src/answer.rs
@@ -64,6 +64,7 @@
 
 /// Where another attempt goes on.
 #[common::value]
+#[derive(Default)]
 pub struct Resume {
     /// The text already delivered.
     pub text: String,
@@ -83,6 +84,15 @@
 }
 
 impl Progress {
+    /// Returns an answer of which the part up to `point` was delivered elsewhere.
+    pub fn from_point(point: Resume) -> Self {
+        Self {
+            text: point.text,
+            tokens: point.tokens,
+            ..Self::default()
+        }
+    }
+
     /// Makes `attempt` the only one whose frames pass from now on.
     ///
     /// Does nothing once the answer is whole.
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -12,17 +12,20 @@
     #[prost(bytes = "vec", tag = "3")]
     pub member: ::prost::alloc::vec::Vec<u8>,
     /// Reports of backend servers that the sender watches.
-    #[prost(bytes = "vec", repeated, tag = "4")]
-    pub reports: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    #[prost(bytes = "vec", tag = "4")]
+    pub reports: ::prost::alloc::vec::Vec<u8>,
     /// Free slots of the sender.
     #[prost(message, repeated, tag = "5")]
     pub free: ::prost::alloc::vec::Vec<FreeSlots>,
-    /// Demand of client accounts at the sender, and portions that it grants.
-    #[prost(bytes = "vec", repeated, tag = "6")]
-    pub portions: ::prost::alloc::vec::Vec<::prost::alloc::vec::Vec<u8>>,
+    /// Demands of client accounts whose home is the callee.
+    #[prost(bytes = "vec", tag = "6")]
+    pub demands: ::prost::alloc::vec::Vec<u8>,
     /// The last control offset that the sender has folded.
     #[prost(uint64, tag = "7")]
     pub control_offset: u64,
+    /// Votes of the sender as a watcher.
+    #[prost(bytes = "vec", tag = "8")]
+    pub votes: ::prost::alloc::vec::Vec<u8>,
 }
 /// The answer to a heartbeat.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -33,6 +36,9 @@
     /// The last control offset that the callee has folded.
     #[prost(uint64, tag = "2")]
     pub control_offset: u64,
+    /// Grants for the caller's demands.
+    #[prost(bytes = "vec", tag = "3")]
+    pub grants: ::prost::alloc::vec::Vec<u8>,
 }
 /// Free slots of a node at one backend server.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
@@ -186,24 +192,11 @@
     pub max_bytes: u32,
 }
 /// Records of the control stream.
-#[derive(Clone, PartialEq, ::prost::Message)]
-pub struct RecordsReply {
-    /// The records, in offset order.
-    #[prost(message, repeated, tag = "1")]
-    pub entries: ::prost::alloc::vec::Vec<Entry>,
-    /// The encoded snapshot for a node whose offset is no longer kept.
-    #[prost(bytes = "vec", tag = "2")]
-    pub snapshot: ::prost::alloc::vec::Vec<u8>,
-}
-/// A record with its offset.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
-pub struct Entry {
-    /// The offset.
-    #[prost(uint64, tag = "1")]
-    pub offset: u64,
-    /// The encoded record.
-    #[prost(string, tag = "2")]
-    pub data: ::prost::alloc::string::String,
+pub struct RecordsReply {
+    /// What the callee can relay, in compact JSON; empty if it is not ready.
+    #[prost(bytes = "vec", tag = "1")]
+    pub relay: ::prost::alloc::vec::Vec<u8>,
 }
 /// Generated client implementations.
 pub mod peer_client {
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -17,7 +17,7 @@
 mod generated;
 
 pub use generated::{
-    BeatReply, BeatRequest, CallReply, CallRequest, DraftFrame, DraftRequest, End, Entry, Failure,
+    BeatReply, BeatRequest, CallReply, CallRequest, DraftFrame, DraftRequest, End, Failure,
     FreeSlots, RecordsReply, RecordsRequest, Token, call_reply, draft_frame, peer_client,
     peer_server,
 };
