--- a/crates/log/src/proto.rs
+++ b/crates/log/src/proto.rs
@@ -9,8 +9,13 @@
 //! milliseconds for a record and then answers without any. A read from before
 //! the earliest kept offset answers with the records that are kept, and
 //! [`Records::first`] tells that some are gone.
+//!
+//! A batch is appended whole or not at all. Any 4xx status and 503 mean that a
+//! call had no effect; other failures leave that open.
 
+use clock::Wall;
 use name::Offset;
+use state::Page;
 use std::sync::Arc;
 
 /// The most records of one append.
@@ -79,3 +84,23 @@
     let Query { from, max, wait_ms } = query;
     format!("/streams/{stream}/records?from={from}&max={max}&wait_ms={wait_ms}")
 }
+
+impl From<Records> for Page {
+    fn from(records: Records) -> Self {
+        Self {
+            first: records.first,
+            tail: records.tail,
+            entries: records.records.into_iter().map(Into::into).collect(),
+        }
+    }
+}
+
+impl From<Entry> for state::Entry {
+    fn from(entry: Entry) -> Self {
+        Self {
+            offset: entry.offset,
+            at: Wall(entry.at_ms),
+            data: entry.data,
+        }
+    }
+}
--- /dev/null
+++ b/crates/log/src/store.rs
@@ -0,0 +1,63 @@
+//! The two calls of a log, as closures.
+
+use crate::Error;
+use name::Offset;
+use state::Page;
+use std::{fmt, pin::Pin, sync::Arc, time::Duration};
+
+/// A call in progress.
+type Call<T> = Pin<Box<dyn Future<Output = Result<T, Error>> + Send>>;
+
+/// Makes an append.
+type Append = dyn Fn(Arc<[Arc<str>]>) -> Call<Offset> + Send + Sync;
+
+/// Makes a read.
+type Read = dyn Fn(Offset, usize, Duration) -> Call<Page> + Send + Sync;
+
+/// One stream of an append-only log.
+#[derive(Clone)]
+pub struct Store {
+    append: Arc<Append>,
+    read: Arc<Read>,
+}
+
+impl fmt::Debug for Store {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Store").finish_non_exhaustive()
+    }
+}
+
+impl Store {
+    /// Returns a store that makes its calls through two closures.
+    pub fn new<A, R>(
+        append: impl Fn(Arc<[Arc<str>]>) -> A + Send + Sync + 'static,
+        read: impl Fn(Offset, usize, Duration) -> R + Send + Sync + 'static,
+    ) -> Self
+    where
+        A: Future<Output = Result<Offset, Error>> + Send + 'static,
+        R: Future<Output = Result<Page, Error>> + Send + 'static,
+    {
+        Self {
+            append: Arc::new(move |records| Box::pin(append(records))),
+            read: Arc::new(move |from, max, wait| Box::pin(read(from, max, wait))),
+        }
+    }
+
+    /// Appends records and returns the offset of the first.
+    ///
+    /// # Errors
+    ///
+    /// Returns a failure that says whether the records may stand on the log.
+    pub async fn append(&self, records: &[Arc<str>]) -> Result<Offset, Error> {
+        (self.append)(records.into()).await
+    }
+
+    /// Reads up to `max` records from `from` on, waiting up to `wait` for one.
+    ///
+    /// # Errors
+    ///
+    /// Returns why the log could not be read.
+    pub async fn read(&self, from: Offset, max: usize, wait: Duration) -> Result<Page, Error> {
+        (self.read)(from, max, wait).await
+    }
+}
