--- /dev/null
+++ b/crates/replica/tests/all/fixture.rs
@@ -0,0 +1,58 @@
+//! Instances, entry nodes and lists for the tests.
+
+use name::{Incarnation, Offset};
+use plan::{Lists, Model};
+use replica::Listed;
+use state::{Epoch, Peer};
+use std::collections::BTreeMap;
+use uuid::Uuid;
+
+/// The number of members of a replica.
+pub const MEMBERS: usize = 4;
+
+/// Returns the name made of `text`.
+pub fn n<'a, T: TryFrom<&'a str, Error = name::Invalid>>(text: &'a str) -> T {
+    T::try_from(text).unwrap()
+}
+
+/// Returns the listing of the instance `i`, eight to a fabric domain.
+pub fn listed(i: usize) -> Listed {
+    let text = format!("i{i:02}");
+    let fabric = i / 8 % 6;
+    Listed {
+        instance: n(&text),
+        address: format!("10.0.0.{i}:80").parse().unwrap(),
+        domain: n(&format!("d{}", fabric / 2)),
+        fabric: n(&format!("f{fabric}")),
+        leaving: false,
+    }
+}
+
+/// Returns an epoch of `count` nodes, in turn in three failure domains.
+pub fn epoch(count: usize) -> Epoch {
+    let peer = |i: usize| Peer {
+        node: n(&format!("e{i}")),
+        incarnation: Incarnation(Uuid::from_u128(i as u128)),
+        domain: n(&format!("d{}", i % 3)),
+        peer_address: "10.1.0.1:1".parse().unwrap(),
+        caller_address: "10.1.0.1:2".parse().unwrap(),
+    };
+    Epoch {
+        revision: Offset(1),
+        peers: (0..count).map(peer).collect(),
+    }
+}
+
+/// Returns lists with the model `m`.
+pub fn lists() -> Lists {
+    let model = Model {
+        version: "1".into(),
+        members: MEMBERS as u32,
+        weight: 1,
+        adapters: Vec::new(),
+    };
+    Lists {
+        models: BTreeMap::from([(n("m"), model)]),
+        ..Lists::default()
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/all/orders.rs
@@ -0,0 +1,317 @@
+//! Which engines are told of their membership, when, and by whom.
+
+use crate::fixture::{epoch, listed, lists, n};
+use clock::Moment;
+use name::{Generation, Instance, Offset};
+use replica::{Command, Ledger, Order, Phase, Report, Settings, View, orders};
+use state::{Assignment, Operation, Scope, State};
+use std::collections::BTreeSet;
+use uuid::Uuid;
+
+/// A state, a view, and the ledgers of three nodes.
+struct Scene {
+    state: State,
+    view: View,
+    ledgers: Vec<Ledger>,
+    /// The reports that the engines go on giving.
+    reports: Vec<Report>,
+    current: bool,
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(10_000 + millis)
+}
+
+fn idle(i: usize) -> Report {
+    Report {
+        instance: listed(i).instance,
+        boot: Uuid::from_u128(1),
+        phase: Phase::Idle,
+        replica: None,
+        generation: Generation(0),
+        member: 0,
+        loaded: vec!["m@1".into()],
+        running: 0,
+        fences: true,
+    }
+}
+
+impl Scene {
+    /// Returns `replicas` replicas of four idle engines that hold the weights.
+    fn new(replicas: usize) -> Self {
+        let settings = Settings::default();
+        let mut state = State {
+            offset: Offset(1),
+            epoch: epoch(3),
+            ..State::default()
+        };
+        for r in 0..replicas {
+            state.offset = state.offset.next();
+            let assignment = Assignment {
+                generation: state.offset.into(),
+                model: n("m"),
+                version: "1".into(),
+                members: (r * 4..r * 4 + 4).map(|i| listed(i).instance).collect(),
+            };
+            let name = format!("m-{}", r + 1);
+            state.assignments.insert(n(&name), assignment);
+        }
+        let ledger = |i| Ledger::new(n(&format!("e{i}")), settings.clone());
+        let all: Vec<_> = (0..replicas * 4).map(listed).collect();
+        let mut view = View::new(settings.clone());
+        view.list(&all, at(0));
+        Self {
+            state,
+            view,
+            ledgers: (0..3).map(ledger).collect(),
+            reports: (0..replicas * 4).map(idle).collect(),
+            current: true,
+        }
+    }
+
+    /// Runs from `from` to `to` ms and returns the orders with their times.
+    fn run(&mut self, from: u64, to: u64) -> Vec<(u64, Order)> {
+        let lists = lists();
+        let mut sent = Vec::new();
+        for now in (from..to).step_by(250) {
+            for report in &self.reports {
+                self.view.report(report.clone(), at(now), at(now));
+            }
+            for ledger in &mut self.ledgers {
+                let state = &self.state;
+                let due = orders(state, &lists, &self.view, self.current, at(now), ledger);
+                sent.extend(due.into_iter().map(|o| (now, o)));
+            }
+        }
+        sent
+    }
+
+    /// Makes the engines of the first replica serve it.
+    fn serve_first(&mut self, running: u32) {
+        for (member, report) in (0..).zip(self.reports.iter_mut().take(4)) {
+            report.phase = Phase::Ready;
+            report.replica = Some(n("m-1"));
+            report.generation = Generation(2);
+            report.member = member;
+            report.running = running;
+        }
+    }
+
+    /// Supersedes the first replica's generation; the fourth engine is let go.
+    fn reassign_first(&mut self) {
+        self.state.offset = Offset(50);
+        let a = self.state.assignments.values_mut().next().unwrap();
+        a.generation = Generation(50);
+        a.members[3] = listed(7).instance;
+        self.state.assignments.remove(&n::<name::Replica>("m-2"));
+    }
+}
+
+/// Returns the instances that were ordered, each once.
+fn told(sent: &[(u64, Order)]) -> BTreeSet<Instance> {
+    sent.iter().map(|(_, o)| o.instance.clone()).collect()
+}
+
+#[test]
+fn one_node_sends_first_and_others_step_in() {
+    let mut scene = Scene::new(1);
+    let sent = scene.run(0, 500);
+    assert_eq!(sent.len(), 4, "one order for each engine at first");
+    let places: BTreeSet<_> = sent
+        .iter()
+        .map(|(now, o)| match &o.command {
+            Command::Join {
+                generation,
+                member,
+                peers,
+                ..
+            } => (*now, *generation, *member, peers.len(), o.deadline),
+            Command::Leave { .. } => unreachable!("nothing to leave"),
+        })
+        .collect();
+    let expected = (0..4).map(|m| (0, Generation(2), m, 4, at(1_000)));
+    assert_eq!(places, expected.collect());
+    // The engines do not react: the second node steps in, the first resends.
+    let later = scene.run(500, 1_500);
+    assert_eq!(later.iter().filter(|(now, _)| *now == 500).count(), 4);
+    assert_eq!(later.iter().filter(|(now, _)| *now == 1_000).count(), 8);
+    scene.serve_first(0);
+    assert!(scene.run(2_000, 5_000).is_empty(), "nothing left to say");
+}
+
+#[test]
+fn engines_are_told_only_what_is_certain() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut Scene),
+        /// The number of engines told within 1 s, and within 10 s.
+        told: (usize, usize),
+    }
+    let cases = [
+        Case {
+            name: "fencing engines",
+            change: |_| {},
+            told: (4, 4),
+        },
+        Case {
+            name: "fencing engines, state not known to be fresh",
+            change: |s| s.current = false,
+            told: (4, 4),
+        },
+        Case {
+            name: "engines without fencing wait until stale orders have expired",
+            change: |s| s.reports.iter_mut().for_each(|r| r.fences = false),
+            told: (0, 4),
+        },
+        Case {
+            name: "engines without fencing, state not known to be fresh",
+            change: |s| {
+                s.reports.iter_mut().for_each(|r| r.fences = false);
+                s.current = false;
+            },
+            told: (0, 0),
+        },
+        Case {
+            name: "an engine that reports a later generation",
+            change: |s| {
+                s.reports[1].generation = Generation(99);
+                s.reports[1].replica = Some(n("m-7"));
+            },
+            told: (3, 3),
+        },
+        Case {
+            name: "a member that is out",
+            change: |s| {
+                let scope = Scope::Instance(listed(1).instance);
+                let operation = (Offset(1), Operation::TakeOut);
+                s.state.operations.insert(scope, operation);
+            },
+            told: (3, 3),
+        },
+        Case {
+            name: "a silent engine",
+            change: |s| {
+                s.reports.remove(2);
+            },
+            told: (3, 3),
+        },
+        Case {
+            name: "a member that was never listed, whose address is unknown",
+            change: |s| {
+                let a = s.state.assignments.values_mut().next().unwrap();
+                a.members[3] = n("other");
+            },
+            told: (0, 0),
+        },
+        Case {
+            name: "a member back with a new boot rejoins the same generation",
+            change: |s| {
+                s.serve_first(0);
+                s.reports[2] = idle(2);
+                s.reports[2].boot = Uuid::from_u128(2);
+            },
+            told: (1, 1),
+        },
+        Case {
+            name: "an engine that belongs to nothing, after a delay",
+            change: |s| {
+                s.serve_first(0);
+                s.state.assignments.clear();
+            },
+            told: (0, 4),
+        },
+    ];
+    for case in cases {
+        let mut scene = Scene::new(1);
+        (case.change)(&mut scene);
+        let mut sent = scene.run(0, 1_000);
+        let early = told(&sent).len();
+        sent.extend(scene.run(1_000, 10_000));
+        assert_eq!((early, told(&sent).len()), case.told, "{}", case.name);
+    }
+}
+
+#[test]
+fn an_engine_without_fencing_waits_anew_after_each_change() {
+    let mut scene = Scene::new(1);
+    scene.reports.iter_mut().for_each(|r| r.fences = false);
+    scene.run(0, 4_000);
+    scene.state.offset = Offset(60);
+    let a = scene.state.assignments.values_mut().next().unwrap();
+    a.generation = Generation(60);
+    let sent = scene.run(4_000, 12_000);
+    assert_eq!(sent.first().map(|(now, _)| *now), Some(9_000));
+    let stale = |o: &Order| !matches!(o.command, Command::Join { generation, .. } if generation == Generation(60));
+    assert!(!sent.iter().any(|(_, o)| stale(o)));
+}
+
+#[test]
+fn requests_in_progress_hold_back_the_next_assignment() {
+    struct Case {
+        name: &'static str,
+        running: u32,
+        silent: Option<usize>,
+        /// When the first former member is ordered, in ms.
+        first: Option<u64>,
+    }
+    let cases = [
+        Case {
+            name: "nothing in progress",
+            running: 0,
+            silent: None,
+            first: Some(1_000),
+        },
+        Case {
+            name: "in progress",
+            running: 2,
+            silent: None,
+            first: None,
+        },
+        Case {
+            name: "in progress, but a member is missing",
+            running: 2,
+            silent: Some(3),
+            first: Some(2_500),
+        },
+    ];
+    for case in cases {
+        let mut scene = Scene::new(2);
+        scene.serve_first(case.running);
+        scene.run(0, 1_000);
+        scene.reassign_first();
+        if let Some(i) = case.silent {
+            scene.reports.remove(i);
+        }
+        let sent = scene.run(1_000, 9_000);
+        let former = |o: &Order| o.instance < n("i03");
+        let first = sent.iter().find(|(_, o)| former(o)).map(|(now, _)| *now);
+        assert_eq!(first, case.first, "{}", case.name);
+    }
+}
+
+#[test]
+fn loads_are_limited_and_finish_replicas_one_by_one() {
+    let mut scene = Scene::new(3);
+    // The third replica lacks one load, the others lack four each.
+    for report in &mut scene.reports[..9] {
+        report.loaded.clear();
+    }
+    let sent = scene.run(0, 500);
+    let cold: Vec<_> = sent
+        .iter()
+        .map(|(_, o)| o.instance.as_str())
+        .filter(|i| *i < "i09")
+        .collect();
+    let cold: BTreeSet<_> = cold.into_iter().collect();
+    assert_eq!(cold, BTreeSet::from(["i00", "i01", "i02", "i08"]));
+    // Two of them load: they keep their slots, and two slots are left.
+    for i in [0, 8] {
+        let report = &mut scene.reports[i];
+        report.phase = Phase::Loading;
+        report.replica = Some(n(if i == 0 { "m-1" } else { "m-3" }));
+        report.generation = Generation(if i == 0 { 2 } else { 4 });
+    }
+    let later = scene.run(500, 5_000);
+    let cold = told(&later).into_iter().filter(|i| *i < n("i09"));
+    assert_eq!(cold.collect::<Vec<_>>(), [n("i01"), n("i02")]);
+}
--- /dev/null
+++ b/crates/replica/tests/all/replay.rs
@@ -0,0 +1,287 @@
+//! A replay of engine faults against the real decisions and the real fold.
+
+use crate::fixture::{MEMBERS, epoch, listed, lists, n};
+use clock::Moment;
+use name::{Generation, Incarnation, Instance, Offset, Replica, Sequence};
+use plan::Lists;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use replica::{
+    Command, Judgement, Ledger, Listed, Order, Pacer, Phase, Policy, Report, Settings, View, Watch,
+    orders, propose, servable, weights,
+};
+use state::{Peer, Record, State, Writer};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
+use uuid::Uuid;
+
+/// The time between two steps.
+pub const TICK: Duration = Duration::from_millis(250);
+
+/// The time that a weight load takes.
+pub const LOAD: Duration = Duration::from_secs(45);
+
+/// One engine.
+#[derive(Debug)]
+pub struct Engine {
+    pub listed: Listed,
+    pub boot: Uuid,
+    pub phase: Phase,
+    pub place: Option<(Replica, Generation, u32)>,
+    pub loaded: bool,
+    pub loading_until: Moment,
+    pub down_until: Moment,
+    pub down_since: Moment,
+    pub running: u32,
+}
+
+/// One entry node.
+pub struct Entry {
+    pub domain: name::Domain,
+    pub watch: Watch,
+    pub pacer: Pacer,
+    pub ledger: Ledger,
+}
+
+/// The engines, the log and the entry nodes.
+pub struct World {
+    pub now: Moment,
+    pub state: State,
+    pub lists: Lists,
+    pub view: View,
+    pub policy: Policy,
+    pub engines: BTreeMap<Instance, Engine>,
+    pub entries: Vec<Entry>,
+    pub rng: ChaCha8Rng,
+    pub downtime: f64,
+    pub stranded: f64,
+    pub reforms: usize,
+}
+
+impl World {
+    /// Returns a world of `count` engines that hold the weights.
+    pub fn new(policy: Policy, count: usize, seed: u64) -> Self {
+        let settings = Settings::default();
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let engine = |i| Engine {
+            listed: listed(i),
+            boot: Uuid::from_u128(rng.random()),
+            phase: Phase::Idle,
+            place: None,
+            loaded: true,
+            loading_until: Moment::START,
+            down_until: Moment::START,
+            down_since: Moment::START,
+            running: 0,
+        };
+        let engines: BTreeMap<_, _> = (0..count)
+            .map(engine)
+            .map(|e| (e.listed.instance.clone(), e))
+            .collect();
+        let state = State {
+            epoch: epoch(3),
+            offset: Offset(1),
+            ..State::default()
+        };
+        let entry = |p: &Peer| {
+            let mut watch = Watch::new(p.node.clone(), settings.clone(), Moment::START);
+            watch.assign(engines.keys().cloned(), Moment::START);
+            Entry {
+                domain: p.domain.clone(),
+                watch,
+                pacer: Pacer::new(settings.clone()),
+                ledger: Ledger::new(p.node.clone(), settings.clone()),
+            }
+        };
+        let entries = state.epoch.peers.iter().map(entry).collect();
+        Self {
+            now: Moment::START,
+            lists: lists(),
+            view: View::new(settings.clone()),
+            state,
+            policy,
+            engines,
+            entries,
+            rng,
+            downtime: 0.0,
+            stranded: 0.0,
+            reforms: 0,
+        }
+    }
+
+    /// Advances the world by `span`.
+    pub fn run(&mut self, span: Duration) {
+        let end = self.now + span;
+        while self.now < end {
+            self.step();
+        }
+    }
+
+    /// Appends a change and folds it.
+    pub fn append(&mut self, change: state::Change) -> state::Outcome {
+        let offset = self.state.offset.next();
+        let record = Record {
+            writer: Writer(Incarnation(Uuid::from_u128(1))),
+            sequence: Sequence(offset.0),
+            change,
+        };
+        self.state.apply(offset, &record)
+    }
+
+    /// Stops an engine for `span`; a restart loses weights and membership.
+    pub fn stop(&mut self, instance: &Instance, span: Duration, restart: bool) {
+        let boot = Uuid::from_u128(self.rng.random());
+        let engine = self.engines.get_mut(instance).unwrap();
+        if engine.down_until <= self.now {
+            engine.down_since = self.now;
+        }
+        engine.down_until = engine.down_until.max(self.now + span);
+        if restart {
+            engine.boot = boot;
+            engine.phase = Phase::Idle;
+            engine.place = None;
+            engine.loaded = false;
+        }
+    }
+
+    /// Returns whether the failure domain has no engine that runs.
+    pub fn is_dark(&self, domain: &name::Domain) -> bool {
+        let inside = |e: &&Engine| e.listed.domain == *domain;
+        let mut inside = self.engines.values().filter(inside).peekable();
+        inside.peek().is_some() && inside.all(|e| e.down_until > self.now)
+    }
+
+    /// Advances the world by one step.
+    pub fn step(&mut self) {
+        self.now = self.now + TICK;
+        let listed: Vec<_> = self.engines.values().map(|e| e.listed.clone()).collect();
+        self.view.list(&listed, self.now);
+        self.advance_engines();
+        self.poll();
+        let mut entries = std::mem::take(&mut self.entries);
+        let mut changes = Vec::new();
+        let mut sent = Vec::new();
+        for (rank, entry) in entries.iter_mut().enumerate() {
+            if self.is_dark(&entry.domain) {
+                continue;
+            }
+            self.watch(entry);
+            let (state, lists, view, now) = (&self.state, &self.lists, &self.view, self.now);
+            let pacer = &mut entry.pacer;
+            changes.extend(propose(state, lists, view, &self.policy, rank, now, pacer));
+            sent.extend(orders(state, lists, view, true, now, &mut entry.ledger));
+        }
+        self.entries = entries;
+        sent.iter().for_each(|o| self.deliver(o));
+        for change in changes {
+            let before = self.state.assignments.len();
+            let accepted = self.append(change) == state::Outcome::Accepted;
+            let formed = self.state.assignments.len() > before;
+            self.reforms += usize::from(accepted && !formed);
+        }
+        self.measure();
+    }
+
+    fn advance_engines(&mut self) {
+        let now = self.now;
+        let joined: BTreeMap<_, usize> = self
+            .engines
+            .values()
+            .filter(|e| e.down_until <= now && matches!(e.phase, Phase::Joining | Phase::Ready))
+            .filter_map(|e| e.place.as_ref().map(|(r, g, _)| (r.clone(), *g)))
+            .fold(BTreeMap::new(), |mut counts, key| {
+                *counts.entry(key).or_default() += 1;
+                counts
+            });
+        for engine in self.engines.values_mut().filter(|e| e.down_until <= now) {
+            if engine.phase == Phase::Loading && engine.loading_until <= now {
+                engine.loaded = true;
+                engine.phase = Phase::Joining;
+            }
+            let key = engine.place.as_ref().map(|(r, g, _)| (r.clone(), *g));
+            let whole = key.is_some_and(|k| joined.get(&k) == Some(&MEMBERS));
+            if engine.phase == Phase::Joining && whole {
+                engine.phase = Phase::Ready;
+            }
+        }
+    }
+
+    fn poll(&mut self) {
+        for engine in self.engines.values().filter(|e| e.down_until <= self.now) {
+            let place = engine.place.clone();
+            let loaded = engine.loaded.then(|| weights(&n("m"), "1").into());
+            let report = Report {
+                instance: engine.listed.instance.clone(),
+                boot: engine.boot,
+                phase: engine.phase,
+                generation: place.as_ref().map(|p| p.1).unwrap_or_default(),
+                member: place.as_ref().map_or(0, |p| p.2),
+                replica: place.map(|p| p.0),
+                loaded: loaded.into_iter().collect::<Vec<Arc<str>>>(),
+                running: engine.running,
+                fences: true,
+            };
+            self.view.report(report, self.now, self.now);
+        }
+    }
+
+    fn watch(&mut self, entry: &mut Entry) {
+        for engine in self.engines.values().filter(|e| e.down_until <= self.now) {
+            entry.watch.answered(&engine.listed.instance, self.now);
+        }
+        if let Judgement::Votes(votes) = entry.watch.judge(self.now) {
+            for vote in votes {
+                self.view.vote(&vote, &self.state.epoch, self.now);
+            }
+        }
+    }
+
+    fn deliver(&mut self, order: &Order) {
+        let now = self.now;
+        let engine = self.engines.get_mut(&order.instance).unwrap();
+        let seen = engine.place.as_ref().map(|p| p.1).unwrap_or_default();
+        if engine.down_until > now || now > order.deadline {
+            return;
+        }
+        match &order.command {
+            Command::Join {
+                replica,
+                generation,
+                member,
+                ..
+            } if *generation >= seen => {
+                engine.place = Some((replica.clone(), *generation, *member));
+                engine.phase = match engine.loaded {
+                    true => Phase::Joining,
+                    false => Phase::Loading,
+                };
+                engine.loading_until = now + LOAD;
+            }
+            Command::Leave { generation } if *generation >= seen => {
+                engine.place = None;
+                engine.phase = Phase::Idle;
+            }
+            _ => {}
+        }
+    }
+
+    fn measure(&mut self) {
+        let up = |e: &&Engine| e.down_until <= self.now;
+        let live = self.engines.values().filter(up).count();
+        let serving = self.serving().len();
+        let tick = TICK.as_secs_f64();
+        self.downtime += (live / MEMBERS).saturating_sub(serving) as f64 * tick;
+        self.stranded += live.saturating_sub(serving * MEMBERS) as f64 * tick;
+    }
+
+    /// Returns the members of each servable replica.
+    pub fn serving(&self) -> BTreeMap<Replica, Vec<Instance>> {
+        servable(&self.state, &self.view, self.now)
+            .into_iter()
+            .filter(|(_, standing)| standing.is_ok())
+            .map(|(r, _)| {
+                let members = self.state.assignments[&r].members.clone();
+                (r, members)
+            })
+            .collect()
+    }
+}
--- /dev/null
+++ b/crates/replica/tests/all/serve.rs
@@ -0,0 +1,438 @@
+//! Which replicas may take requests, and whose word counts.
+
+use crate::fixture::{epoch, listed, n};
+use clock::Moment;
+use name::{Generation, Instance, Node, Offset};
+use replica::{Cause, Judgement, Phase, Report, Settings, View, Vote, Watch};
+use replica::{dispatch_check, servable, watchers};
+use state::{Assignment, Operation, Scope, State};
+use uuid::Uuid;
+
+const G: Generation = Generation(7);
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(10_000 + millis)
+}
+
+fn report(member: u32) -> Report {
+    Report {
+        instance: listed(member as usize).instance,
+        boot: Uuid::from_u128(1),
+        phase: Phase::Ready,
+        replica: Some(n("m-1")),
+        generation: G,
+        member,
+        loaded: vec!["m@1".into()],
+        running: 0,
+        fences: true,
+    }
+}
+
+/// Returns a state with one replica, and a view in which it serves at 0 ms.
+fn scene(nodes: usize) -> (State, View) {
+    let assignment = Assignment {
+        generation: G,
+        model: n("m"),
+        version: "1".into(),
+        members: (0..4).map(|i| listed(i).instance).collect(),
+    };
+    let mut state = State {
+        offset: Offset(9),
+        epoch: epoch(nodes),
+        ..State::default()
+    };
+    state.assignments.insert(n("m-1"), assignment);
+    let mut view = View::new(Settings::default());
+    view.list(&(0..4).map(listed).collect::<Vec<_>>(), at(0));
+    for member in 0..4 {
+        assert!(view.report(report(member), at(0), at(0)));
+    }
+    (state, view)
+}
+
+fn vote(state: &State, view: &mut View, node: &str, millis: u64) -> bool {
+    let vote = Vote {
+        watcher: n(node),
+        instance: n("i02"),
+        suspected: true,
+    };
+    view.vote(&vote, &state.epoch, at(millis))
+}
+
+fn operate(state: &mut State, scope: Scope, operation: Operation) {
+    state.operations.insert(scope, (Offset(8), operation));
+}
+
+#[test]
+fn a_replica_serves_only_while_every_member_is_known_to_be_ready() {
+    struct Case {
+        name: &'static str,
+        change: fn(&mut State, &mut View),
+        now: u64,
+        cause: Option<Cause>,
+    }
+    let cases = [
+        Case {
+            name: "all ready",
+            change: |_, _| {},
+            now: 1_500,
+            cause: None,
+        },
+        Case {
+            name: "listed live but silent",
+            change: |_, _| {},
+            now: 1_501,
+            cause: Some(Cause::Silent),
+        },
+        Case {
+            name: "absent from the list but reporting",
+            change: |_, view| view.list(&[], at(100)),
+            now: 200,
+            cause: None,
+        },
+        Case {
+            name: "stale generation",
+            change: |_, view| {
+                let generation = Generation(6);
+                let stale = Report {
+                    generation,
+                    ..report(2)
+                };
+                assert!(view.report(stale, at(100), at(100)));
+            },
+            now: 200,
+            cause: Some(Cause::Elsewhere {
+                generation: Generation(6),
+            }),
+        },
+        Case {
+            name: "another replica under the same number",
+            change: |_, view| {
+                let other = Report {
+                    replica: Some(n("m-2")),
+                    ..report(2)
+                };
+                assert!(view.report(other, at(100), at(100)));
+            },
+            now: 200,
+            cause: Some(Cause::Elsewhere { generation: G }),
+        },
+        Case {
+            name: "another place",
+            change: |_, view| {
+                let other = Report {
+                    member: 1,
+                    ..report(2)
+                };
+                assert!(view.report(other, at(100), at(100)));
+            },
+            now: 200,
+            cause: Some(Cause::Elsewhere { generation: G }),
+        },
+        Case {
+            name: "back with a new boot",
+            change: |_, view| {
+                let boot = Report {
+                    boot: Uuid::from_u128(2),
+                    phase: Phase::Idle,
+                    replica: None,
+                    generation: Generation(0),
+                    ..report(2)
+                };
+                assert!(view.report(boot, at(100), at(100)));
+            },
+            now: 200,
+            cause: Some(Cause::Elsewhere {
+                generation: Generation(0),
+            }),
+        },
+        Case {
+            name: "joining",
+            change: |_, view| {
+                let phase = Phase::Joining;
+                assert!(view.report(Report { phase, ..report(2) }, at(100), at(100)));
+            },
+            now: 200,
+            cause: Some(Cause::Unready {
+                phase: Phase::Joining,
+            }),
+        },
+        Case {
+            name: "suspected by one watcher",
+            change: |state, view| assert!(vote(state, view, "e0", 100)),
+            now: 200,
+            cause: None,
+        },
+        Case {
+            name: "suspected by two watchers in one failure domain",
+            change: |state, view| {
+                state.epoch.peers[1].domain = n("d0");
+                assert!(vote(state, view, "e0", 100));
+                assert!(vote(state, view, "e1", 100));
+            },
+            now: 200,
+            cause: None,
+        },
+        Case {
+            name: "suspected by two watchers in two failure domains",
+            change: |state, view| {
+                assert!(vote(state, view, "e0", 100));
+                assert!(vote(state, view, "e1", 100));
+            },
+            now: 200,
+            cause: Some(Cause::Suspected),
+        },
+        Case {
+            name: "votes that were not renewed",
+            change: |state, view| {
+                assert!(vote(state, view, "e0", 100));
+                assert!(vote(state, view, "e1", 100));
+                for member in 0..4 {
+                    view.report(report(member), at(3_000), at(3_000));
+                }
+            },
+            now: 3_101,
+            cause: None,
+        },
+        Case {
+            name: "leaving",
+            change: |_, view| {
+                let mut listed: Vec<_> = (0..4).map(listed).collect();
+                listed[3].leaving = true;
+                view.list(&listed, at(100));
+            },
+            now: 200,
+            cause: Some(Cause::Leaving),
+        },
+        Case {
+            name: "failure domain taken out, which goes before silence",
+            change: |state, _| operate(state, Scope::Domain(n("d0")), Operation::TakeOut),
+            now: 9_000,
+            cause: Some(Cause::Out),
+        },
+        Case {
+            name: "instance taken out",
+            change: |state, _| operate(state, Scope::Instance(n("i01")), Operation::TakeOut),
+            now: 200,
+            cause: Some(Cause::Out),
+        },
+        Case {
+            name: "brought back",
+            change: |state, _| operate(state, Scope::Domain(n("d0")), Operation::BringBack),
+            now: 200,
+            cause: None,
+        },
+        Case {
+            name: "a member that was never listed",
+            change: |state, _| {
+                let a = state.assignments.get_mut(&n::<name::Replica>("m-1"));
+                a.unwrap().members[1] = n("other");
+            },
+            now: 200,
+            cause: Some(Cause::Unknown),
+        },
+        Case {
+            name: "no members",
+            change: |state, _| {
+                let a = state.assignments.get_mut(&n::<name::Replica>("m-1"));
+                a.unwrap().members.clear();
+            },
+            now: 200,
+            cause: Some(Cause::Unassigned),
+        },
+    ];
+    for case in cases {
+        let (mut state, mut view) = scene(3);
+        (case.change)(&mut state, &mut view);
+        let standings = servable(&state, &view, at(case.now));
+        let standing = standings.into_values().next().unwrap();
+        assert_eq!(
+            standing.as_ref().err().map(|b| b.cause),
+            case.cause,
+            "{}",
+            case.name
+        );
+        let replica = n("m-1");
+        let again = dispatch_check(&state, &view, &replica, G, at(case.now));
+        assert_eq!(again, standing, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_dispatch_needs_the_generation_in_force() {
+    let (state, view) = scene(3);
+    let check = |replica: &str, generation| {
+        let standing = dispatch_check(&state, &view, &n(replica), Generation(generation), at(0));
+        standing.map_err(|b| b.cause).map(|s| s.lead)
+    };
+    let current = G;
+    assert_eq!(check("m-1", 7), Ok(n("i00")));
+    assert_eq!(check("m-1", 6), Err(Cause::Superseded { current }));
+    assert_eq!(check("m-2", 7), Err(Cause::Unassigned));
+}
+
+#[test]
+fn only_newer_reports_replace_what_is_known() {
+    struct Case {
+        name: &'static str,
+        /// Boot, when it was taken, when it arrived, whether it is news.
+        reports: &'static [(u128, u64, u64, bool)],
+    }
+    let cases = [
+        Case {
+            name: "in order",
+            reports: &[(1, 100, 100, true), (1, 200, 300, true)],
+        },
+        Case {
+            name: "a peer's older report arrives late",
+            reports: &[(1, 200, 200, true), (1, 150, 300, false)],
+        },
+        Case {
+            name: "a new boot, then the old one's report with a wrong age",
+            reports: &[
+                (1, 100, 100, true),
+                (2, 200, 200, true),
+                (1, 250, 260, false),
+            ],
+        },
+        Case {
+            name: "the boot that was replaced is refused only for a while",
+            reports: &[
+                (1, 100, 100, true),
+                (2, 200, 200, true),
+                (1, 10_300, 10_300, true),
+            ],
+        },
+    ];
+    for case in cases {
+        let (_, mut view) = scene(3);
+        for (boot, taken, arrived, news) in case.reports {
+            let report = Report {
+                boot: Uuid::from_u128(*boot),
+                ..report(0)
+            };
+            let was_news = view.report(report, at(*taken), at(*arrived));
+            assert_eq!(was_news, *news, "{}: taken at {taken}", case.name);
+        }
+    }
+    let (_, mut view) = scene(3);
+    let unlisted = Report {
+        instance: n("other"),
+        ..report(0)
+    };
+    assert!(!view.report(unlisted, at(1), at(1)));
+}
+
+#[test]
+fn watchers_can_agree_on_a_failure_domain_that_is_cut_off() {
+    let epoch = epoch(9);
+    for i in 0..48 {
+        let listed = listed(i);
+        for k in [2, 3] {
+            let chosen = watchers(&listed.instance, &listed.domain, &epoch, k);
+            assert_eq!(chosen.len(), k);
+            let domain = |node: &Node| {
+                let peer = epoch.peers.iter().find(|p| p.node == *node);
+                peer.unwrap().domain.clone()
+            };
+            let (first, second) = (domain(&chosen[0]), domain(&chosen[1]));
+            assert_ne!(first, second);
+            assert_ne!(first, listed.domain);
+            assert_ne!(second, listed.domain);
+        }
+    }
+    let chosen = watchers(&n("i00"), &n("d0"), &crate::fixture::epoch(1), 3);
+    assert_eq!(chosen, [n("e0")]);
+}
+
+#[test]
+fn votes_of_other_nodes_do_not_count() {
+    let (mut state, mut view) = scene(9);
+    let chosen = watchers(&n("i02"), &n("d0"), &state.epoch, 3);
+    for peer in state.epoch.peers.clone() {
+        let counts = vote(&state, &mut view, peer.node.as_str(), 0);
+        assert_eq!(counts, chosen.contains(&peer.node), "{}", peer.node);
+    }
+    state.epoch.peers.clear();
+    assert!(!vote(&state, &mut view, chosen[0].as_str(), 0));
+}
+
+#[test]
+fn a_watcher_votes_only_while_it_sees_most_of_what_it_watches() {
+    struct Case {
+        name: &'static str,
+        /// How many of the four watched instances went on answering.
+        answering: usize,
+        /// The time between two judgements, in ms.
+        step: u64,
+        /// The number of instances suspected at the end, or none if blind.
+        suspected: Option<usize>,
+    }
+    let cases = [
+        Case {
+            name: "all answer",
+            answering: 4,
+            step: 250,
+            suspected: Some(0),
+        },
+        Case {
+            name: "one is silent",
+            answering: 3,
+            step: 250,
+            suspected: Some(1),
+        },
+        Case {
+            name: "half are silent",
+            answering: 2,
+            step: 250,
+            suspected: Some(2),
+        },
+        Case {
+            name: "most are silent",
+            answering: 1,
+            step: 250,
+            suspected: None,
+        },
+        Case {
+            name: "one is silent, but the watcher itself was paused",
+            answering: 3,
+            step: 2_000,
+            suspected: Some(0),
+        },
+    ];
+    for case in cases {
+        let mut watch = Watch::new(n("e0"), Settings::default(), at(0));
+        let instances: Vec<Instance> = (0..4).map(|i| listed(i).instance).collect();
+        watch.assign(instances.clone(), at(0));
+        let mut last = Judgement::Blind;
+        for now in (case.step..=2_000).step_by(case.step as usize) {
+            for instance in &instances[..case.answering] {
+                watch.answered(instance, at(now));
+            }
+            last = watch.judge(at(now));
+        }
+        let suspected = match last {
+            Judgement::Blind => None,
+            Judgement::Votes(votes) => Some(votes.iter().filter(|v| v.suspected).count()),
+        };
+        assert_eq!(suspected, case.suspected, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_watcher_withdraws_its_suspicion_when_the_instance_answers() {
+    let mut watch = Watch::new(n("e0"), Settings::default(), at(0));
+    watch.assign((0..3).map(|i| listed(i).instance), at(0));
+    let mut votes = Vec::new();
+    for now in (250..=2_500).step_by(250) {
+        for i in 0..3 {
+            if i > 0 || now > 2_000 {
+                watch.answered(&listed(i).instance, at(now));
+            }
+        }
+        if let Judgement::Votes(cast) = watch.judge(at(now)) {
+            votes.extend(cast.into_iter().map(|v| (now, v.suspected)));
+        }
+    }
+    assert_eq!(votes, [(1_750, true), (2_000, true), (2_250, false)]);
+}
