--- a/crates/member/src/epoch.rs
+++ b/crates/member/src/epoch.rs
@@ -72,6 +72,9 @@
     /// To be used with a fresh state only. A member in its next life differs
     /// from the epoch too, since slots belong to lives.
     pub fn poll(&mut self, table: &Table, epoch: &Epoch, now: Moment) -> Option<Change> {
+        if table.own().health == Health::Dead {
+            return None;
+        }
         let members = wanted(table);
         let lives: Vec<_> = members
             .iter()
@@ -118,18 +121,17 @@
         let topic = format!("epoch-{}", epoch.revision);
         let own = table.own().peer.node.as_str();
         let rank = name::rank(&topic, own, lives.iter().map(|(node, _)| node.as_str()));
-        let settle = match sees_most(lives, epoch) {
-            true => self.pace.settle,
-            false => self.pace.settle_minority,
+        let settle = if sees_most(lives, epoch) {
+            self.pace.settle
+        } else {
+            self.pace.settle_minority
         };
         // Members that come and go all the time must not hold epochs up.
         let settled = (self.settled + settle).min(differs + self.pace.longest.max(settle));
         let gap = self.known.map_or(Moment::START, |at| at + self.pace.gap);
         let again = self.proposed.map_or(Moment::START, |at| at + self.pace.gap);
         let turn = self.pace.step * u32::try_from(rank).unwrap_or(u32::MAX);
-        settled.max(gap)
-            + turn.min(self.pace.longest).max(Duration::ZERO)
-            + again.since(settled.max(gap))
+        settled.max(gap).max(again) + turn.min(self.pace.longest)
     }
 }
 
--- /dev/null
+++ b/crates/once/tests/search.rs
@@ -0,0 +1,528 @@
+//! Searches every schedule of a few calls with one key over a few nodes.
+//!
+//! The world is the real `Call` and `Table` over a small log. Between any two
+//! steps each node may be paused for as long as it takes, an append may be
+//! acknowledged, lost, refused or delayed, a node may restart, and time may
+//! pass. An append that never lands is one that is never scheduled. In every state reached, the key was dispatched at most once,
+//! and never if any caller was told that it was not run.
+
+use clock::{Moment, Wall};
+use name::{Incarnation, Offset};
+use once::{
+    Action, Answer, Append, Bounds, Call, Claim, Digest, Event, Key, Limits, Record, Reply,
+    Request, Standing, Table, Window,
+};
+use proptest::{collection, prelude::*, test_runner::RngSeed};
+use std::{
+    collections::{HashSet, VecDeque},
+    time::Duration,
+};
+use uuid::Uuid;
+use verdict::{Error, Kind, Verdict};
+
+/// The wall time of the key and of all calls.
+const WALL: Wall = Wall(1_000_000);
+
+/// The monotonic times that a world passes through, in milliseconds: in time,
+/// past the dispatch limit, past the deadline.
+const TIMES: [u64; 3] = [0, 1_500, 2_500];
+
+/// A fault put into the driver, which the search must find.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    None,
+    /// Dispatches when the log acknowledges the claim.
+    DispatchOnAcknowledgement,
+    /// Says not-run when the append of the claim is unknown.
+    NotRunOnUnknown,
+    /// Takes a void that won for the own claim.
+    IgnoreVoid,
+    /// Says not-run at the dispatch limit, before the void is read back.
+    NotRunBeforeVoid,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct Node {
+    lives: u8,
+    /// The number of records read in this life.
+    read: usize,
+    /// The number of records on the log when this life began.
+    target: usize,
+    /// The number of the last call.
+    number: u8,
+    call: Option<Call>,
+    /// The dispatch that the driver has yet to write.
+    dispatch: Option<Moment>,
+    /// Whether the request was written and its result is awaited.
+    awaited: bool,
+}
+
+/// An append under way.
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Flight {
+    node: usize,
+    /// The call that appends.
+    number: u8,
+    record: u8,
+    /// Whether the log's answer was given or lost.
+    reported: bool,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    nodes: Vec<Node>,
+    log: Vec<u8>,
+    flights: Vec<Flight>,
+    time: usize,
+    calls_left: u8,
+    claims: u8,
+    restarts_left: u8,
+    dispatched: u8,
+    told_not_run: bool,
+}
+
+/// One step of the world.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    Begin(usize),
+    Refuse(usize),
+    /// The append lands; it is acknowledged unless its answer was lost.
+    Land(usize),
+    /// The append's answer is lost while it is under way.
+    Delay(usize),
+    /// The append never lands, and the log says so.
+    Refused(usize),
+    Read(usize),
+    ReadAgain(usize),
+    LogDown(usize),
+    ClaimantGone(usize),
+    Tick(usize),
+    /// The driver writes the request; it was paused after its check or not.
+    Write(usize),
+    /// The driver finds that the dispatch is too late.
+    TooLate(usize),
+    Finish(usize, Verdict),
+    Restart(usize),
+    Pass,
+}
+
+/// The world's rules and the records that occur in it.
+struct Rules {
+    fault: Fault,
+    records: Vec<Record>,
+}
+
+fn key() -> Key {
+    let account = "tegid".try_into().expect("a name");
+    let id = Uuid::from_u128((u128::from(WALL.0) << 80) | (7 << 76) | (2 << 62) | 1);
+    Key::parse(&account, Some(&id.to_string())).expect("a UUIDv7")
+}
+
+fn own(node: usize, life: u8) -> Incarnation {
+    Incarnation(Uuid::from_u128(100 * (node as u128 + 1) + u128::from(life)))
+}
+
+impl World {
+    fn new(nodes: usize, calls: u8, restarts: u8) -> Self {
+        let node = Node {
+            lives: 0,
+            read: 0,
+            target: 0,
+            number: 0,
+            call: None,
+            dispatch: None,
+            awaited: false,
+        };
+        Self {
+            nodes: vec![node; nodes],
+            log: Vec::new(),
+            flights: Vec::new(),
+            time: 0,
+            calls_left: calls,
+            claims: 0,
+            restarts_left: restarts,
+            dispatched: 0,
+            told_not_run: false,
+        }
+    }
+
+    fn now(&self) -> Moment {
+        Moment::from_millis(TIMES[self.time])
+    }
+
+    /// Makes worlds equal that no later step can tell apart.
+    fn normalize(&mut self) {
+        for flight in &mut self.flights {
+            let node = &self.nodes[flight.node];
+            flight.reported |= node.number != flight.number || node.call.is_none();
+        }
+        self.flights.sort();
+        self.flights.dedup();
+    }
+
+    fn is_right(&self) -> bool {
+        self.dispatched == 0 || (self.dispatched == 1 && !self.told_not_run)
+    }
+
+    /// Returns every step that can come next.
+    fn steps(&self) -> Vec<Step> {
+        let mut steps = Vec::new();
+        for (at, flight) in self.flights.iter().enumerate() {
+            steps.push(Step::Land(at));
+            if !flight.reported {
+                steps.extend([Step::Delay(at), Step::Refused(at)]);
+            }
+        }
+        for (at, node) in self.nodes.iter().enumerate() {
+            if node.read < self.log.len() {
+                steps.push(Step::Read(at));
+            }
+            if node.call.is_none() && self.calls_left > 0 {
+                steps.extend([Step::Begin(at), Step::Refuse(at)]);
+            }
+            if node.call.is_some() {
+                steps.extend([Step::ReadAgain(at), Step::LogDown(at), Step::Tick(at)]);
+                steps.push(Step::ClaimantGone(at));
+            }
+            if node.dispatch.is_some() {
+                steps.extend([Step::Write(at), Step::TooLate(at)]);
+            }
+            if node.awaited {
+                let verdicts = [Verdict::Ran, Verdict::MayHaveRun];
+                steps.extend(verdicts.map(|verdict| Step::Finish(at, verdict)));
+            }
+            if self.restarts_left > 0 {
+                steps.push(Step::Restart(at));
+            }
+        }
+        if self.time + 1 < TIMES.len() {
+            steps.push(Step::Pass);
+        }
+        steps
+    }
+}
+
+impl Rules {
+    fn new(fault: Fault) -> Self {
+        Self {
+            fault,
+            records: Vec::new(),
+        }
+    }
+
+    fn number(&mut self, record: Record) -> u8 {
+        let known = self.records.iter().position(|r| *r == record);
+        let at = known.unwrap_or_else(|| {
+            self.records.push(record);
+            self.records.len() - 1
+        });
+        u8::try_from(at).expect("few records occur")
+    }
+
+    /// Returns the table of `node` as its reads have left it.
+    fn table(&self, world: &World, node: usize) -> Table {
+        let mut table = Table::new(Window::default(), Bounds::default());
+        table.must_reach(Offset(world.nodes[node].target as u64));
+        for (at, record) in world.log[..world.nodes[node].read].iter().enumerate() {
+            let offset = Offset(at as u64 + 1);
+            table.fold(offset, Some(&self.records[usize::from(*record)]), WALL);
+        }
+        table
+    }
+
+    /// Returns the world after a step.
+    fn after(&mut self, world: &World, step: Step) -> World {
+        let mut next = world.clone();
+        match step {
+            Step::Begin(at) => self.call(&mut next, at, true),
+            Step::Refuse(at) => self.call(&mut next, at, false),
+            Step::Land(at) => {
+                let flight = next.flights.remove(at);
+                self.land(&mut next, flight.record);
+                if !flight.reported {
+                    self.report(&mut next, &flight, Append::Acknowledged);
+                }
+            }
+            Step::Delay(at) => {
+                next.flights[at].reported = true;
+                let flight = next.flights[at].clone();
+                self.report(&mut next, &flight, Append::Unknown);
+            }
+            Step::Refused(at) => {
+                let flight = next.flights.remove(at);
+                self.report(&mut next, &flight, Append::Refused);
+            }
+            Step::Read(at) => {
+                next.nodes[at].read += 1;
+                self.read(&mut next, at);
+            }
+            Step::ReadAgain(at) => self.read(&mut next, at),
+            Step::LogDown(at) => self.on(&mut next, at, Event::LogDown),
+            Step::ClaimantGone(at) => self.on(&mut next, at, Event::ClaimantGone),
+            Step::Tick(at) => self.on(&mut next, at, Event::Tick),
+            Step::Write(at) => {
+                next.nodes[at].dispatch = None;
+                next.nodes[at].awaited = true;
+                next.dispatched += 1;
+            }
+            Step::TooLate(at) => {
+                next.nodes[at].dispatch = None;
+                let error = Error::not_run(Kind::Unavailable, "too late");
+                self.on(&mut next, at, Event::Dispatched(Err(error)));
+            }
+            Step::Finish(at, verdict) => {
+                next.nodes[at].awaited = false;
+                let result = match verdict {
+                    Verdict::Ran => Ok(Answer::ran(200, "text/plain", b"done")),
+                    _ => Err(Error::may_have_run(Kind::Upstream, "connection lost")),
+                };
+                self.on(&mut next, at, Event::Dispatched(result));
+            }
+            Step::Restart(at) => {
+                let node = &mut next.nodes[at];
+                node.lives += 1;
+                node.read = 0;
+                node.target = next.log.len();
+                node.call = None;
+                node.dispatch = None;
+                node.awaited = false;
+                next.restarts_left -= 1;
+            }
+            Step::Pass => next.time += 1,
+        }
+        next.normalize();
+        next
+    }
+
+    /// Puts a record on the log.
+    ///
+    /// One that changes nothing in any table, as the second copy of a claim, is
+    /// left out: reading it is the same as reading the key's standing again.
+    fn land(&self, world: &mut World, record: u8) {
+        let mut log = world.log.clone();
+        log.push(record);
+        let mut table = Table::new(Window::default(), Bounds::default());
+        let mut changed = false;
+        for (at, record) in log.iter().enumerate() {
+            let record = &self.records[usize::from(*record)];
+            changed = table.fold(Offset(at as u64 + 1), Some(record), WALL);
+        }
+        if changed {
+            world.log = log;
+        }
+    }
+
+    /// Starts a call at a node.
+    fn call(&mut self, world: &mut World, at: usize, wanted: bool) {
+        world.calls_left -= 1;
+        world.claims += 1;
+        let request = Request {
+            key: key(),
+            body: Digest::new("POST /booking", b"two loads"),
+            own: own(at, world.nodes[at].lives),
+            claim: Claim(Uuid::from_u128(u128::from(world.claims))),
+            deadline: Moment::from_millis(2_000),
+        };
+        let limits = Limits {
+            dispatch: Duration::from_secs(1),
+        };
+        let table = self.table(world, at);
+        let (call, actions) = if wanted {
+            Call::begin(request, &limits, &table, world.now(), WALL)
+        } else {
+            Call::refuse(request, &limits, &table, WALL)
+        };
+        world.nodes[at].number = world.claims;
+        world.nodes[at].call = Some(call);
+        self.act(world, at, actions);
+    }
+
+    /// Reports the answer to an append to the call that waits for it.
+    fn report(&mut self, world: &mut World, flight: &Flight, answer: Append) {
+        if world.nodes[flight.node].number != flight.number {
+            return;
+        }
+        let record = self.records[usize::from(flight.record)].clone();
+        let event = match (self.fault, answer, &record) {
+            (Fault::DispatchOnAcknowledgement, Append::Acknowledged, Record::Claim { .. }) => {
+                Event::Read(standing_of(&record))
+            }
+            (Fault::NotRunOnUnknown, Append::Unknown, Record::Claim { .. }) => {
+                world.told_not_run = true;
+                Event::Appended(answer)
+            }
+            _ => Event::Appended(answer),
+        };
+        self.on(world, flight.node, event);
+    }
+
+    /// Tells the call of a node what its table says.
+    fn read(&mut self, world: &mut World, at: usize) {
+        let mut standing = self.table(world, at).standing(&key());
+        if self.fault == Fault::IgnoreVoid && standing == Standing::Voided {
+            let own = Claim(Uuid::from_u128(u128::from(world.nodes[at].number)));
+            let is_own = |r: &&Record| matches!(r, Record::Claim { claim, .. } if *claim == own);
+            if let Some(record) = self.records.iter().find(is_own) {
+                standing = standing_of(record);
+            }
+        }
+        self.on(world, at, Event::Read(standing));
+    }
+
+    fn on(&mut self, world: &mut World, at: usize, event: Event) {
+        let now = world.now();
+        let Some(call) = &mut world.nodes[at].call else {
+            return;
+        };
+        let actions = call.on(event, now);
+        self.act(world, at, actions);
+    }
+
+    /// Carries out what a call wants done.
+    fn act(&mut self, world: &mut World, at: usize, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Append(record) => {
+                    if self.fault == Fault::NotRunBeforeVoid
+                        && matches!(record, Record::Void { .. })
+                    {
+                        world.told_not_run = true;
+                    }
+                    let flight = Flight {
+                        node: at,
+                        number: world.nodes[at].number,
+                        record: self.number(record),
+                        reported: false,
+                    };
+                    world.flights.push(flight);
+                }
+                Action::Dispatch { before } => world.nodes[at].dispatch = Some(before),
+                Action::Answer(reply) => world.told_not_run |= is_not_run(&reply),
+            }
+        }
+        let settled = |call: &Call| call.is_settled();
+        if world.nodes[at].call.as_ref().is_some_and(settled) {
+            world.nodes[at].call = None;
+        }
+    }
+}
+
+fn is_not_run(reply: &Reply) -> bool {
+    match reply {
+        Ok(answer) => answer.verdict == Verdict::NotRun,
+        Err(error) => error.verdict() == Verdict::NotRun,
+    }
+}
+
+/// Returns the standing in which a claim has won.
+fn standing_of(record: &Record) -> Standing {
+    let Record::Claim {
+        body, by, claim, ..
+    } = record
+    else {
+        unreachable!("only claims are asked for");
+    };
+    Standing::Claimed {
+        body: *body,
+        by: *by,
+        claim: *claim,
+    }
+}
+
+/// Visits every state; returns their number, or the steps to a wrong one.
+fn search(fault: Fault, start: World, limit: usize) -> Result<usize, World> {
+    let mut rules = Rules::new(fault);
+    let mut seen = HashSet::from([start.clone()]);
+    let mut queue = VecDeque::from([start]);
+    while let Some(world) = queue.pop_front() {
+        for step in world.steps() {
+            let next = rules.after(&world, step);
+            if !next.is_right() {
+                return Err(next);
+            }
+            if seen.insert(next.clone()) {
+                assert!(seen.len() <= limit, "more than {limit} states");
+                queue.push_back(next);
+            }
+        }
+    }
+    Ok(seen.len())
+}
+
+#[test]
+fn no_schedule_runs_a_key_twice_or_after_not_run() {
+    struct Case {
+        name: &'static str,
+        nodes: usize,
+        calls: u8,
+        restarts: u8,
+    }
+    let cases = [
+        Case {
+            name: "two nodes, two calls, one restart",
+            nodes: 2,
+            calls: 2,
+            restarts: 1,
+        },
+        Case {
+            name: "three nodes, two calls, no restart",
+            nodes: 3,
+            calls: 2,
+            restarts: 0,
+        },
+        Case {
+            name: "one node, three calls, one restart",
+            nodes: 1,
+            calls: 3,
+            restarts: 1,
+        },
+    ];
+    for case in cases {
+        let start = World::new(case.nodes, case.calls, case.restarts);
+        let states = search(Fault::None, start, 1_000_000);
+        let states = states.unwrap_or_else(|world| panic!("{}: {world:#?}", case.name));
+        println!("{}: {states} states", case.name);
+    }
+}
+
+#[test]
+fn each_fault_in_the_driver_is_found() {
+    let faults = [
+        Fault::DispatchOnAcknowledgement,
+        Fault::NotRunOnUnknown,
+        Fault::IgnoreVoid,
+        Fault::NotRunBeforeVoid,
+    ];
+    for fault in faults {
+        let found = search(fault, World::new(2, 2, 0), 1_000_000);
+        assert!(found.is_err(), "{fault:?} was not found");
+    }
+}
+
+/// Returns the settings of a repeatable run.
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 300,
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(5),
+        ..ProptestConfig::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    #[test]
+    fn no_long_schedule_breaks_the_promise(picks in collection::vec(any::<u16>(), 1..160)) {
+        let mut rules = Rules::new(Fault::None);
+        let mut world = World::new(3, 8, 3);
+        for pick in picks {
+            let steps = world.steps();
+            if steps.is_empty() {
+                break;
+            }
+            world = rules.after(&world, steps[usize::from(pick) % steps.len()]);
+            prop_assert!(world.is_right(), "{:#?}", world);
+        }
+    }
+}
