Hold restarts apart on both sides of a connection

A request that was handed to an idle connection just after the server's restart left its bytes in a closing socket. The gate now asks the operating system, directly before the write, whether the other side has closed, which turns most of these into not-run. The stand-in let such a request run in the next life when two tasks met; its lives now own their connections. Fifty restarts at different points: no run. A close that the client's system has not received stays may-have-run, which is honest; that case is its own test, and the table covers the restart that a new connection finds.

--- a/crates/backend/src/gate.rs
+++ b/crates/backend/src/gate.rs
@@ -5,8 +5,10 @@
 //! here, in the write itself. Shutting the gate excludes every later write, so
 //! that a count read afterwards is final.
 
+use socket2::SockRef;
 use std::{
     fmt, io,
+    mem::MaybeUninit,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     task::{Context, Poll},
@@ -93,6 +95,16 @@
     }
 }
 
+/// Returns whether the other side has neither closed nor said anything.
+///
+/// Asks the operating system, since a close that the runtime has not delivered
+/// yet would cost a `may-have-run`.
+fn is_silent(stream: &TcpStream) -> bool {
+    let mut byte = [MaybeUninit::uninit()];
+    let peeked = SockRef::from(stream).peek(&mut byte);
+    peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+}
+
 impl AsyncRead for Gate {
     fn poll_read(
         mut self: Pin<&mut Self>,
@@ -111,10 +123,9 @@
     ) -> Poll<io::Result<usize>> {
         let gate = self.get_mut();
         let mut state = gate.watch.lock();
-        let check = state.check.take();
-        if check.is_some_and(|check| !check()) {
-            state.forbidden = true;
-            state.shut = true;
+        if let Some(check) = state.check.take() {
+            state.forbidden = !check();
+            state.shut |= state.forbidden || !is_silent(&gate.stream);
         }
         if state.shut {
             return Poll::Ready(Err(io::ErrorKind::BrokenPipe.into()));
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,12 +1,12 @@
 //! A model engine: orders, generation, its prefix cache.
 
 use crate::{
-    host::{Mode, broken_body, while_hung},
-    server::{Life, Membership, Prefixes, Running, Server},
+    host::{Lived, Mode, broken_body, while_hung},
+    server::{Life, Membership, Prefixes, Rejected, Running, Server},
     service::{attempt, rejected},
 };
 use axum::{
-    Json, Router,
+    Extension, Json, Router,
     body::Body,
     extract::{Query, State},
     http::{HeaderMap, StatusCode, header},
@@ -136,10 +136,16 @@
 }
 
 /// Obeys an order, or refuses it as stale.
-async fn order(State(server): State<Arc<Server>>, Json(order): Json<Order>) -> Response {
+async fn order(
+    State(server): State<Arc<Server>>,
+    Extension(lived): Extension<Lived>,
+    Json(order): Json<Order>,
+) -> Response {
     let (Order::Join { generation, .. } | Order::Leave { generation }) = order;
     let shared = &server.around.shared;
-    let mut life = server.lock();
+    let Some(mut life) = server.lock_for(&lived) else {
+        return rejected(Rejected::Restarted);
+    };
     if generation < life.seen {
         if life.faults.fences {
             shared.count(|c| c.stale_orders_refused += 1);
@@ -303,6 +309,7 @@
 /// Generates an answer.
 async fn generate(
     State(server): State<Arc<Server>>,
+    Extension(lived): Extension<Lived>,
     headers: HeaderMap,
     Json(request): Json<Generate>,
 ) -> Response {
@@ -325,7 +332,7 @@
         server.around.shared.count(|c| c.wrong_resumes += 1);
         return (echoed, StatusCode::BAD_REQUEST).into_response();
     }
-    let running = match server.take(attempt).await {
+    let running = match server.take(&lived, attempt).await {
         Ok(running) => running,
         Err(why) => return rejected(why),
     };
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -1,7 +1,7 @@
 //! A server on loopback that can hang, refuse and lose its connections.
 
 use axum::{
-    Router,
+    Extension, Router,
     body::Body,
     extract::{Request, State},
     middleware::{self, Next},
@@ -101,6 +101,17 @@
     }
 }
 
+/// The life that a request's connection belongs to.
+#[derive(Debug, Clone)]
+pub(crate) struct Lived(CancellationToken);
+
+impl Lived {
+    /// Returns whether that life has ended, and with it the request.
+    pub(crate) fn is_over(&self) -> bool {
+        self.0.is_cancelled()
+    }
+}
+
 /// A listener that is not served yet.
 #[derive(Debug)]
 pub(crate) struct Bound {
@@ -144,12 +155,14 @@
     end: CancellationToken,
 ) {
     let _ = stream.set_nodelay(true);
-    let service = TowerToHyperService::new(router);
+    let lived = Lived(life.clone());
+    let service = TowerToHyperService::new(router.layer(Extension(lived)));
     let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
-        _ = serving => {}
+        biased;
         () = life.cancelled() => {}
         () = end.cancelled() => {}
+        _ = serving => {}
     }
 }
 
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -3,7 +3,7 @@
 use crate::{
     counters::{Begun, Shared},
     engine,
-    host::{self, Host, Mode},
+    host::{self, Host, Lived, Mode},
     platform::Store,
     service,
 };
@@ -203,6 +203,12 @@
         self.life.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the life that a request's connection belongs to, if it has not ended.
+    pub(crate) fn lock_for(&self, lived: &Lived) -> Option<MutexGuard<'_, Life>> {
+        let life = self.lock();
+        (!lived.is_over()).then_some(life)
+    }
+
     /// Returns the report on itself.
     pub fn report(&self) -> Report {
         let speed = &self.around.speed;
@@ -247,9 +253,10 @@
             BTreeSet::new()
         };
         let faults = life.faults.clone();
+        // Under the lock, so that no request of an old connection meets the new life.
+        self.host.cut();
         *life = Life::new(faults, loaded);
         drop(life);
-        self.host.cut();
         self.freed.notify_waiters();
     }
 
@@ -276,8 +283,12 @@
     }
 
     /// Takes a request in, waits while a warm server is full, falls over while cold.
-    pub(crate) async fn take(self: &Arc<Self>, attempt: Attempt) -> Result<Running, Rejected> {
-        let boot = self.lock().boot;
+    pub(crate) async fn take(
+        self: &Arc<Self>,
+        lived: &Lived,
+        attempt: Attempt,
+    ) -> Result<Running, Rejected> {
+        let boot = self.lock_for(lived).ok_or(Rejected::Restarted)?.boot;
         let mut waiting = None;
         loop {
             let freed = self.freed.notified();
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -1,11 +1,11 @@
 //! A plain service, as a ledger. It never recognizes a key that it has seen.
 
 use crate::{
-    host::broken_body,
+    host::{Lived, broken_body},
     server::{Rejected, Server},
 };
 use axum::{
-    Json, Router,
+    Extension, Json, Router,
     extract::{Path, State},
     http::{HeaderMap, StatusCode},
     response::{IntoResponse, Response},
@@ -36,6 +36,7 @@
 /// Runs a call.
 async fn call(
     State(server): State<Arc<Server>>,
+    Extension(lived): Extension<Lived>,
     Path(name): Path<String>,
     headers: HeaderMap,
     Json(body): Json<Value>,
@@ -43,7 +44,7 @@
     let Some(attempt) = attempt(&headers) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    let mut running = match server.take(attempt).await {
+    let mut running = match server.take(&lived, attempt).await {
         Ok(running) => running,
         Err(why) => return rejected(why),
     };
--- /dev/null
+++ b/crates/standin/tests/common/mod.rs
@@ -0,0 +1,124 @@
+//! What the tests share.
+
+use backend::{
+    Bounds, Pool, Target, engine,
+    proto::{Generate, Order, Phase},
+    service::Call,
+};
+use name::{Attempt, Generation, Model, Replica};
+use standin::{Server, Shape, World};
+use std::{sync::Arc, time::Duration};
+
+/// The generation of the replica that [`Formed`] forms.
+const GENERATION: u64 = 5;
+
+/// Returns a shape whose servers take no time.
+pub fn small() -> Shape {
+    let mut shape = Shape::demo();
+    shape.speed.model_mib = 0;
+    shape.speed.first_token_ms = 0;
+    shape.speed.cached_first_token_ms = 0;
+    shape.speed.token_ms = 0;
+    shape.speed.call_ms = 0;
+    shape.speed.list_lag_ms = 0;
+    shape
+}
+
+/// Returns bounds that end a silent stream soon.
+pub fn bounds() -> Bounds {
+    Bounds {
+        connect: Duration::from_secs(10),
+        answer: Duration::from_secs(10),
+        idle: Duration::from_millis(300),
+        ..Bounds::default()
+    }
+}
+
+/// Waits until `holds`; a test that never gets there hangs and so fails.
+pub async fn until(holds: impl Fn() -> bool) {
+    while !holds() {
+        tokio::task::yield_now().await;
+    }
+}
+
+/// Returns a request for a generated answer.
+pub fn generate(prompt: &str, seed: u64, max_tokens: u32) -> Generate {
+    Generate {
+        attempt: Attempt::random(),
+        model: Model::try_from("drafter").unwrap(),
+        prompt: prompt.into(),
+        resume_after: String::new(),
+        resume_tokens: 0,
+        max_tokens,
+        priority: 0,
+        seed,
+    }
+}
+
+/// Returns a call to a service with a key.
+pub fn call(key: &str) -> Call {
+    Call {
+        attempt: Attempt::random(),
+        name: "enter".into(),
+        key: Some(key.into()),
+        body: "{}".into(),
+    }
+}
+
+/// A world with one replica that serves.
+pub struct Formed {
+    pub world: World,
+    pub pool: Pool,
+    pub servers: Vec<Arc<Server>>,
+}
+
+impl Formed {
+    /// Forms a replica of the first `members` engines.
+    pub async fn start(members: usize) -> Self {
+        let world = World::start(&small(), 1).await.unwrap();
+        let servers = world.servers()[..members].to_vec();
+        let formed = Self {
+            world,
+            pool: Pool::new(bounds()),
+            servers,
+        };
+        for (member, server) in formed.servers.iter().enumerate() {
+            let order = formed.order(member, GENERATION);
+            let address = server.listed().address;
+            engine::order(&formed.pool, address, &order, || true)
+                .await
+                .unwrap();
+        }
+        for server in &formed.servers {
+            until(|| server.report().phase == Phase::Ready).await;
+        }
+        formed
+    }
+
+    /// Returns the order to a member.
+    pub fn order(&self, member: usize, generation: u64) -> Order {
+        Order::Join {
+            replica: Replica::try_from("r1").unwrap(),
+            generation: Generation(generation),
+            member: u32::try_from(member).unwrap(),
+            peers: self.servers.iter().map(|s| s.listed().address).collect(),
+            model: Model::try_from("drafter").unwrap(),
+            version: "1".into(),
+            adapters: Vec::new(),
+        }
+    }
+
+    /// Returns the member that requests go to.
+    pub fn lead(&self) -> &Arc<Server> {
+        &self.servers[0]
+    }
+
+    /// Returns where requests to the replica go.
+    pub fn target(&self) -> Target {
+        Target {
+            address: self.lead().listed().address,
+            boot: Some(self.lead().report().boot),
+            generation: Generation(GENERATION),
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/drive.rs
@@ -0,0 +1,435 @@
+//! The clients of systems outside against the stand-ins.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+mod common;
+
+use backend::{
+    Connection, Pool, Target, engine,
+    proto::{Finish, Phase},
+    service,
+};
+use common::{Formed, call, generate, small};
+use name::{Attempt, Generation};
+use standin::{Command, Faults, Mode, Server, World, engine::answer};
+use std::time::Duration;
+use verdict::Verdict;
+
+/// Longer than any answer of a test takes.
+const LONG: Duration = Duration::from_secs(30);
+
+/// What a fault switch does to a generated answer.
+struct Spoilt {
+    name: &'static str,
+    faults: Faults,
+    /// Tokens that arrive; all of them for a whole answer.
+    arrive: usize,
+    whole: bool,
+}
+
+#[tokio::test]
+async fn spoilt_streams_never_pass_for_whole() {
+    let plain = Faults::default;
+    let cases = [
+        Spoilt {
+            name: "no fault",
+            faults: plain(),
+            arrive: 8,
+            whole: true,
+        },
+        Spoilt {
+            name: "cut in the middle",
+            faults: Faults {
+                cut_after: Some(3),
+                ..plain()
+            },
+            arrive: 3,
+            whole: false,
+        },
+        Spoilt {
+            name: "each frame twice",
+            faults: Faults {
+                repeat_frames: true,
+                ..plain()
+            },
+            arrive: 8,
+            whole: true,
+        },
+        Spoilt {
+            name: "a frame of another attempt",
+            faults: Faults {
+                crossed_at: Some(2),
+                ..plain()
+            },
+            arrive: 2,
+            whole: false,
+        },
+        Spoilt {
+            name: "a frame left out",
+            faults: Faults {
+                gap_at: Some(4),
+                ..plain()
+            },
+            arrive: 4,
+            whole: false,
+        },
+        Spoilt {
+            name: "silence",
+            faults: Faults {
+                stall_after: Some(1),
+                ..plain()
+            },
+            arrive: 1,
+            whole: false,
+        },
+    ];
+    let formed = Formed::start(2).await;
+    let right = answer(7, "prompt", 8);
+    for case in cases {
+        formed.lead().set_faults(case.faults);
+        let request = generate("prompt", 7, 8);
+        let mut stream = engine::generate(&formed.pool, formed.target(), &request, || true, LONG)
+            .await
+            .unwrap();
+        let (mut texts, mut whole) = (Vec::new(), false);
+        while let Some(frame) = stream.next().await {
+            match frame {
+                Ok(frame) => {
+                    whole = frame.finish.is_some();
+                    texts.push(frame.text);
+                }
+                Err(error) => assert_eq!(error.verdict(), Verdict::MayHaveRun, "{}", case.name),
+            }
+        }
+        assert_eq!(whole, case.whole, "{}", case.name);
+        let arrive = case.arrive.min(right.len());
+        assert_eq!(texts, right[..arrive], "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn resumed_answer_has_no_seam() {
+    let formed = Formed::start(2).await;
+    // A seed whose answer is as long as it may be.
+    let seed = (0..).find(|s| answer(*s, "prompt", 9).len() == 9).unwrap();
+    let right = answer(seed, "prompt", 9);
+    for delivered in 0..9 {
+        let mut request = generate("prompt", seed, 9);
+        request.resume_after = right[..delivered].concat();
+        request.resume_tokens = u32::try_from(delivered).unwrap();
+        let stream = engine::generate(&formed.pool, formed.target(), &request, || true, LONG);
+        let mut stream = stream.await.unwrap();
+        let mut all = request.resume_after.clone();
+        let mut finish = None;
+        while let Some(frame) = stream.next().await {
+            let frame = frame.unwrap();
+            all += &frame.text;
+            finish = frame.finish;
+        }
+        assert_eq!((all, finish), (right.concat(), Some(Finish::Length)));
+    }
+    assert_eq!(formed.world.counters().wrong_resumes, 0);
+}
+
+/// A call to a service under a fault, its verdict and the runs that happen.
+struct Call {
+    name: &'static str,
+    before: fn(&World, &Server),
+    allowed: bool,
+    verdict: Option<Verdict>,
+    changed: bool,
+    runs: u64,
+}
+
+const CALLS: &[Call] = &[
+    Call {
+        name: "no fault",
+        before: |_, _| {},
+        allowed: true,
+        verdict: None,
+        changed: false,
+        runs: 1,
+    },
+    Call {
+        name: "no longer allowed at the write",
+        before: |_, _| {},
+        allowed: false,
+        verdict: Some(Verdict::NotRun),
+        changed: false,
+        runs: 0,
+    },
+    Call {
+        name: "restarted between check and dispatch",
+        before: |_, server| server.restart(true),
+        allowed: true,
+        verdict: Some(Verdict::NotRun),
+        changed: true,
+        runs: 0,
+    },
+    Call {
+        name: "gone",
+        before: |world, server| {
+            assert!(world.apply(&Command::Mode {
+                instance: server.listed().instance.clone(),
+                mode: Mode::Refuse,
+            }));
+        },
+        allowed: true,
+        verdict: Some(Verdict::NotRun),
+        changed: false,
+        runs: 0,
+    },
+    Call {
+        name: "answer lost after the run",
+        before: |_, server| {
+            server.set_faults(Faults {
+                lose_answers: true,
+                ..Faults::default()
+            });
+        },
+        allowed: true,
+        verdict: Some(Verdict::MayHaveRun),
+        changed: false,
+        runs: 1,
+    },
+    Call {
+        name: "answer of another attempt",
+        before: |_, server| {
+            server.set_faults(Faults {
+                cross_answers: true,
+                ..Faults::default()
+            });
+        },
+        allowed: true,
+        verdict: Some(Verdict::MayHaveRun),
+        changed: false,
+        runs: 1,
+    },
+];
+
+#[tokio::test]
+async fn calls_have_honest_verdicts() {
+    for case in CALLS {
+        let world = World::start(&small(), 1).await.unwrap();
+        let pool = Pool::new(common::bounds());
+        let ledger = world
+            .servers()
+            .iter()
+            .find(|s| s.listed().service.is_some());
+        let ledger = ledger.unwrap();
+        let address = ledger.listed().address;
+        let report = engine::report(&pool, address).await.unwrap();
+        let target = Target {
+            address,
+            boot: Some(report.boot),
+            generation: Generation(0),
+        };
+        pool.forget(address);
+        (case.before)(&world, ledger);
+        let allowed = case.allowed;
+        let request = call("key-1");
+        let result = service::call(&pool, target, &request, move || allowed, LONG).await;
+        let failure = result.as_ref().err();
+        assert_eq!(
+            failure.map(backend::Failure::verdict),
+            case.verdict,
+            "{}",
+            case.name
+        );
+        let changed = failure.and_then(backend::Failure::changed_life);
+        assert_eq!(changed.is_some(), case.changed, "{}", case.name);
+        assert_eq!(world.counters().most_runs(), case.runs, "{}", case.name);
+        if let Ok(answer) = result {
+            assert_eq!(answer.attempt, request.attempt);
+        }
+    }
+}
+
+/// A connection whose end the client has not seen yet takes the request's bytes,
+/// so the verdict is open; what counts is that the next life never runs it.
+#[tokio::test]
+async fn no_request_crosses_a_restart() {
+    let world = World::start(&small(), 1).await.unwrap();
+    let pool = Pool::new(common::bounds());
+    let ledger = world
+        .servers()
+        .iter()
+        .find(|s| s.listed().service.is_some());
+    let ledger = ledger.unwrap();
+    let address = ledger.listed().address;
+    for round in 0..50 {
+        let report = engine::report(&pool, address).await.unwrap();
+        let target = Target {
+            address,
+            boot: Some(report.boot),
+            generation: Generation(0),
+        };
+        ledger.restart(true);
+        for _ in 0..round % 5 {
+            tokio::task::yield_now().await;
+        }
+        let request = call("key-1");
+        let failure = service::call(&pool, target, &request, || true, LONG).await;
+        assert_ne!(failure.unwrap_err().verdict(), Verdict::Ran);
+    }
+    assert_eq!(world.counters().most_runs(), 0);
+}
+
+#[tokio::test]
+async fn a_connection_stays_with_its_life() {
+    let world = World::start(&small(), 1).await.unwrap();
+    let server = &world.servers()[0];
+    let address = server.listed().address;
+    let mut old = Connection::open(address, &common::bounds()).await.unwrap();
+    assert_eq!(old.boot(), server.report().boot);
+    server.restart(true);
+    let read = old.read_report(&common::bounds()).await;
+    assert_eq!(read.unwrap_err().verdict(), Verdict::NotRun);
+    let new = Connection::open(address, &common::bounds()).await.unwrap();
+    assert_eq!(new.boot(), server.report().boot);
+    assert_ne!(new.boot(), old.boot());
+}
+
+/// How many requests at once a server in some warmth bears.
+struct Load {
+    name: &'static str,
+    warm: bool,
+    /// Requests at once, over the cold limit.
+    over: u32,
+    falls: u64,
+}
+
+#[tokio::test]
+async fn only_a_cold_server_falls_over() {
+    let cases = [
+        Load {
+            name: "cold at its limit",
+            warm: false,
+            over: 0,
+            falls: 0,
+        },
+        Load {
+            name: "cold, one above",
+            warm: false,
+            over: 1,
+            falls: 1,
+        },
+        Load {
+            name: "warm, one above the cold limit",
+            warm: true,
+            over: 1,
+            falls: 0,
+        },
+    ];
+    for case in cases {
+        let formed = Formed::start(2).await;
+        let lead = formed.lead();
+        lead.set_warm(case.warm);
+        lead.set_faults(Faults {
+            stall_after: Some(1),
+            ..Faults::default()
+        });
+        let boot = lead.report().boot;
+        let mut streams = Vec::new();
+        for _ in 0..lead.report().cold_limit + case.over {
+            let request = generate("prompt", 1, 8);
+            let target = formed.target();
+            let stream = engine::generate(&formed.pool, target, &request, || true, LONG).await;
+            streams.push(stream);
+        }
+        assert_eq!(
+            formed.world.counters().cold_overloads,
+            case.falls,
+            "{}",
+            case.name
+        );
+        assert_eq!(lead.report().boot == boot, case.falls == 0, "{}", case.name);
+    }
+}
+
+/// An order, after a join at generation 5.
+struct Ordered {
+    name: &'static str,
+    fences: bool,
+    allowed: bool,
+    generation: u64,
+    verdict: Option<Verdict>,
+    /// The generation that the engine reports afterwards.
+    after: u64,
+}
+
+#[tokio::test]
+async fn stale_orders_are_refused_by_engines_that_fence() {
+    let row = |name, fences, allowed, generation, verdict, after| Ordered {
+        name,
+        fences,
+        allowed,
+        generation,
+        verdict,
+        after,
+    };
+    let not_run = Some(Verdict::NotRun);
+    let cases = [
+        row("later", true, true, 6, None, 6),
+        row("earlier, fenced", true, true, 4, not_run, 5),
+        row("earlier, not fenced", false, true, 4, None, 4),
+        row("too late to be sent", false, false, 6, not_run, 5),
+    ];
+    for case in cases {
+        let formed = Formed::start(2).await;
+        let lead = formed.lead();
+        lead.set_faults(Faults {
+            fences: case.fences,
+            ..Faults::default()
+        });
+        let address = lead.listed().address;
+        let order = formed.order(0, case.generation);
+        let allowed = case.allowed;
+        let sent = engine::order(&formed.pool, address, &order, move || allowed).await;
+        let failure = sent.as_ref().err();
+        assert_eq!(
+            failure.map(backend::Failure::verdict),
+            case.verdict,
+            "{}",
+            case.name
+        );
+        let report = lead.report();
+        assert_eq!(report.generation, Generation(case.after), "{}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn a_replica_without_a_member_refuses() {
+    let formed = Formed::start(3).await;
+    formed.servers[2].restart(true);
+    let request = generate("prompt", 1, 4);
+    let target = formed.target();
+    let sent = engine::generate(&formed.pool, target, &request, || true, LONG).await;
+    assert_eq!(sent.unwrap_err().verdict(), Verdict::NotRun);
+    let counters = formed.world.counters();
+    assert_eq!(counters.refused_with_missing_member, 1);
+    assert_eq!(counters.served_with_missing_member, 0);
+    assert_eq!(formed.lead().report().phase, Phase::Ready);
+}
+
+#[tokio::test]
+async fn dropping_an_answer_frees_the_engine() {
+    let formed = Formed::start(2).await;
+    let lead = formed.lead();
+    lead.set_faults(Faults {
+        stall_after: Some(1),
+        ..Faults::default()
+    });
+    let request = generate("prompt", 1, 8);
+    let target = formed.target();
+    let stream = engine::generate(&formed.pool, target, &request, || true, LONG).await;
+    let mut stream = stream.unwrap();
+    assert!(stream.next().await.unwrap().is_ok());
+    assert_eq!(lead.report().running, 1);
+    drop(stream);
+    common::until(|| lead.report().running == 0).await;
+    let attempt = Attempt::random();
+    engine::cancel(&formed.pool, target.address, attempt)
+        .await
+        .unwrap();
+}
