Test the clients against servers that may say anything

A table walks what a server can say to a call (half a head, half a body, oversized, crossed ids, 409, 503 with and without the refusal header, no report, a report of another life) with the verdict on each; streams must end with a last frame or an error. The SSE decoder gives the same events however the stream is cut, for any bytes. The connection of a whole answer is kept after the last frame was handed on, so that a late end of body no longer delays that frame.

--- a/crates/backend/src/answer.rs
+++ b/crates/backend/src/answer.rs
@@ -64,7 +64,8 @@
     /// Returns the next frame, or nothing after the last one of a whole answer.
     ///
     /// Frames come in order without a gap or a repeat. The last one has
-    /// [`Frame::finish`]. May be dropped and called again.
+    /// [`Frame::finish`], and the call after it keeps the connection for later
+    /// requests. May be dropped and called again.
     ///
     /// # Errors
     ///
@@ -72,13 +73,16 @@
     /// silent too long, or holds a frame of another attempt or generation.
     pub async fn next(&mut self) -> Option<Result<Frame, Error>> {
         if self.state != State::Running {
+            self.recycle().await;
             return None;
         }
         loop {
             match self.decoded() {
                 Ok(Some(frame)) => {
-                    if frame.finish.is_some() {
-                        self.finish(frame.finish).await;
+                    match frame.finish {
+                        None => {}
+                        Some(Finish::Error) => self.state = State::Broken,
+                        Some(_) => self.state = State::Whole,
                     }
                     return Some(Ok(frame));
                 }
@@ -125,14 +129,16 @@
         }
     }
 
-    /// Ends a whole answer and keeps its connection if nothing follows.
-    async fn finish(&mut self, finish: Option<Finish>) {
-        self.state = State::Whole;
+    /// Keeps the connection of a whole answer if nothing follows the last frame.
+    async fn recycle(&mut self) {
         let Some(connection) = self.connection.take() else {
             return;
         };
+        if self.state != State::Whole {
+            return;
+        }
         let end = time::timeout(self.pool.bounds().connect, self.body.frame()).await;
-        if matches!(end, Ok(None)) && finish != Some(Finish::Error) {
+        if matches!(end, Ok(None)) {
             self.pool.put(self.target.address, connection);
         }
     }
@@ -163,6 +169,8 @@
 
 impl Drop for Answer {
     fn drop(&mut self) {
-        self.abandon();
+        if self.state == State::Running {
+            self.abandon();
+        }
     }
 }
--- /dev/null
+++ b/crates/backend/tests/answers.rs
@@ -0,0 +1,307 @@
+//! Verdicts on answers of a server that may say anything.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use backend::{
+    Bounds, Failure, Pool, Target, engine,
+    proto::{Generate, Phase, Report, Role},
+    service::{self, Call},
+};
+use name::{Attempt, Generation, Instance, Model};
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream},
+};
+use uuid::Uuid;
+use verdict::Verdict;
+
+/// The attempt of every request here.
+const ATTEMPT: Attempt = Attempt(Uuid::from_u128(7));
+
+/// The boot id of the server.
+const BOOT: Uuid = Uuid::from_u128(9);
+
+/// Bounds that end a silent answer soon.
+fn bounds() -> Bounds {
+    Bounds {
+        connect: Duration::from_secs(10),
+        answer: Duration::from_millis(300),
+        idle: Duration::from_millis(300),
+        answer_bytes: 2_000,
+        frame_bytes: 500,
+        ..Bounds::default()
+    }
+}
+
+/// Returns an answer with `status` and `body` that repeats the attempt.
+fn answer(status: &str, headers: &str, body: &str) -> String {
+    format!(
+        "HTTP/1.1 {status}\r\nx-attempt-id: {ATTEMPT}\r\n{headers}content-length: {}\r\n\r\n{body}",
+        body.len()
+    )
+}
+
+/// Returns the answer to a report.
+fn report() -> String {
+    let report = Report {
+        instance: Instance::try_from("i").unwrap(),
+        boot: BOOT,
+        role: Role::Service,
+        phase: Phase::Idle,
+        replica: None,
+        generation: Generation(0),
+        member: 0,
+        loaded: Vec::new(),
+        warm: true,
+        warm_limit: 1,
+        cold_limit: 1,
+        running: 0,
+        waiting: 0,
+        fences: true,
+    };
+    answer("200 OK", "", &serde_json::to_string(&report).unwrap())
+}
+
+/// Reads one request; its body is as long as its head says.
+async fn read_request(stream: &mut TcpStream) -> Option<()> {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.ok()?);
+    }
+    let head = String::from_utf8(head).ok()?.to_lowercase();
+    let length = head.split("content-length: ").nth(1);
+    let length = length.and_then(|rest| rest.split("\r\n").next());
+    let length = length.map_or(0, |text| text.parse().unwrap());
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).await.ok()?;
+    Some(())
+}
+
+/// Serves a report, then `said`, then closes or falls silent, on each connection.
+async fn serve(report: String, said: String, closes: bool) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let (report, said) = (report.clone(), said.clone());
+            tokio::spawn(async move {
+                for text in [report, said] {
+                    if read_request(&mut stream).await.is_none() {
+                        return;
+                    }
+                    let _ = stream.write_all(text.as_bytes()).await;
+                }
+                if !closes {
+                    let _ = stream.read_u8().await;
+                }
+            });
+        }
+    });
+    address
+}
+
+/// What a server says to a call, and the verdict on it.
+struct Case {
+    name: &'static str,
+    report: String,
+    said: String,
+    closes: bool,
+    verdict: Option<Verdict>,
+}
+
+fn cases() -> Vec<Case> {
+    let row = |name, said: String, closes, verdict| Case {
+        name,
+        report: report(),
+        said,
+        closes,
+        verdict,
+    };
+    let unread = |name, report: String| Case {
+        name,
+        report,
+        said: String::new(),
+        closes: true,
+        verdict: Some(Verdict::NotRun),
+    };
+    let (not_run, open) = (Some(Verdict::NotRun), Some(Verdict::MayHaveRun));
+    let good = format!("{{\"attempt\":\"{}\",\"result\":1}}", ATTEMPT.0);
+    let ok = |body: &str| answer("200 OK", "", body);
+    let crossed = format!("{{\"attempt\":\"{}\",\"result\":1}}", Uuid::from_u128(8));
+    let refused = "x-refused: 1\r\n";
+    vec![
+        row("right", ok(&good), false, None),
+        row("body of another attempt", ok(&crossed), false, open),
+        row(
+            "head of another attempt",
+            ok(&good).replace(
+                &ATTEMPT.to_string(),
+                &Uuid::from_u128(8).simple().to_string(),
+            ),
+            false,
+            open,
+        ),
+        row(
+            "no attempt",
+            "HTTP/1.1 200 OK\r\ncontent-length: 0\r\n\r\n".into(),
+            false,
+            open,
+        ),
+        row("malformed body", ok("{"), false, open),
+        row("no HTTP", "hello\r\n\r\n".into(), true, open),
+        row("nothing, closed", String::new(), true, open),
+        row("nothing, silent", String::new(), false, open),
+        row(
+            "half a head",
+            "HTTP/1.1 200 OK\r\nx-att".into(),
+            false,
+            open,
+        ),
+        row("half a body", ok(&good).replace("}", ""), false, open),
+        row("too large", ok(&"x".repeat(3_000)), false, open),
+        row(
+            "refused by definition",
+            answer("503 X", refused, ""),
+            false,
+            not_run,
+        ),
+        row(
+            "refused, another attempt",
+            format!("HTTP/1.1 503 X\r\n{refused}content-length: 0\r\n\r\n"),
+            false,
+            open,
+        ),
+        row(
+            "503 without the header",
+            answer("503 X", "", ""),
+            false,
+            open,
+        ),
+        row("stale", answer("409 X", "", "{\"seen\":6}"), false, not_run),
+        row(
+            "409 that states nothing",
+            answer("409 X", "", "no"),
+            false,
+            open,
+        ),
+        row("500", answer("500 X", "", ""), false, open),
+        unread("no report", String::new()),
+        unread("malformed report", answer("200 OK", "", "{}")),
+        unread(
+            "report of another life",
+            report().replace(&BOOT.to_string(), &Uuid::from_u128(1).to_string()),
+        ),
+    ]
+}
+
+#[tokio::test]
+async fn calls_have_verdicts() {
+    for case in cases() {
+        let address = serve(case.report, case.said, case.closes).await;
+        let target = Target {
+            address,
+            boot: Some(BOOT),
+            generation: Generation(0),
+        };
+        let call = Call {
+            attempt: ATTEMPT,
+            name: "x".into(),
+            key: None,
+            body: "{}".into(),
+        };
+        let pool = Pool::new(bounds());
+        let within = Duration::from_millis(300);
+        let result = service::call(&pool, target, &call, || true, within).await;
+        let verdict = result.as_ref().err().map(Failure::verdict);
+        assert_eq!(verdict, case.verdict, "{}: {result:?}", case.name);
+    }
+}
+
+#[tokio::test]
+async fn nobody_listening_is_not_run() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let failure = engine::report(&Pool::new(bounds()), address).await;
+    assert_eq!(failure.unwrap_err().verdict(), Verdict::NotRun);
+}
+
+/// A stream of frames and how many of them count before it fails.
+struct Frames {
+    name: &'static str,
+    body: String,
+    arrive: usize,
+    whole: bool,
+}
+
+#[tokio::test]
+async fn streams_end_with_a_last_frame_or_an_error() {
+    let frame = |index: u32, last: bool| {
+        let finish = if last { "\"stop\"" } else { "null" };
+        let id = ATTEMPT.0;
+        format!(
+            "data: {{\"attempt\":\"{id}\",\"generation\":4,\"index\":{index},\"text\":\"t\",\"finish\":{finish}}}\n\n"
+        )
+    };
+    let row = |name, body: String, arrive, whole| Frames {
+        name,
+        body,
+        arrive,
+        whole,
+    };
+    let two = frame(0, false) + &frame(1, true);
+    let cases = [
+        row("whole", two.clone(), 2, true),
+        row("no last frame", frame(0, false), 1, false),
+        row(
+            "another generation",
+            two.replace("\"generation\":4", "\"generation\":3"),
+            0,
+            false,
+        ),
+        row("malformed frame", frame(0, false) + "data: {\n\n", 1, false),
+        row(
+            "oversized frame",
+            frame(0, false) + "data: " + &"x".repeat(600),
+            1,
+            false,
+        ),
+        row(
+            "more after the last",
+            two.clone() + &frame(2, false),
+            2,
+            true,
+        ),
+        row("nothing", String::new(), 0, false),
+    ];
+    for case in cases {
+        let said = answer("200 OK", "", &case.body);
+        let target = Target {
+            address: serve(report(), said, true).await,
+            boot: Some(BOOT),
+            generation: Generation(4),
+        };
+        let request = Generate {
+            attempt: ATTEMPT,
+            model: Model::try_from("m").unwrap(),
+            prompt: String::new(),
+            resume_after: String::new(),
+            resume_tokens: 0,
+            max_tokens: 9,
+            priority: 0,
+            seed: 0,
+        };
+        let pool = Pool::new(bounds());
+        let within = Duration::from_millis(300);
+        let stream = engine::generate(&pool, target, &request, || true, within).await;
+        let mut stream = stream.unwrap();
+        let (mut arrived, mut failures) = (0, 0);
+        while let Some(next) = stream.next().await {
+            arrived += usize::from(next.is_ok());
+            failures += usize::from(next.is_err());
+        }
+        assert_eq!(arrived, case.arrive, "{}", case.name);
+        assert_eq!(failures, usize::from(!case.whole), "{}", case.name);
+    }
+}
--- /dev/null
+++ b/crates/backend/tests/sse.rs
@@ -0,0 +1,116 @@
+//! Decoding of server-sent events.
+
+use backend::sse::{Decoder, Oversized};
+use proptest::prelude::{any, prop, proptest};
+
+/// A bound that no event of a test exceeds by accident.
+const MAX_BYTES: usize = 64;
+
+/// Returns the events of `pieces`, and whether one was too large.
+fn decode<'a>(pieces: impl IntoIterator<Item = &'a [u8]>) -> (Vec<Vec<u8>>, bool) {
+    let mut decoder = Decoder::new(MAX_BYTES);
+    let mut events = Vec::new();
+    for piece in pieces {
+        decoder.push(piece);
+        loop {
+            match decoder.next_event() {
+                Ok(Some(event)) => events.push(event),
+                Ok(None) => break,
+                Err(Oversized) => return (events, true),
+            }
+        }
+    }
+    (events, false)
+}
+
+/// A stream and the events in it.
+struct Case {
+    name: &'static str,
+    stream: &'static str,
+    events: &'static [&'static str],
+    oversized: bool,
+}
+
+const CASES: &[Case] = &[
+    Case {
+        name: "two events",
+        stream: "data: a\n\ndata: b\n\n",
+        events: &["a", "b"],
+        oversized: false,
+    },
+    Case {
+        name: "all line ends",
+        stream: "data: a\r\n\r\ndata: b\r\rdata: c\n\n",
+        events: &["a", "b", "c"],
+        oversized: false,
+    },
+    Case {
+        name: "several lines, no space",
+        stream: "data:a\ndata:  b\ndata\n\n",
+        events: &["a\n b\n"],
+        oversized: false,
+    },
+    Case {
+        name: "other fields and comments",
+        stream: ": hi\nevent: x\ndatas: no\nid: 3\ndata: a\n\nretry: 5\n\n",
+        events: &["a"],
+        oversized: false,
+    },
+    Case {
+        name: "cut short",
+        stream: "data: a\n\ndata: b\n",
+        events: &["a"],
+        oversized: false,
+    },
+    Case {
+        name: "a line too long",
+        stream: "data: a\n\ndata: 0123456789012345678901234567890123456789012345678901234567890123456789",
+        events: &["a"],
+        oversized: true,
+    },
+    Case {
+        name: "lines too long together",
+        stream: "data: 012345678901234567890123456789\ndata: 012345678901234567890123456789\ndata: 0123456789\n\n",
+        events: &[],
+        oversized: true,
+    },
+];
+
+#[test]
+fn streams_decode() {
+    for case in CASES {
+        let (events, oversized) = decode([case.stream.as_bytes()]);
+        let expected: Vec<_> = case.events.iter().map(|e| e.as_bytes().to_vec()).collect();
+        assert_eq!(
+            (events, oversized),
+            (expected, case.oversized),
+            "{}",
+            case.name
+        );
+    }
+}
+
+proptest! {
+    /// Any bytes decode the same however they are cut, within the bound.
+    #[test]
+    fn cuts_do_not_matter(
+        stream in prop::collection::vec(
+            prop::sample::select(b"data: \r\n\xffx:".to_vec()),
+            0..300,
+        ),
+        width in 1usize..20,
+    ) {
+        let whole = decode([&stream[..]]);
+        let cut = decode(stream.chunks(width));
+        assert_eq!(&whole, &cut);
+        assert!(whole.0.iter().all(|event| event.len() <= MAX_BYTES));
+    }
+
+    /// Data that was encoded comes back, from any bytes without line ends.
+    #[test]
+    fn data_comes_back(data in prop::collection::vec(any::<u8>(), 0..40)) {
+        let data: Vec<u8> = data.into_iter().filter(|b| !b"\r\n".contains(b)).collect();
+        let stream = [b"data: ", &data[..], b"\n\n"].concat();
+        assert_eq!(decode([&stream[..]]), (vec![data], false));
+    }
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -22,4 +22,4 @@
 pub use host::Mode;
 pub use server::{Faults, Server};
 pub use shape::{Domain, Shape};
-pub use world::{World, serve};
+pub use world::{Process, World, serve};
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -279,24 +279,56 @@
     host: Host,
 }
 
+/// The stand-ins as one process. Dropping it ends all servers.
+#[derive(Debug)]
+pub struct Process(Arc<Control>);
+
+impl Process {
+    /// Starts the stand-ins of `settings`, and their control route.
+    ///
+    /// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a server cannot listen.
+    pub async fn start(settings: &settings::Standin) -> io::Result<Self> {
+        let world = World::start_settings(settings).await?;
+        let (host, bound) = Host::bind(settings.ports.control).await?;
+        let control = Arc::new(Control { world, host });
+        let router = Router::new()
+            .route("/command", post(command))
+            .route("/counters", get(counters))
+            .with_state(Arc::clone(&control));
+        host::serve(bound, &control, |control| &control.host, router);
+        Ok(Self(control))
+    }
+
+    /// Returns the address of the control route.
+    pub fn control_address(&self) -> SocketAddr {
+        self.0.host.address()
+    }
+
+    /// Returns what runs.
+    pub fn world(&self) -> &World {
+        &self.0.world
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.0.host.end();
+    }
+}
+
 /// Serves the stand-ins of `settings` until `stop` ends.
 ///
-/// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`].
-///
 /// # Errors
 ///
 /// Returns an error if a server cannot listen.
 pub async fn serve(settings: &settings::Standin, stop: impl Future<Output = ()>) -> io::Result<()> {
-    let world = World::start_settings(settings).await?;
-    let (host, bound) = Host::bind(settings.ports.control).await?;
-    let control = Arc::new(Control { world, host });
-    let router = Router::new()
-        .route("/command", post(command))
-        .route("/counters", get(counters))
-        .with_state(Arc::clone(&control));
-    host::serve(bound, &control, |control| &control.host, router);
+    let process = Process::start(settings).await?;
     stop.await;
-    control.host.end();
+    drop(process);
     Ok(())
 }
 
--- a/crates/standin/tests/common/mod.rs
+++ b/crates/standin/tests/all/common.rs
@@ -76,23 +76,40 @@
     /// Forms a replica of the first `members` engines.
     pub async fn start(members: usize) -> Self {
         let world = World::start(&small(), 1).await.unwrap();
-        let servers = world.servers()[..members].to_vec();
-        let formed = Self {
-            world,
+        let formed = Self::new(world, members);
+        formed.send_orders(GENERATION).await;
+        formed.until_ready(GENERATION).await;
+        formed
+    }
+
+    /// Returns the first `members` engines of `world`, not yet a replica.
+    pub fn new(world: World, members: usize) -> Self {
+        Self {
+            servers: world.servers()[..members].to_vec(),
             pool: Pool::new(bounds()),
-            servers,
-        };
-        for (member, server) in formed.servers.iter().enumerate() {
-            let order = formed.order(member, GENERATION);
+            world,
+        }
+    }
+
+    /// Orders all members to join at `generation`.
+    pub async fn send_orders(&self, generation: u64) {
+        for (member, server) in self.servers.iter().enumerate() {
+            let order = self.order(member, generation);
             let address = server.listed().address;
-            engine::order(&formed.pool, address, &order, || true)
-                .await
-                .unwrap();
+            let sent = engine::order(&self.pool, address, &order, || true).await;
+            sent.unwrap();
         }
-        for server in &formed.servers {
-            until(|| server.report().phase == Phase::Ready).await;
+    }
+
+    /// Waits until all members serve at `generation`.
+    pub async fn until_ready(&self, generation: u64) {
+        for server in &self.servers {
+            until(|| {
+                let report = server.report();
+                report.phase == Phase::Ready && report.generation == Generation(generation)
+            })
+            .await;
         }
-        formed
     }
 
     /// Returns the order to a member.
--- a/crates/standin/tests/drive.rs
+++ b/crates/standin/tests/all/drive.rs
@@ -1,15 +1,11 @@
 //! The clients of systems outside against the stand-ins.
 
-#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
-
-mod common;
-
+use crate::common::{self, Formed, call, generate, small};
 use backend::{
     Connection, Pool, Target, engine,
     proto::{Finish, Phase},
     service,
 };
-use common::{Formed, call, generate, small};
 use name::{Attempt, Generation};
 use standin::{Command, Faults, Mode, Server, World, engine::answer};
 use std::time::Duration;
