Keep the connection of a refused request

Refusals are many while a replica is full, and each cost a new connection with its report. The body of a refusal is read and its connection kept; the verdict does not depend on it.

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -64,6 +64,11 @@
         })
     }
 
+    /// Returns the address of the other side.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns whether a request can be sent.
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -94,12 +94,12 @@
     still_allowed: impl FnOnce() -> bool + Send + 'static,
     within: Duration,
 ) -> Result<Answer, Failure> {
-    let mut connection = pool.take(target.address, target.boot).await?;
+    let connection = pool.take(target.address, target.boot).await?;
     let attempt = generate.attempt;
     let request = attempt_request("/v1/generate", &target, attempt, json(generate)?)?;
     let check = Box::new(still_allowed);
-    let bounds = pool.bounds();
-    let response = send_attempt(&mut connection, request, attempt, check, within, bounds).await?;
+    let sent = send_attempt(pool, connection, request, attempt, check, within);
+    let (response, connection) = sent.await?;
     let first = generate.resume_tokens;
     let body = response.into_body();
     Ok(Answer::new(pool, target, attempt, first, body, connection))
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -133,17 +133,18 @@
     Ok(request)
 }
 
-/// Sends an attempt and returns the head of its accepted answer.
+/// Sends an attempt; returns the head of its accepted answer and its connection.
 ///
 /// An answer that does not repeat the attempt id is discarded, whatever it says.
+/// The connection of a refusal is kept, since refusals are many under overload.
 pub(crate) async fn send_attempt(
-    connection: &mut Connection,
+    pool: &Pool,
+    mut connection: Connection,
     request: Request<Full<Bytes>>,
     attempt: Attempt,
     check: Check,
     within: Duration,
-    bounds: &Bounds,
-) -> Result<Response<Incoming>, Failure> {
+) -> Result<(Response<Incoming>, Connection), Failure> {
     let response = connection.wire.send(request, check, within).await?;
     let header = |name: &str| response.headers().get(name).and_then(|v| v.to_str().ok());
     let repeated = header(ATTEMPT_HEADER).and_then(|text| text.parse().ok());
@@ -151,21 +152,27 @@
         let message = "the answer belongs to another attempt";
         return Err(Failure::may_have_run(Kind::Upstream, message));
     }
-    match response.status() {
-        StatusCode::OK => Ok(response),
-        StatusCode::CONFLICT => {
-            let body = time::timeout(bounds.answer, read_body(response.into_body(), bounds)).await;
-            let body = body.unwrap_or_else(|_| Err(slow()))?;
-            let refusal: Refusal = parse(&body)?;
-            Err(Failure::stale(refusal))
-        }
-        StatusCode::SERVICE_UNAVAILABLE if header(REFUSED_HEADER) == Some("1") => {
-            let message = "the backend server refused the request";
-            Err(Failure::not_run(Kind::Overloaded, message))
-        }
-        status => {
-            let message = format!("the backend server answered with {status}");
-            Err(Failure::may_have_run(Kind::Upstream, message))
-        }
+    let status = response.status();
+    let refused = header(REFUSED_HEADER) == Some("1");
+    let is_stale = status == StatusCode::CONFLICT;
+    let is_refused = status == StatusCode::SERVICE_UNAVAILABLE && refused;
+    if status == StatusCode::OK {
+        return Ok((response, connection));
+    }
+    if !is_stale && !is_refused {
+        let message = format!("the backend server answered with {status}");
+        return Err(Failure::may_have_run(Kind::Upstream, message));
+    }
+    let body = read_body(response.into_body(), pool.bounds());
+    let body = time::timeout(pool.bounds().answer, body).await;
+    let body = body.unwrap_or_else(|_| Err(slow()));
+    if body.is_ok() {
+        pool.put(connection.wire.address(), connection);
+    }
+    if is_refused {
+        let message = "the backend server refused the request";
+        return Err(Failure::not_run(Kind::Overloaded, message));
     }
+    let refusal: Refusal = parse(&body?)?;
+    Err(Failure::stale(refusal))
 }
--- a/crates/backend/src/service.rs
+++ b/crates/backend/src/service.rs
@@ -48,12 +48,12 @@
         let key = key.map_err(|error| Failure::not_run(Kind::Malformed, error.to_string()))?;
         request.headers_mut().insert(KEY_HEADER, key);
     }
-    let bounds = pool.bounds();
-    let mut connection = pool.take(target.address, target.boot).await?;
+    let connection = pool.take(target.address, target.boot).await?;
     let check = Box::new(still_allowed);
     let attempt = call.attempt;
-    let response = send_attempt(&mut connection, request, attempt, check, within, bounds).await?;
-    let body = time::timeout(within, read_body(response.into_body(), bounds)).await;
+    let sent = send_attempt(pool, connection, request, attempt, check, within);
+    let (response, connection) = sent.await?;
+    let body = time::timeout(within, read_body(response.into_body(), pool.bounds())).await;
     let body = body.unwrap_or_else(|_| Err(slow()))?;
     let answer: CallAnswer = parse(&body)?;
     if answer.attempt != attempt {
