Serve the log by its published messages

The stand-in had messages of its own while those of the log area were written. It now shares them, refuses batches above the published bound and keeps answers within the published size. The log client's two kinds of failure are tested against it: a lost acknowledgement is open, an append above the rate is known not to have happened.

--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -11,11 +11,11 @@
 mod counters;
 pub mod engine;
 mod host;
-mod log;
 mod platform;
 mod server;
 mod service;
 mod shape;
+mod stream;
 mod world;
 
 pub use command::Command;
--- a/crates/standin/src/log.rs
+++ b/crates/standin/src/stream.rs
@@ -1,10 +1,4 @@
-//! The append-only log service.
-//!
-//! | route | body | answer |
-//! |---|---|---|
-//! | `POST /streams/{stream}/append` | `{"records":["..."]}` | `{"first":offset}`, or 429 above the rate |
-//! | `GET /streams/{stream}/records?from=&max=&wait_ms=` | none | `{"first","tail","records":[{"offset","at_ms","data"}]}` |
-
+//! The append-only log service, which speaks [`log::proto`].
 use crate::{
     counters::Shared,
     host::{self, Host, broken_body},
@@ -16,6 +10,8 @@
     response::{IntoResponse, Response},
     routing::{get, post},
 };
+use log::proto::{self, Append, Appended, Entry, MAX_BATCH_RECORDS, MAX_BODY_BYTES, Records};
+use name::Offset;
 use std::{
     collections::{BTreeMap, VecDeque},
     io,
@@ -31,68 +27,37 @@
 /// The most records of one answer.
 const MAX_RECORDS: usize = 1_000;
 
-/// The largest body of an append.
-const MAX_APPEND_BYTES: usize = 64 << 20;
-
-/// Records to append.
-#[common::value]
-struct Append {
-    records: Vec<String>,
-}
-
-/// The offset of the first record appended.
-#[common::value]
-struct Appended {
-    first: u64,
-}
-
-/// Which records are asked for.
-#[common::value]
-struct Range {
-    #[serde(default)]
-    from: u64,
-    max: Option<usize>,
-    #[serde(default)]
-    wait_ms: u64,
-}
-
-/// A record with its place.
-#[common::value]
-struct Record {
-    offset: u64,
-    at_ms: u64,
-    data: String,
-}
-
-/// Records, and which the stream keeps.
-#[common::value]
-struct Records {
-    first: u64,
-    tail: u64,
-    records: Vec<Record>,
-}
+/// The largest sum of records of one answer; encoding may double it.
+const MAX_ANSWER_BYTES: usize = MAX_BODY_BYTES / 4;
 
 /// A stream: the records from `first` on.
 #[derive(Debug)]
 struct Stream {
-    first: u64,
-    records: VecDeque<Record>,
+    first: Offset,
+    records: VecDeque<Entry>,
 }
 
 impl Stream {
     /// Returns the offset after the last record.
-    fn tail(&self) -> u64 {
-        self.first + self.records.len() as u64
+    fn tail(&self) -> Offset {
+        Offset(self.first.0 + self.records.len() as u64)
     }
 
     /// Returns at most `max` records from `from` on.
-    fn read(&self, from: u64, max: usize) -> Records {
-        let skip = usize::try_from(from.saturating_sub(self.first)).unwrap_or(usize::MAX);
-        let records = self.records.iter().skip(skip).take(max).cloned();
+    fn read(&self, from: Offset, max: usize) -> Records {
+        let skip = from.0.saturating_sub(self.first.0);
+        let skip = usize::try_from(skip).unwrap_or(usize::MAX);
+        let mut bytes = 0;
+        let records = self.records.iter().skip(skip).take(max);
+        let records = records.take_while(|record| {
+            let is_first = bytes == 0;
+            bytes += record.data.len();
+            is_first || bytes <= MAX_ANSWER_BYTES
+        });
         Records {
             first: self.first,
             tail: self.tail(),
-            records: records.collect(),
+            records: records.cloned().collect(),
         }
     }
 }
@@ -110,7 +75,7 @@
 impl Inner {
     fn stream(&mut self, name: &str) -> &mut Stream {
         let empty = || Stream {
-            first: 1,
+            first: Offset(1),
             records: VecDeque::new(),
         };
         self.streams.entry(name.into()).or_insert_with(empty)
@@ -163,7 +128,7 @@
         let router = Router::new()
             .route("/streams/{stream}/append", post(append))
             .route("/streams/{stream}/records", get(records))
-            .layer(DefaultBodyLimit::max(MAX_APPEND_BYTES))
+            .layer(DefaultBodyLimit::max(MAX_BODY_BYTES))
             .with_state(Arc::clone(&log));
         host::serve(bound, &log, |log| &log.host, router);
         Ok(log)
@@ -184,13 +149,13 @@
     pub(crate) fn expire(&self, stream: &str, to: u64) {
         let mut inner = self.lock();
         let stream = inner.stream(stream);
-        while stream.first <= to && stream.records.pop_front().is_some() {
-            stream.first += 1;
+        while stream.first.0 <= to && stream.records.pop_front().is_some() {
+            stream.first = stream.first.next();
         }
     }
 
     /// Appends `records` and returns the first offset, and whether to acknowledge it.
-    fn append(&self, stream: &str, records: Vec<String>) -> Option<(u64, bool)> {
+    fn append(&self, stream: &str, records: Vec<Arc<str>>) -> Option<(Offset, bool)> {
         let mut inner = self.lock();
         if !inner.allow(self.appends_per_s) {
             return None;
@@ -199,9 +164,9 @@
         let at_ms = now.map_or(0, |now| u64::try_from(now.as_millis()).unwrap_or(u64::MAX));
         let stream = inner.stream(stream);
         let first = stream.tail();
-        for (offset, data) in (first..).zip(records) {
-            stream.records.push_back(Record {
-                offset,
+        for data in records {
+            stream.records.push_back(Entry {
+                offset: stream.tail(),
                 at_ms,
                 data,
             });
@@ -223,6 +188,9 @@
     log.shared.count(|counters| counters.appends += 1);
     let slow = log.lock().slow;
     time::sleep(slow).await;
+    if body.records.len() > MAX_BATCH_RECORDS {
+        return StatusCode::PAYLOAD_TOO_LARGE.into_response();
+    }
     match log.append(&stream, body.records) {
         None => StatusCode::TOO_MANY_REQUESTS.into_response(),
         Some((_, false)) => Response::new(broken_body()),
@@ -234,12 +202,12 @@
 async fn records(
     State(log): State<Arc<Log>>,
     Path(stream): Path<String>,
-    Query(range): Query<Range>,
+    Query(range): Query<proto::Query>,
 ) -> Json<Records> {
     log.shared.count(|counters| counters.reads += 1);
     let slow = log.lock().slow;
     time::sleep(slow).await;
-    let max = range.max.unwrap_or(MAX_RECORDS).min(MAX_RECORDS);
+    let max = range.max.min(MAX_RECORDS);
     let end = Instant::now() + Duration::from_millis(range.wait_ms);
     loop {
         let appended = log.appended.notified();
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -4,9 +4,9 @@
     Command, Counters, Mode, Server, Shape,
     counters::Shared,
     host::{self, Host},
-    log::Log,
     platform::{List, Store},
     server::{Around, Registry},
+    stream::Log,
 };
 use axum::{
     Json, Router,
--- a/crates/standin/tests/all/platform.rs
+++ b/crates/standin/tests/all/platform.rs
@@ -5,10 +5,10 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
-use name::Model;
+use name::{Model, Offset};
 use serde_json::{Value, json};
 use standin::{Command, Mode, World};
-use std::net::SocketAddr;
+use std::{net::SocketAddr, time::Duration};
 
 /// Sends a request; returns the status, zero if there was no whole answer.
 async fn send(address: SocketAddr, method: &str, path: &str, body: Value) -> (u16, Value) {
@@ -32,6 +32,34 @@
     }
 }
 
+#[tokio::test]
+async fn the_log_client_tells_lost_from_refused() {
+    let mut shape = small();
+    // One request at first, and no more ever.
+    shape.speed.appends_per_s = 0;
+    let world = World::start(&shape, 1).await.unwrap();
+    let long = Duration::from_secs(30);
+    let timeouts = log::Timeouts {
+        connect: long,
+        append: long,
+        read: long,
+    };
+    let client = log::Client::new(world.log_address(), "s".into(), timeouts);
+    let lose = Command::Log {
+        mode: Mode::Up,
+        slow_ms: 0,
+        lose_acknowledgements: 1,
+    };
+    assert!(world.apply(&lose));
+    let lost = client.append(&["a".into()]).await;
+    assert!(!lost.unwrap_err().is_not_appended());
+    let refused = client.append(&["b".into()]).await;
+    assert!(refused.unwrap_err().is_not_appended());
+    let page = client.read(Offset(1), 9, Duration::ZERO).await.unwrap();
+    assert_eq!((page.first, page.tail), (Offset(1), Offset(2)));
+    assert_eq!(&*page.entries[0].data, "a");
+}
+
 /// A step with the log: a command before, a request, its status and answer.
 struct Step {
     name: &'static str,
@@ -70,7 +98,7 @@
             "empty",
             None,
             &[][..],
-            "from=1",
+            "from=1&max=9&wait_ms=0",
             200,
             json!({"first": 1, "tail": 1}),
         ),
@@ -94,7 +122,7 @@
             "it took effect",
             None,
             &[][..],
-            "from=3&max=1",
+            "from=3&max=1&wait_ms=0",
             200,
             json!({"first": 1, "tail": 4}),
         ),
@@ -111,7 +139,7 @@
             "expired",
             expire,
             &[][..],
-            "from=1",
+            "from=1&max=9&wait_ms=0",
             200,
             json!({"first": 3, "tail": 5}),
         ),
@@ -143,7 +171,7 @@
     let world = World::start(&small(), 1).await.unwrap();
     let address = world.log_address();
     let poll = tokio::spawn(async move {
-        let path = "/streams/s/records?from=1&wait_ms=600000";
+        let path = "/streams/s/records?from=1&max=9&wait_ms=600000";
         send(address, "GET", path, Value::Null).await
     });
     until(|| world.counters().reads == 1).await;
@@ -211,7 +239,7 @@
         formed.target(),
         &request,
         || true,
-        std::time::Duration::from_secs(30),
+        Duration::from_secs(30),
     );
     let mut stream = stream.await.unwrap();
     while stream.next().await.is_some() {}
