Part clients by address, and let engines serve the urgent first

A partition is between some nodes and some systems. Clients of backend servers can connect from an address of their own, and the stand-ins hold what comes from a parted one, requests and streams alike. A full engine now takes the most urgent of those that wait, as the published protocol's priorities ask. The mode is read after a connection's life was taken, so a refusal that starts in between is not missed.

--- a/crates/backend/src/bounds.rs
+++ b/crates/backend/src/bounds.rs
@@ -1,10 +1,12 @@
 //! Bounds on the time and size of answers.
 
-use std::time::Duration;
+use std::{net::IpAddr, time::Duration};
 
 /// Bounds on the time and size of answers.
 #[common::plain]
 pub struct Bounds {
+    /// The address to connect from; the system chooses without one.
+    pub source: Option<IpAddr>,
     /// The longest time for a connection to be made.
     pub connect: Duration,
     /// The longest time for a short answer, as a report, to arrive whole.
@@ -20,9 +22,10 @@
 }
 
 impl Default for Bounds {
-    /// Returns 500 ms, 2 s, 10 s, 8 MiB, 64 KiB and 16 connections.
+    /// Returns any source, 500 ms, 2 s, 10 s, 8 MiB, 64 KiB and 16 connections.
     fn default() -> Self {
         Self {
+            source: None,
             connect: Duration::from_millis(500),
             answer: Duration::from_secs(2),
             idle: Duration::from_secs(10),
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -14,8 +14,16 @@
 };
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+    time,
+};
 use uuid::Uuid;
 use verdict::Kind;
 
@@ -42,7 +50,7 @@
             let message = format!("cannot connect to {address}: {problem}");
             Failure::not_run(Kind::Unavailable, message)
         };
-        let stream = time::timeout(bounds.connect, TcpStream::connect(address)).await;
+        let stream = time::timeout(bounds.connect, connect(address, bounds.source)).await;
         let stream = stream.map_err(|_| failed("timed out".into()))?;
         let stream = stream.map_err(|error| failed(error.to_string()))?;
         // Small requests would otherwise wait for the acknowledgement of the last.
@@ -156,6 +164,19 @@
     }
 }
 
+/// Connects to `address`, from the address `source` if one is given.
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Reads a report, which asks for no work and so never has run any.
 async fn read_report(wire: &mut Wire, bounds: &Bounds) -> Result<Report, Failure> {
     let read = read_json(wire, "/v1/report", bounds).await;
--- a/crates/standin/src/command.rs
+++ b/crates/standin/src/command.rs
@@ -2,6 +2,21 @@
 
 use crate::{Faults, Mode};
 use name::{Domain, Instance};
+use std::net::IpAddr;
+
+/// A part of the world that clients can be parted from.
+#[common::value]
+#[serde(rename_all = "snake_case")]
+pub enum Place {
+    /// The backend servers of a failure domain.
+    Domain(Domain),
+    /// The log service.
+    Log,
+    /// The instance list.
+    Instances,
+    /// The weight store.
+    Weights,
+}
 
 /// A command that brings about a fault or undoes it.
 #[common::value]
@@ -49,6 +64,18 @@
         /// How they treat connections.
         mode: Mode,
     },
+    /// Parts a place from the clients at one address, or joins them again.
+    ///
+    /// Loopback has many addresses, so that entry nodes on one machine can be
+    /// told apart by the address that they connect from.
+    Part {
+        /// The address that the clients connect from.
+        from: IpAddr,
+        /// What they are parted from.
+        to: Place,
+        /// Whether they are parted.
+        parted: bool,
+    },
     /// Marks an instance as leaving in the list, or removes it.
     Retire {
         /// The instance.
--- a/crates/standin/src/counters.rs
+++ b/crates/standin/src/counters.rs
@@ -89,9 +89,8 @@
         change(&mut self.counters.lock().unwrap_or_else(PoisonError::into_inner));
     }
 
-    /// Returns a copy of the counters.
-    pub(crate) fn get(&self) -> Counters {
-        let counters = self.counters.lock().unwrap_or_else(PoisonError::into_inner);
-        counters.clone()
+    /// Returns what `ask` finds in the counters.
+    pub(crate) fn inspect<T>(&self, ask: impl FnOnce(&Counters) -> T) -> T {
+        ask(&self.counters.lock().unwrap_or_else(PoisonError::into_inner))
     }
 }
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,7 +1,7 @@
 //! A model engine: orders, generation, its prefix cache.
 
 use crate::{
-    host::{Lived, Mode, broken_body, while_hung},
+    host::{Lived, broken_body},
     server::{Life, Membership, Rejected, Running, Server},
     service::{attempt, rejected},
 };
@@ -21,7 +21,7 @@
 use futures_util::stream;
 use name::{Attempt, Generation, Model};
 use std::{io, sync::Arc, time::Duration};
-use tokio::{sync::watch, time};
+use tokio::time;
 
 /// The time between two looks at the other members.
 const JOIN_STEP: Duration = Duration::from_millis(10);
@@ -265,14 +265,14 @@
         server.around.shared.count(|c| c.wrong_resumes += 1);
         return (echoed, StatusCode::BAD_REQUEST).into_response();
     }
-    let running = match server.take(&lived, attempt).await {
+    let running = match server.take(&lived, attempt, request.priority).await {
         Ok(running) => running,
         Err(why) => return rejected(why),
     };
     if faults.lose_answers {
         return Response::new(broken_body());
     }
-    let stream = Stream::new(running, &request, tokens, membership);
+    let stream = Stream::new(running, lived, &request, tokens, membership);
     let body = Body::from_stream(stream::unfold(stream, Stream::step));
     let kind = [(header::CONTENT_TYPE, "text/event-stream")];
     (echoed, kind, body).into_response()
@@ -281,7 +281,7 @@
 /// A generated answer on its way.
 struct Stream {
     running: Running,
-    hung: watch::Receiver<Mode>,
+    lived: Lived,
     attempt: Attempt,
     membership: Membership,
     tokens: Vec<String>,
@@ -297,6 +297,7 @@
     /// Returns the stream of `tokens` behind those already delivered.
     fn new(
         running: Running,
+        lived: Lived,
         request: &Generate,
         tokens: Vec<String>,
         membership: Membership,
@@ -317,7 +318,7 @@
             false => speed.first_token_ms,
         };
         Self {
-            hung: server.host.watch(),
+            lived,
             attempt: request.attempt,
             full: tokens.len() as u64 >= u64::from(request.max_tokens),
             index: request.resume_tokens,
@@ -342,7 +343,7 @@
             () = time::sleep(server.pace(self.wait)) => {}
             () = cancelled.cancelled() => return Some((Err(io::ErrorKind::Interrupted.into()), self)),
         }
-        while_hung(&mut self.hung).await;
+        self.lived.while_held().await;
         self.wait = self.token_ms;
         let faults = server.faults();
         if faults.stall_after.is_some_and(|after| self.sent >= after) {
--- a/crates/standin/src/host.rs
+++ b/crates/standin/src/host.rs
@@ -3,7 +3,7 @@
 use axum::{
     Extension, Router,
     body::Body,
-    extract::{Request, State},
+    extract::Request,
     middleware::{self, Next},
     response::Response,
 };
@@ -12,8 +12,9 @@
 use hyper::server::conn::http1;
 use hyper_util::{rt::TokioIo, service::TowerToHyperService};
 use std::{
+    collections::BTreeSet,
     io,
-    net::SocketAddr,
+    net::{IpAddr, SocketAddr},
     sync::{Arc, Mutex, PoisonError},
 };
 use tokio::{
@@ -34,11 +35,19 @@
     Hang,
 }
 
+/// Whom a server reaches.
+#[derive(Debug, Clone)]
+pub(crate) struct Reach {
+    mode: Mode,
+    /// The addresses of clients that are cut off.
+    parted: BTreeSet<IpAddr>,
+}
+
 /// A server on loopback.
 #[derive(Debug)]
 pub(crate) struct Host {
     address: SocketAddr,
-    mode: watch::Sender<Mode>,
+    reach: watch::Sender<Reach>,
     life: Mutex<CancellationToken>,
     end: CancellationToken,
 }
@@ -48,11 +57,14 @@
     pub(crate) async fn bind(address: SocketAddr) -> io::Result<(Self, Bound)> {
         let listener = TcpListener::bind(address).await?;
         let address = listener.local_addr()?;
-        let (mode, _) = watch::channel(Mode::Up);
+        let (reach, _) = watch::channel(Reach {
+            mode: Mode::Up,
+            parted: BTreeSet::new(),
+        });
         let end = CancellationToken::new();
         let host = Self {
             address,
-            mode,
+            reach,
             life: Mutex::default(),
             end: end.clone(),
         };
@@ -66,17 +78,25 @@
 
     /// Returns how it treats connections.
     pub(crate) fn mode(&self) -> Mode {
-        *self.mode.borrow()
+        self.reach.borrow().mode
     }
 
     /// Sets how it treats connections; refusing also cuts those that exist.
     pub(crate) fn set_mode(&self, mode: Mode) {
-        self.mode.send_replace(mode);
+        self.reach.send_modify(|reach| reach.mode = mode);
         if mode == Mode::Refuse {
             self.cut();
         }
     }
 
+    /// Parts the server from the clients at `from`, or joins them again.
+    pub(crate) fn set_parted(&self, from: IpAddr, parted: bool) {
+        self.reach.send_modify(|reach| match parted {
+            true => drop(reach.parted.insert(from)),
+            false => drop(reach.parted.remove(&from)),
+        });
+    }
+
     /// Closes all connections.
     pub(crate) fn cut(&self) {
         let mut life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
@@ -89,26 +109,37 @@
         self.end.cancel();
     }
 
-    /// Returns a receiver that [`while_hung`] waits on.
-    pub(crate) fn watch(&self) -> watch::Receiver<Mode> {
-        self.mode.subscribe()
-    }
-
-    /// Returns the life that a connection of now belongs to.
-    pub(crate) fn lived(&self) -> Lived {
+    /// Returns the life that a connection of now, from `peer`, belongs to.
+    pub(crate) fn lived(&self, peer: IpAddr) -> Lived {
         let life = self.life.lock().unwrap_or_else(PoisonError::into_inner);
-        Lived(life.clone())
+        Lived {
+            life: life.clone(),
+            reach: self.reach.subscribe(),
+            peer,
+        }
     }
 }
 
-/// The life that a request's connection belongs to.
+/// The life that a request's connection belongs to, and whom it comes from.
 #[derive(Debug, Clone)]
-pub(crate) struct Lived(CancellationToken);
+pub(crate) struct Lived {
+    life: CancellationToken,
+    reach: watch::Receiver<Reach>,
+    peer: IpAddr,
+}
 
 impl Lived {
     /// Returns whether that life has ended, and with it the request.
     pub(crate) fn is_over(&self) -> bool {
-        self.0.is_cancelled()
+        self.life.is_cancelled()
+    }
+
+    /// Waits while the server hangs or is parted from the client.
+    pub(crate) async fn while_held(&mut self) {
+        let peer = self.peer;
+        let reaches = |reach: &Reach| reach.mode != Mode::Hang && !reach.parted.contains(&peer);
+        // An ended sender means an ended server, whose connections end by themselves.
+        let _ = self.reach.wait_for(reaches).await;
     }
 }
 
@@ -126,8 +157,7 @@
     host: fn(&T) -> &Host,
     router: Router,
 ) {
-    let hung = host(owner).watch();
-    let router = router.layer(middleware::from_fn_with_state(hung, hold));
+    let router = router.layer(middleware::from_fn(hold));
     let owner = Arc::downgrade(owner);
     tokio::spawn(async move {
         loop {
@@ -137,10 +167,12 @@
             };
             let Some(owner) = owner.upgrade() else { return };
             let host = host(&owner);
-            if let Ok((stream, _)) = accepted
-                && host.mode() != Mode::Refuse
-            {
-                let lived = host.lived();
+            let Ok((stream, peer)) = accepted else {
+                continue;
+            };
+            // Taken before the look at the mode, so that a cut after it is seen.
+            let lived = host.lived(peer.ip());
+            if host.mode() != Mode::Refuse {
                 tokio::spawn(connection(stream, router.clone(), lived, bound.end.clone()));
             }
         }
@@ -155,27 +187,17 @@
     let serving = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
     tokio::select! {
         biased;
-        () = lived.0.cancelled() => {}
+        () = lived.life.cancelled() => {}
         () = end.cancelled() => {}
         _ = serving => {}
     }
 }
 
-/// Waits while the server hangs.
-pub(crate) async fn while_hung(mode: &mut watch::Receiver<Mode>) {
-    // An ended sender means an ended server, whose connections end by themselves.
-    let _ = mode.wait_for(|mode| *mode != Mode::Hang).await;
-}
-
-/// Holds a request, and then its answer, while the server hangs.
-async fn hold(
-    State(mut mode): State<watch::Receiver<Mode>>,
-    request: Request,
-    next: Next,
-) -> Response {
-    while_hung(&mut mode).await;
+/// Holds a request, and then its answer, while its client is not reached.
+async fn hold(Extension(mut lived): Extension<Lived>, request: Request, next: Next) -> Response {
+    lived.while_held().await;
     let response = next.run(request).await;
-    while_hung(&mut mode).await;
+    lived.while_held().await;
     response
 }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,7 +18,7 @@
 mod stream;
 mod world;
 
-pub use command::Command;
+pub use command::{Command, Place};
 pub use counters::Counters;
 pub use host::Mode;
 pub use server::{Faults, Server};
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -15,7 +15,7 @@
 use name::{Instance, Model};
 use std::{
     io,
-    net::SocketAddr,
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
@@ -135,10 +135,11 @@
         };
         let step = LOAD_STEP.as_secs_f64();
         let mut left = f64::from(self.model_mib);
-        let mut mode = self.host.watch();
+        // A load comes from no client's address, so only hanging holds it.
+        let mut lived = self.host.lived(IpAddr::V4(Ipv4Addr::UNSPECIFIED));
         while left > 0.0 {
             time::sleep(LOAD_STEP).await;
-            host::while_hung(&mut mode).await;
+            lived.while_held().await;
             let sharing = f64::from((*self.loads()).max(1));
             left -= self.mib_per_s as f64 * step / sharing;
         }
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -88,7 +88,9 @@
     warm: bool,
     completions: u32,
     running: u32,
-    waiting: u32,
+    /// Those that wait, by priority and then by arrival.
+    waiting: BTreeSet<(u32, u64)>,
+    arrivals: u64,
     pub(crate) phase: Phase,
     pub(crate) membership: Option<Membership>,
     pub(crate) seen: Generation,
@@ -108,7 +110,8 @@
             warm: false,
             completions: 0,
             running: 0,
-            waiting: 0,
+            waiting: BTreeSet::new(),
+            arrivals: 0,
             phase: Phase::Idle,
             membership: None,
             seen: Generation::default(),
@@ -229,7 +232,7 @@
             warm_limit: speed.warm_limit,
             cold_limit: speed.cold_limit,
             running: life.running,
-            waiting: life.waiting,
+            waiting: u32::try_from(life.waiting.len()).unwrap_or(u32::MAX),
             fences: life.faults.fences,
         }
     }
@@ -288,6 +291,7 @@
         self: &Arc<Self>,
         lived: &Lived,
         attempt: Attempt,
+        priority: u32,
     ) -> Result<Running, Rejected> {
         let boot = self.lock_for(lived).ok_or(Rejected::Restarted)?.boot;
         let mut waiting = None;
@@ -295,9 +299,10 @@
             let freed = self.freed.notified();
             tokio::pin!(freed);
             freed.as_mut().enable();
-            match self.try_take(boot, attempt) {
+            let place = waiting.as_ref().map(|waiting: &Waiting<'_>| waiting.place);
+            match self.try_take(boot, attempt, place) {
                 Some(taken) => return taken,
-                None if waiting.is_none() => waiting = Some(Waiting::begin(self, boot)),
+                None if place.is_none() => waiting = Some(Waiting::begin(self, boot, priority)),
                 None => {}
             }
             freed.await;
@@ -309,6 +314,7 @@
         self: &Arc<Self>,
         boot: Uuid,
         attempt: Attempt,
+        place: Option<(u32, u64)>,
     ) -> Option<Result<Running, Rejected>> {
         let speed = &self.around.speed;
         let mut life = self.lock();
@@ -316,7 +322,8 @@
             return Some(Err(Rejected::Restarted));
         }
         let warm = life.warm(speed);
-        if warm && life.running >= speed.warm_limit {
+        let is_next = place.as_ref() == life.waiting.first();
+        if warm && (life.running >= speed.warm_limit || !is_next) {
             return None;
         }
         if !warm && life.running >= speed.cold_limit {
@@ -358,12 +365,23 @@
 struct Waiting<'a> {
     server: &'a Server,
     boot: Uuid,
+    place: (u32, u64),
 }
 
 impl<'a> Waiting<'a> {
-    fn begin(server: &'a Server, boot: Uuid) -> Self {
-        server.lock().waiting += 1;
-        Self { server, boot }
+    fn begin(server: &'a Server, boot: Uuid, priority: u32) -> Self {
+        let mut life = server.lock();
+        life.arrivals += 1;
+        let place = (priority, life.arrivals);
+        if life.boot == boot {
+            life.waiting.insert(place);
+        }
+        drop(life);
+        Self {
+            server,
+            boot,
+            place,
+        }
     }
 }
 
@@ -371,8 +389,11 @@
     fn drop(&mut self) {
         let mut life = self.server.lock();
         if life.boot == self.boot {
-            life.waiting = life.waiting.saturating_sub(1);
+            life.waiting.remove(&self.place);
         }
+        drop(life);
+        // Whoever is next now may find room.
+        self.server.freed.notify_waiters();
     }
 }
 
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -44,7 +44,7 @@
     let Some(attempt) = attempt(&headers) else {
         return StatusCode::BAD_REQUEST.into_response();
     };
-    let mut running = match server.take(&lived, attempt).await {
+    let mut running = match server.take(&lived, attempt, 0).await {
         Ok(running) => running,
         Err(why) => return rejected(why),
     };
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -1,7 +1,7 @@
 //! Everything outside, started together.
 
 use crate::{
-    Command, Counters, Mode, Server, Shape,
+    Command, Counters, Mode, Place, Server, Shape,
     counters::Shared,
     host::{self, Host},
     platform::{List, Store},
@@ -154,7 +154,12 @@
 
     /// Returns what the servers have seen.
     pub fn counters(&self) -> Counters {
-        self.shared.get()
+        self.shared.inspect(Clone::clone)
+    }
+
+    /// Returns what `ask` finds in the counters, without a copy of them.
+    pub fn inspect<T>(&self, ask: impl FnOnce(&Counters) -> T) -> T {
+        self.shared.inspect(ask)
     }
 
     /// Returns the time since the start, in milliseconds, as the counters state it.
@@ -173,6 +178,13 @@
                 }
                 return !inside.is_empty();
             }
+            Command::Part { from, to, parted } => {
+                let hosts = self.hosts(to);
+                hosts
+                    .iter()
+                    .for_each(|host| host.set_parted(*from, *parted));
+                return !hosts.is_empty();
+            }
             Command::Log {
                 mode,
                 slow_ms,
@@ -201,6 +213,19 @@
         true
     }
 
+    /// Returns the servers at `place`.
+    fn hosts(&self, place: &Place) -> Vec<&Host> {
+        match place {
+            Place::Domain(domain) => {
+                let inside = self.servers.iter().filter(|s| s.listed.domain == *domain);
+                inside.map(|server| &server.host).collect()
+            }
+            Place::Log => vec![&self.log.host],
+            Place::Instances => vec![&self.list.host],
+            Place::Weights => vec![&self.store.host],
+        }
+    }
+
     /// Carries out a command about one backend server.
     fn apply_to(&self, server: &Arc<Server>, command: &Command) {
         match command {
--- a/crates/standin/tests/all/drive.rs
+++ b/crates/standin/tests/all/drive.rs
@@ -343,6 +343,38 @@
     }
 }
 
+#[tokio::test]
+async fn a_full_engine_takes_the_most_urgent_next() {
+    let formed = Formed::start(2).await;
+    let lead = formed.lead();
+    lead.set_warm(true);
+    lead.set_faults(Faults {
+        stall_after: Some(0),
+        ..Faults::default()
+    });
+    let target = formed.target();
+    let start = |priority| {
+        let (pool, mut request) = (formed.pool.clone(), generate("prompt", 1, 8));
+        request.priority = priority;
+        tokio::spawn(async move { engine::generate(&pool, target, &request, || true, LONG).await })
+    };
+    let mut streams = Vec::new();
+    for _ in 0..lead.report().warm_limit {
+        streams.push(start(0).await.unwrap().unwrap());
+    }
+    let mut waiting = Vec::new();
+    for (n, priority) in [5, 1, 3].into_iter().enumerate() {
+        waiting.push(start(priority));
+        common::until(|| lead.report().waiting as usize == n + 1).await;
+    }
+    for next in [1, 1, 0] {
+        drop(streams.pop());
+        streams.push(waiting.remove(next).await.unwrap().unwrap());
+        let finished = waiting.iter().filter(|waiting| waiting.is_finished());
+        assert_eq!(finished.count(), 0);
+    }
+}
+
 /// An order, after a join at generation 5.
 struct Ordered {
     name: &'static str,
--- a/crates/standin/tests/all/platform.rs
+++ b/crates/standin/tests/all/platform.rs
@@ -7,7 +7,7 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use name::{Model, Offset};
 use serde_json::{Value, json};
-use standin::{Command, Mode, World};
+use standin::{Command, Mode, Place, World};
 use std::{net::SocketAddr, time::Duration};
 
 /// Sends a request; returns the status, zero if there was no whole answer.
@@ -286,6 +286,33 @@
     assert_ne!(engine::report(&pool, address).await.unwrap().boot, boot);
 }
 
+#[tokio::test]
+async fn a_partition_holds_only_one_side() {
+    let world = World::start(&small(), 1).await.unwrap();
+    let server = &world.servers()[0];
+    let address = server.listed().address;
+    let pool = |source: [u8; 4]| {
+        Pool::new(Bounds {
+            source: Some(source.into()),
+            ..common::bounds()
+        })
+    };
+    let (near, far) = (pool([127, 0, 0, 1]), pool([127, 0, 0, 2]));
+    let part = |parted| Command::Part {
+        from: [127, 0, 0, 2].into(),
+        to: Place::Domain(server.listed().domain.clone()),
+        parted,
+    };
+    assert!(world.apply(&part(true)));
+    let waiting = tokio::spawn(async move { engine::report(&far, address).await });
+    for _ in 0..100 {
+        engine::report(&near, address).await.unwrap();
+    }
+    assert!(!waiting.is_finished());
+    assert!(world.apply(&part(false)));
+    assert!(waiting.await.unwrap().is_ok());
+}
+
 #[tokio::test]
 async fn the_process_serves_commands_and_counters() {
     let text = r#"
