--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -25,6 +25,9 @@
 /// The most by which a server is slower or faster than the settings say.
 const SPREAD_PERCENT: u64 = 5;
 
+/// The most by which the load in a report lags.
+const LOAD_LAG: Duration = Duration::from_millis(200);
+
 /// Fault switches of a backend server.
 #[common::value]
 #[serde(default, deny_unknown_fields)]
@@ -91,6 +94,8 @@
     /// Those that wait, by priority and then by arrival.
     waiting: BTreeSet<(u32, u64)>,
     arrivals: u64,
+    /// The load that reports show, and since when.
+    shown: Option<(Instant, u32, u32)>,
     pub(crate) phase: Phase,
     pub(crate) membership: Option<Membership>,
     pub(crate) seen: Generation,
@@ -112,6 +117,7 @@
             running: 0,
             waiting: BTreeSet::new(),
             arrivals: 0,
+            shown: None,
             phase: Phase::Idle,
             membership: None,
             seen: Generation::default(),
@@ -430,9 +436,16 @@
     }
 }
 
-/// Returns the report.
+/// Returns the report, whose load lags.
 async fn report(State(server): State<Arc<Server>>) -> Json<Report> {
-    Json(server.report())
+    let mut report = server.report();
+    let mut life = server.lock();
+    let now = (Instant::now(), report.running, report.waiting);
+    let is_current = |shown: &(Instant, u32, u32)| shown.0.elapsed() < LOAD_LAG;
+    let shown = life.shown.filter(is_current).unwrap_or(now);
+    life.shown = Some(shown);
+    (_, report.running, report.waiting) = shown;
+    Json(report)
 }
 
 #[cfg(test)]
