Keep connections of whole answers without delay to the last frame

The connection of a whole answer is kept in the background when its caller drops it after the last frame, and only if nothing follows that frame. The check before a write is set once the connection is idle, so that a late byte of an earlier request cannot use it up. A table counts the connections that three requests take: one after whole answers and refusals, three otherwise.

--- a/crates/backend/src/answer.rs
+++ b/crates/backend/src/answer.rs
@@ -20,8 +20,8 @@
     target: Target,
     attempt: Attempt,
     decoder: Decoder,
-    body: Incoming,
-    connection: Option<Connection>,
+    /// Absent once the stream is over and its connection kept or closed.
+    exchange: Option<(Incoming, Connection)>,
     next_index: u32,
     state: State,
 }
@@ -49,8 +49,7 @@
             target,
             attempt,
             decoder: Decoder::new(pool.bounds().frame_bytes),
-            body,
-            connection: Some(connection),
+            exchange: Some((body, connection)),
             next_index,
             state: State::Running,
         }
@@ -64,8 +63,7 @@
     /// Returns the next frame, or nothing after the last one of a whole answer.
     ///
     /// Frames come in order without a gap or a repeat. The last one has
-    /// [`Frame::finish`], and the call after it keeps the connection for later
-    /// requests. May be dropped and called again.
+    /// [`Frame::finish`]. May be dropped and called again.
     ///
     /// # Errors
     ///
@@ -73,7 +71,9 @@
     /// silent too long, or holds a frame of another attempt or generation.
     pub async fn next(&mut self) -> Option<Result<Frame, Error>> {
         if self.state != State::Running {
-            self.recycle().await;
+            if let Some(kept) = self.keep() {
+                kept.await;
+            }
             return None;
         }
         loop {
@@ -89,7 +89,8 @@
                 Ok(None) => {}
                 Err(problem) => return Some(Err(self.fail(problem))),
             }
-            let piece = time::timeout(self.pool.bounds().idle, self.body.frame()).await;
+            let (body, _) = self.exchange.as_mut()?;
+            let piece = time::timeout(self.pool.bounds().idle, body.frame()).await;
             match piece {
                 Err(_) => return Some(Err(self.fail("the stream stays silent"))),
                 Ok(None) => return Some(Err(self.fail("the stream ended without its last frame"))),
@@ -129,18 +130,18 @@
         }
     }
 
-    /// Keeps the connection of a whole answer if nothing follows the last frame.
-    async fn recycle(&mut self) {
-        let Some(connection) = self.connection.take() else {
-            return;
-        };
-        if self.state != State::Whole {
-            return;
-        }
-        let end = time::timeout(self.pool.bounds().connect, self.body.frame()).await;
-        if matches!(end, Ok(None)) {
-            self.pool.put(self.target.address, connection);
-        }
+    /// Returns what keeps the connection of a whole answer if nothing follows it.
+    fn keep(&mut self) -> Option<impl Future<Output = ()> + Send + use<>> {
+        let (mut body, connection) = self.exchange.take()?;
+        let (pool, address) = (self.pool.clone(), self.target.address);
+        let is_over = matches!(self.decoder.next_event(), Ok(None));
+        let is_whole = self.state == State::Whole && is_over;
+        Some(async move {
+            let end = time::timeout(pool.bounds().connect, body.frame()).await;
+            if is_whole && matches!(end, Ok(None)) {
+                pool.put(address, connection);
+            }
+        })
     }
 
     /// Closes the connection after `problem`.
@@ -152,10 +153,9 @@
 
     /// Closes the connection and cancels the attempt.
     fn abandon(&mut self) {
-        let Some(connection) = self.connection.take() else {
+        if self.exchange.take().is_none() {
             return;
-        };
-        drop(connection);
+        }
         let Ok(runtime) = Handle::try_current() else {
             return;
         };
@@ -171,6 +171,10 @@
     fn drop(&mut self) {
         if self.state == State::Running {
             self.abandon();
+        } else if let Some(kept) = self.keep()
+            && let Ok(runtime) = Handle::try_current()
+        {
+            runtime.spawn(kept);
         }
     }
 }
--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -91,10 +91,13 @@
         check: Check,
         within: Duration,
     ) -> Result<Response<Incoming>, Failure> {
-        self.watch.arm(check);
-        let sender = &mut self.sender;
+        let (sender, watch) = (&mut self.sender, &self.watch);
+        let mut armed = false;
         let sent = time::timeout(within, async {
             sender.ready().await?;
+            // Only now does no byte of an earlier request wait to be written.
+            watch.arm(check);
+            armed = true;
             sender.send_request(request).await
         });
         let (kind, problem) = match sent.await {
@@ -104,8 +107,8 @@
         };
         let message = format!("request to {} failed: {problem}", self.address);
         Err(match self.watch.shut() {
-            Sent::Something => Failure::may_have_run(kind, message),
-            Sent::Nothing => Failure::not_run(Kind::Unavailable, message),
+            Sent::Something if armed => Failure::may_have_run(kind, message),
+            Sent::Nothing | Sent::Something => Failure::not_run(Kind::Unavailable, message),
             Sent::Forbidden => {
                 let message = "the request may no longer be sent";
                 Failure::not_run(Kind::Unavailable, message)
--- a/crates/backend/tests/answers.rs
+++ b/crates/backend/tests/answers.rs
@@ -11,6 +11,10 @@
 use std::{
     io::{Read, Write},
     net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::Duration,
 };
 use tokio::{
@@ -105,6 +109,51 @@
     address
 }
 
+/// Serves a report and then `said` again and again; counts the connections.
+async fn serve_on(said: String) -> (SocketAddr, Arc<AtomicUsize>) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let count = Arc::new(AtomicUsize::new(0));
+    let counted = Arc::clone(&count);
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            counted.fetch_add(1, Ordering::SeqCst);
+            let said = said.clone();
+            tokio::spawn(async move {
+                let mut text = report();
+                while read_request(&mut stream).await.is_some() {
+                    let _ = stream.write_all(text.as_bytes()).await;
+                    text.clone_from(&said);
+                }
+            });
+        }
+    });
+    (address, count)
+}
+
+/// Returns a frame as a server-sent event.
+fn frame(index: u32, is_last: bool) -> String {
+    let finish = if is_last { "\"stop\"" } else { "null" };
+    let id = ATTEMPT.0;
+    format!(
+        "data: {{\"attempt\":\"{id}\",\"generation\":4,\"index\":{index},\"text\":\"t\",\"finish\":{finish}}}\n\n"
+    )
+}
+
+/// Returns a request for a generated answer.
+fn generate() -> Generate {
+    Generate {
+        attempt: ATTEMPT,
+        model: Model::try_from("m").unwrap(),
+        prompt: String::new(),
+        resume_after: String::new(),
+        resume_tokens: 0,
+        max_tokens: 9,
+        priority: 0,
+        seed: 0,
+    }
+}
+
 /// Returns a call.
 fn call() -> Call {
     Call {
@@ -281,13 +330,6 @@
 
 #[tokio::test]
 async fn streams_end_with_a_last_frame_or_an_error() {
-    let frame = |index: u32, last: bool| {
-        let finish = if last { "\"stop\"" } else { "null" };
-        let id = ATTEMPT.0;
-        format!(
-            "data: {{\"attempt\":\"{id}\",\"generation\":4,\"index\":{index},\"text\":\"t\",\"finish\":{finish}}}\n\n"
-        )
-    };
     let row = |name, body: String, arrive, whole| Frames {
         name,
         body,
@@ -326,19 +368,9 @@
             boot: Some(BOOT),
             generation: Generation(4),
         };
-        let request = Generate {
-            attempt: ATTEMPT,
-            model: Model::try_from("m").unwrap(),
-            prompt: String::new(),
-            resume_after: String::new(),
-            resume_tokens: 0,
-            max_tokens: 9,
-            priority: 0,
-            seed: 0,
-        };
         let pool = Pool::new(bounds());
         let within = Duration::from_millis(300);
-        let stream = engine::generate(&pool, target, &request, || true, within).await;
+        let stream = engine::generate(&pool, target, &generate(), || true, within).await;
         let mut stream = stream.unwrap();
         let (mut arrived, mut failures) = (0, 0);
         while let Some(next) = stream.next().await {
@@ -349,3 +381,53 @@
         assert_eq!(failures, usize::from(!case.whole), "{}", case.name);
     }
 }
+
+/// What a server says again and again, and the connections that three requests take.
+struct Kept {
+    name: &'static str,
+    said: String,
+    connections: usize,
+}
+
+#[tokio::test]
+async fn connections_are_kept_after_whole_answers_only() {
+    let two = frame(0, false) + &frame(1, true);
+    let row = |name, said, connections| Kept {
+        name,
+        said,
+        connections,
+    };
+    let cases = [
+        row("whole", answer("200 OK", "", &two), 1),
+        row("refused", answer("503 X", "x-refused: 1\r\n", ""), 1),
+        row("stale", answer("409 X", "", "{\"seen\":6}"), 1),
+        row("500", answer("500 X", "", ""), 3),
+        row(
+            "more after the last",
+            answer("200 OK", "", &(two + &frame(2, true))),
+            3,
+        ),
+    ];
+    for case in cases {
+        let (address, count) = serve_on(case.said).await;
+        let target = Target {
+            address,
+            boot: Some(BOOT),
+            generation: Generation(4),
+        };
+        let pool = Pool::new(bounds());
+        for _ in 0..3 {
+            let within = Duration::from_secs(10);
+            let stream = engine::generate(&pool, target, &generate(), || true, within).await;
+            if let Ok(mut stream) = stream {
+                while stream.next().await.is_some() {}
+            }
+        }
+        assert_eq!(
+            count.load(Ordering::SeqCst),
+            case.connections,
+            "{}",
+            case.name
+        );
+    }
+}
