--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -14,8 +14,16 @@
 };
 use hyper_util::rt::TokioIo;
 use serde::de::DeserializeOwned;
-use std::{net::SocketAddr, time::Duration};
-use tokio::{net::TcpStream, task::JoinHandle, time};
+use std::{
+    io,
+    net::{IpAddr, SocketAddr},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpSocket, TcpStream},
+    task::JoinHandle,
+    time,
+};
 use uuid::Uuid;
 use verdict::Kind;
 
@@ -42,7 +50,7 @@
             let message = format!("cannot connect to {address}: {problem}");
             Failure::not_run(Kind::Unavailable, message)
         };
-        let stream = time::timeout(bounds.connect, TcpStream::connect(address)).await;
+        let stream = time::timeout(bounds.connect, connect(address, bounds.source)).await;
         let stream = stream.map_err(|_| failed("timed out".into()))?;
         let stream = stream.map_err(|error| failed(error.to_string()))?;
         // Small requests would otherwise wait for the acknowledgement of the last.
@@ -64,6 +72,11 @@
         })
     }
 
+    /// Returns the address of the other side.
+    pub(crate) fn address(&self) -> SocketAddr {
+        self.address
+    }
+
     /// Returns whether a request can be sent.
     pub(crate) fn is_open(&self) -> bool {
         !self.sender.is_closed()
@@ -78,10 +91,13 @@
         check: Check,
         within: Duration,
     ) -> Result<Response<Incoming>, Failure> {
-        self.watch.arm(check);
-        let sender = &mut self.sender;
+        let (sender, watch) = (&mut self.sender, &self.watch);
+        let mut armed = false;
         let sent = time::timeout(within, async {
             sender.ready().await?;
+            // Only now does no byte of an earlier request wait to be written.
+            watch.arm(check);
+            armed = true;
             sender.send_request(request).await
         });
         let (kind, problem) = match sent.await {
@@ -91,8 +107,8 @@
         };
         let message = format!("request to {} failed: {problem}", self.address);
         Err(match self.watch.shut() {
-            Sent::Something => Failure::may_have_run(kind, message),
-            Sent::Nothing => Failure::not_run(Kind::Unavailable, message),
+            Sent::Something if armed => Failure::may_have_run(kind, message),
+            Sent::Nothing | Sent::Something => Failure::not_run(Kind::Unavailable, message),
             Sent::Forbidden => {
                 let message = "the request may no longer be sent";
                 Failure::not_run(Kind::Unavailable, message)
@@ -151,6 +167,19 @@
     }
 }
 
+/// Connects to `address`, from the address `source` if one is given.
+async fn connect(address: SocketAddr, source: Option<IpAddr>) -> io::Result<TcpStream> {
+    let Some(source) = source else {
+        return TcpStream::connect(address).await;
+    };
+    let socket = match address {
+        SocketAddr::V4(_) => TcpSocket::new_v4()?,
+        SocketAddr::V6(_) => TcpSocket::new_v6()?,
+    };
+    socket.bind(SocketAddr::new(source, 0))?;
+    socket.connect(address).await
+}
+
 /// Reads a report, which asks for no work and so never has run any.
 async fn read_report(wire: &mut Wire, bounds: &Bounds) -> Result<Report, Failure> {
     let read = read_json(wire, "/v1/report", bounds).await;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -1,12 +1,12 @@
 //! A model engine: orders, generation, its prefix cache.
 
 use crate::{
-    host::{Mode, broken_body, while_hung},
-    server::{Life, Membership, Prefixes, Running, Server},
+    host::{Lived, broken_body},
+    server::{Life, Membership, Rejected, Running, Server},
     service::{attempt, rejected},
 };
 use axum::{
-    Json, Router,
+    Extension, Json, Router,
     body::Body,
     extract::{Query, State},
     http::{HeaderMap, StatusCode, header},
@@ -14,17 +14,14 @@
     routing::{get, post},
 };
 use backend::proto::{
-    self, ATTEMPT_HEADER, CacheEvent, CacheEvents, Cancel, Finish, Frame, GENERATION_HEADER,
-    Generate, Order, Phase, REFUSED_HEADER, Refusal,
+    self, ATTEMPT_HEADER, CacheEvents, Cancel, Finish, Frame, GENERATION_HEADER, Generate, Order,
+    Phase, REFUSED_HEADER, Refusal,
 };
 use bytes::Bytes;
 use futures_util::stream;
 use name::{Attempt, Generation, Model};
-use std::{collections::VecDeque, io, sync::Arc, time::Duration};
-use tokio::{
-    sync::watch,
-    time::{self, Instant},
-};
+use std::{io, sync::Arc, time::Duration};
+use tokio::time;
 
 /// The time between two looks at the other members.
 const JOIN_STEP: Duration = Duration::from_millis(10);
@@ -32,15 +29,6 @@
 /// The time before another try when the weight store refused.
 const LOAD_RETRY: Duration = Duration::from_millis(100);
 
-/// The time after which an event of the cache shows.
-const EVENT_LAG: Duration = Duration::from_millis(200);
-
-/// The events of the cache that are kept.
-const MAX_EVENTS: usize = 4_096;
-
-/// Every event with a number divisible by this is lost.
-const LOST_EVENT: u64 = 13;
-
 /// The words of answers.
 const WORDS: [&str; 16] = [
     "river", "slate", "harbour", "ledger", "maple", "stone", "valley", "bridge", "lantern",
@@ -66,61 +54,6 @@
     (0..count).map(token).collect()
 }
 
-/// The prefix cache and its events.
-#[derive(Debug, Default)]
-pub(crate) struct Cache {
-    prefixes: Prefixes,
-    events: VecDeque<(Instant, CacheEvent)>,
-    next: u64,
-}
-
-impl Cache {
-    /// Uses a prefix; returns whether it was cached.
-    fn touch(&mut self, prefix: u64, max: usize) -> bool {
-        let before = self.prefixes.len();
-        self.prefixes.retain(|cached| *cached != prefix);
-        let hit = self.prefixes.len() < before;
-        self.prefixes.push_back(prefix);
-        if !hit {
-            self.record(prefix, true);
-        }
-        if self.prefixes.len() > max
-            && let Some(evicted) = self.prefixes.pop_front()
-        {
-            self.record(evicted, false);
-        }
-        hit
-    }
-
-    fn record(&mut self, prefix: u64, stored: bool) {
-        let number = self.next;
-        self.next += 1;
-        if number % LOST_EVENT == LOST_EVENT - 1 {
-            return;
-        }
-        let event = CacheEvent {
-            number,
-            prefix,
-            stored,
-        };
-        self.events.push_back((Instant::now(), event));
-        if self.events.len() > MAX_EVENTS {
-            self.events.pop_front();
-        }
-    }
-
-    /// Returns the events from number `from` on that already show.
-    fn since(&self, from: u64) -> CacheEvents {
-        let shows = |(at, event): &&(Instant, CacheEvent)| {
-            event.number >= from && at.elapsed() >= EVENT_LAG
-        };
-        let events = self.events.iter().filter(shows);
-        let events: Vec<_> = events.map(|(_, event)| event.clone()).collect();
-        let next = events.last().map_or(from, |event| event.number + 1);
-        CacheEvents { next, events }
-    }
-}
-
 /// Returns the routes.
 pub(crate) fn routes() -> Router<Arc<Server>> {
     Router::new()
@@ -136,10 +69,16 @@
 }
 
 /// Obeys an order, or refuses it as stale.
-async fn order(State(server): State<Arc<Server>>, Json(order): Json<Order>) -> Response {
+async fn order(
+    State(server): State<Arc<Server>>,
+    Extension(lived): Extension<Lived>,
+    Json(order): Json<Order>,
+) -> Response {
     let (Order::Join { generation, .. } | Order::Leave { generation }) = order;
     let shared = &server.around.shared;
-    let mut life = server.lock();
+    let Some(mut life) = server.lock_for(&lived) else {
+        return rejected(Rejected::Restarted);
+    };
     if generation < life.seen {
         if life.faults.fences {
             shared.count(|c| c.stale_orders_refused += 1);
@@ -303,6 +242,7 @@
 /// Generates an answer.
 async fn generate(
     State(server): State<Arc<Server>>,
+    Extension(lived): Extension<Lived>,
     headers: HeaderMap,
     Json(request): Json<Generate>,
 ) -> Response {
@@ -325,14 +265,14 @@
         server.around.shared.count(|c| c.wrong_resumes += 1);
         return (echoed, StatusCode::BAD_REQUEST).into_response();
     }
-    let running = match server.take(attempt).await {
+    let running = match server.take(&lived, attempt, request.priority).await {
         Ok(running) => running,
         Err(why) => return rejected(why),
     };
     if faults.lose_answers {
         return Response::new(broken_body());
     }
-    let stream = Stream::new(running, &request, tokens, membership);
+    let stream = Stream::new(running, lived, &request, tokens, membership);
     let body = Body::from_stream(stream::unfold(stream, Stream::step));
     let kind = [(header::CONTENT_TYPE, "text/event-stream")];
     (echoed, kind, body).into_response()
@@ -341,7 +281,7 @@
 /// A generated answer on its way.
 struct Stream {
     running: Running,
-    hung: watch::Receiver<Mode>,
+    lived: Lived,
     attempt: Attempt,
     membership: Membership,
     tokens: Vec<String>,
@@ -357,6 +297,7 @@
     /// Returns the stream of `tokens` behind those already delivered.
     fn new(
         running: Running,
+        lived: Lived,
         request: &Generate,
         tokens: Vec<String>,
         membership: Membership,
@@ -377,7 +318,7 @@
             false => speed.first_token_ms,
         };
         Self {
-            hung: server.host.watch(),
+            lived,
             attempt: request.attempt,
             full: tokens.len() as u64 >= u64::from(request.max_tokens),
             index: request.resume_tokens,
@@ -402,7 +343,7 @@
             () = time::sleep(server.pace(self.wait)) => {}
             () = cancelled.cancelled() => return Some((Err(io::ErrorKind::Interrupted.into()), self)),
         }
-        while_hung(&mut self.hung).await;
+        self.lived.while_held().await;
         self.wait = self.token_ms;
         let faults = server.faults();
         if faults.stall_after.is_some_and(|after| self.sent >= after) {
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -6,20 +6,21 @@
 //! have seen: they are the judges of the promises, so they never help to keep
 //! them.
 
+mod cache;
 mod command;
 mod counters;
 pub mod engine;
 mod host;
-mod log;
 mod platform;
 mod server;
 mod service;
 mod shape;
+mod stream;
 mod world;
 
-pub use command::Command;
+pub use command::{Command, Place};
 pub use counters::Counters;
 pub use host::Mode;
 pub use server::{Faults, Server};
 pub use shape::{Domain, Shape};
-pub use world::{World, serve};
+pub use world::{Process, World, serve};
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -1,9 +1,10 @@
 //! What model engines and plain services have in common: lives, warmth, load.
 
 use crate::{
+    cache::Cache,
     counters::{Begun, Shared},
     engine,
-    host::{self, Host, Mode},
+    host::{self, Host, Lived, Mode},
     platform::Store,
     service,
 };
@@ -11,7 +12,7 @@
 use backend::proto::{Listed, Phase, Report, Role};
 use name::{Attempt, Generation, Model, Replica};
 use std::{
-    collections::{BTreeMap, BTreeSet, HashMap, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap},
     io,
     net::SocketAddr,
     sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError, Weak},
@@ -24,6 +25,9 @@
 /// The most by which a server is slower or faster than the settings say.
 const SPREAD_PERCENT: u64 = 5;
 
+/// The most by which the load in a report lags.
+const LOAD_LAG: Duration = Duration::from_millis(200);
+
 /// Fault switches of a backend server.
 #[common::value]
 #[serde(default, deny_unknown_fields)]
@@ -87,12 +91,16 @@
     warm: bool,
     completions: u32,
     running: u32,
-    waiting: u32,
+    /// Those that wait, by priority and then by arrival.
+    waiting: BTreeSet<(u32, u64)>,
+    arrivals: u64,
+    /// The load that reports show, and since when.
+    shown: Option<(Instant, u32, u32)>,
     pub(crate) phase: Phase,
     pub(crate) membership: Option<Membership>,
     pub(crate) seen: Generation,
     pub(crate) loaded: BTreeSet<Arc<str>>,
-    pub(crate) cache: engine::Cache,
+    pub(crate) cache: Cache,
     pub(crate) active: HashMap<Attempt, CancellationToken>,
     pub(crate) faults: Faults,
 }
@@ -107,12 +115,14 @@
             warm: false,
             completions: 0,
             running: 0,
-            waiting: 0,
+            waiting: BTreeSet::new(),
+            arrivals: 0,
+            shown: None,
             phase: Phase::Idle,
             membership: None,
             seen: Generation::default(),
             loaded,
-            cache: engine::Cache::default(),
+            cache: Cache::default(),
             active: HashMap::new(),
             faults,
         }
@@ -203,6 +213,12 @@
         self.life.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
+    /// Locks the life that a request's connection belongs to, if it has not ended.
+    pub(crate) fn lock_for(&self, lived: &Lived) -> Option<MutexGuard<'_, Life>> {
+        let life = self.lock();
+        (!lived.is_over()).then_some(life)
+    }
+
     /// Returns the report on itself.
     pub fn report(&self) -> Report {
         let speed = &self.around.speed;
@@ -222,7 +238,7 @@
             warm_limit: speed.warm_limit,
             cold_limit: speed.cold_limit,
             running: life.running,
-            waiting: life.waiting,
+            waiting: u32::try_from(life.waiting.len()).unwrap_or(u32::MAX),
             fences: life.faults.fences,
         }
     }
@@ -247,9 +263,10 @@
             BTreeSet::new()
         };
         let faults = life.faults.clone();
+        // Under the lock, so that no request of an old connection meets the new life.
+        self.host.cut();
         *life = Life::new(faults, loaded);
         drop(life);
-        self.host.cut();
         self.freed.notify_waiters();
     }
 
@@ -276,16 +293,22 @@
     }
 
     /// Takes a request in, waits while a warm server is full, falls over while cold.
-    pub(crate) async fn take(self: &Arc<Self>, attempt: Attempt) -> Result<Running, Rejected> {
-        let boot = self.lock().boot;
+    pub(crate) async fn take(
+        self: &Arc<Self>,
+        lived: &Lived,
+        attempt: Attempt,
+        priority: u32,
+    ) -> Result<Running, Rejected> {
+        let boot = self.lock_for(lived).ok_or(Rejected::Restarted)?.boot;
         let mut waiting = None;
         loop {
             let freed = self.freed.notified();
             tokio::pin!(freed);
             freed.as_mut().enable();
-            match self.try_take(boot, attempt) {
+            let place = waiting.as_ref().map(|waiting: &Waiting<'_>| waiting.place);
+            match self.try_take(boot, attempt, place) {
                 Some(taken) => return taken,
-                None if waiting.is_none() => waiting = Some(Waiting::begin(self, boot)),
+                None if place.is_none() => waiting = Some(Waiting::begin(self, boot, priority)),
                 None => {}
             }
             freed.await;
@@ -297,6 +320,7 @@
         self: &Arc<Self>,
         boot: Uuid,
         attempt: Attempt,
+        place: Option<(u32, u64)>,
     ) -> Option<Result<Running, Rejected>> {
         let speed = &self.around.speed;
         let mut life = self.lock();
@@ -304,7 +328,8 @@
             return Some(Err(Rejected::Restarted));
         }
         let warm = life.warm(speed);
-        if warm && life.running >= speed.warm_limit {
+        let is_next = place.as_ref() == life.waiting.first();
+        if warm && (life.running >= speed.warm_limit || !is_next) {
             return None;
         }
         if !warm && life.running >= speed.cold_limit {
@@ -346,12 +371,23 @@
 struct Waiting<'a> {
     server: &'a Server,
     boot: Uuid,
+    place: (u32, u64),
 }
 
 impl<'a> Waiting<'a> {
-    fn begin(server: &'a Server, boot: Uuid) -> Self {
-        server.lock().waiting += 1;
-        Self { server, boot }
+    fn begin(server: &'a Server, boot: Uuid, priority: u32) -> Self {
+        let mut life = server.lock();
+        life.arrivals += 1;
+        let place = (priority, life.arrivals);
+        if life.boot == boot {
+            life.waiting.insert(place);
+        }
+        drop(life);
+        Self {
+            server,
+            boot,
+            place,
+        }
     }
 }
 
@@ -359,8 +395,11 @@
     fn drop(&mut self) {
         let mut life = self.server.lock();
         if life.boot == self.boot {
-            life.waiting = life.waiting.saturating_sub(1);
+            life.waiting.remove(&self.place);
         }
+        drop(life);
+        // Whoever is next now may find room.
+        self.server.freed.notify_waiters();
     }
 }
 
@@ -397,10 +436,17 @@
     }
 }
 
-/// Returns the report.
+/// Returns the report, whose load lags.
 async fn report(State(server): State<Arc<Server>>) -> Json<Report> {
-    Json(server.report())
+    let mut report = server.report();
+    let mut life = server.lock();
+    let now = (Instant::now(), report.running, report.waiting);
+    let is_current = |shown: &(Instant, u32, u32)| shown.0.elapsed() < LOAD_LAG;
+    let shown = life.shown.filter(is_current).unwrap_or(now);
+    life.shown = Some(shown);
+    (_, report.running, report.waiting) = shown;
+    Json(report)
 }
 
-/// The prefixes in a cache, the latest used last.
-pub(crate) type Prefixes = VecDeque<u64>;
+#[cfg(test)]
+mod tests;
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -1,12 +1,12 @@
 //! Everything outside, started together.
 
 use crate::{
-    Command, Counters, Mode, Server, Shape,
+    Command, Counters, Mode, Place, Server, Shape,
     counters::Shared,
     host::{self, Host},
-    log::Log,
     platform::{List, Store},
     server::{Around, Registry},
+    stream::Log,
 };
 use axum::{
     Json, Router,
@@ -154,7 +154,12 @@
 
     /// Returns what the servers have seen.
     pub fn counters(&self) -> Counters {
-        self.shared.get()
+        self.shared.inspect(Clone::clone)
+    }
+
+    /// Returns what `ask` finds in the counters, without a copy of them.
+    pub fn inspect<T>(&self, ask: impl FnOnce(&Counters) -> T) -> T {
+        self.shared.inspect(ask)
     }
 
     /// Returns the time since the start, in milliseconds, as the counters state it.
@@ -173,6 +178,13 @@
                 }
                 return !inside.is_empty();
             }
+            Command::Part { from, to, parted } => {
+                let hosts = self.hosts(to);
+                hosts
+                    .iter()
+                    .for_each(|host| host.set_parted(*from, *parted));
+                return !hosts.is_empty();
+            }
             Command::Log {
                 mode,
                 slow_ms,
@@ -201,6 +213,19 @@
         true
     }
 
+    /// Returns the servers at `place`.
+    fn hosts(&self, place: &Place) -> Vec<&Host> {
+        match place {
+            Place::Domain(domain) => {
+                let inside = self.servers.iter().filter(|s| s.listed.domain == *domain);
+                inside.map(|server| &server.host).collect()
+            }
+            Place::Log => vec![&self.log.host],
+            Place::Instances => vec![&self.list.host],
+            Place::Weights => vec![&self.store.host],
+        }
+    }
+
     /// Carries out a command about one backend server.
     fn apply_to(&self, server: &Arc<Server>, command: &Command) {
         match command {
@@ -279,24 +304,56 @@
     host: Host,
 }
 
+/// The stand-ins as one process. Dropping it ends all servers.
+#[derive(Debug)]
+pub struct Process(Arc<Control>);
+
+impl Process {
+    /// Starts the stand-ins of `settings`, and their control route.
+    ///
+    /// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`].
+    ///
+    /// # Errors
+    ///
+    /// Returns an error if a server cannot listen.
+    pub async fn start(settings: &settings::Standin) -> io::Result<Self> {
+        let world = World::start_settings(settings).await?;
+        let (host, bound) = Host::bind(settings.ports.control).await?;
+        let control = Arc::new(Control { world, host });
+        let router = Router::new()
+            .route("/command", post(command))
+            .route("/counters", get(counters))
+            .with_state(Arc::clone(&control));
+        host::serve(bound, &control, |control| &control.host, router);
+        Ok(Self(control))
+    }
+
+    /// Returns the address of the control route.
+    pub fn control_address(&self) -> SocketAddr {
+        self.0.host.address()
+    }
+
+    /// Returns what runs.
+    pub fn world(&self) -> &World {
+        &self.0.world
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        self.0.host.end();
+    }
+}
+
 /// Serves the stand-ins of `settings` until `stop` ends.
 ///
-/// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`].
-///
 /// # Errors
 ///
 /// Returns an error if a server cannot listen.
 pub async fn serve(settings: &settings::Standin, stop: impl Future<Output = ()>) -> io::Result<()> {
-    let world = World::start_settings(settings).await?;
-    let (host, bound) = Host::bind(settings.ports.control).await?;
-    let control = Arc::new(Control { world, host });
-    let router = Router::new()
-        .route("/command", post(command))
-        .route("/counters", get(counters))
-        .with_state(Arc::clone(&control));
-    host::serve(bound, &control, |control| &control.host, router);
+    let process = Process::start(settings).await?;
     stop.await;
-    control.host.end();
+    drop(process);
     Ok(())
 }
 
