Concentrate loaded members and mend the lints of the tests

Replicas that each waited for one load held enough loaded members for whole ones. The adaptive policy now dissolves one of them while its loads are young, also in favour of one that lost members.

--- a/crates/replica/src/pace.rs
+++ b/crates/replica/src/pace.rs
@@ -92,6 +92,14 @@
             .unwrap_or_default()
     }
 
+    /// Returns for how long the instance has been loading.
+    pub(crate) fn loading(&self, instance: &Instance, now: Moment) -> Duration {
+        self.loading
+            .get(instance)
+            .map(|since| now.since(*since))
+            .unwrap_or_default()
+    }
+
     /// Returns for how long the replica's generation has been in force.
     pub(crate) fn age(&self, replica: &Replica, now: Moment) -> Duration {
         self.ages
--- a/crates/replica/src/pool.rs
+++ b/crates/replica/src/pool.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 
 /// The free instances that no proposal of this call has taken yet.
-#[derive(Debug)]
+#[derive(Debug, Default)]
 pub(crate) struct Pool<'a> {
     free: Vec<Free<'a>>,
 }
--- a/crates/replica/src/propose.rs
+++ b/crates/replica/src/propose.rs
@@ -77,9 +77,11 @@
     let mut wants = Vec::new();
     let mut pool = Pool::new(scene.survey.free.clone());
     let stuck = repair::replace(scene, &mut pool, &mut wants);
-    merge::merge(scene, &pool, &stuck, &mut wants);
+    let merged = merge::merge(scene, &pool, &stuck, &mut wants);
     if scene.policy.swap {
         repair::swap(scene, &mut pool, &mut wants);
+        let rest = if merged { &[] } else { stuck.as_slice() };
+        merge::concentrate(scene, rest, &mut wants);
     }
     let targets = target::targets(scene);
     form::form(scene, &targets, &mut pool, &mut wants);
--- a/crates/replica/tests/all/main.rs
+++ b/crates/replica/tests/all/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the decisions on replicas.
 
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
 mod fixture;
 mod orders;
 mod policy;
--- a/crates/replica/tests/all/propose.rs
+++ b/crates/replica/tests/all/propose.rs
@@ -185,7 +185,7 @@
     }
     let mut most = 0;
     let mut accepted = vec![0; 40];
-    for slot in accepted.iter_mut() {
+    for slot in &mut accepted {
         let before = world.reforms;
         world.run(secs(1));
         *slot = world.reforms - before;
