Poll the log's tail twice a second by default

Cause: with a long poll of 1 s a voucher reaches 2 s, the bound at which a node stops taking work; nine processes showed ages of 1.76 to 1.79 s. Change: timings.log_wait_ms is 500 by default.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -228,7 +228,7 @@
         /// The time for which the log keeps a record.
         log_retention_s: u64 = 86_400,
         /// The longest single wait for new records of the log.
-        log_wait_ms: u64 = 1_000,
+        log_wait_ms: u64 = 500,
         /// The longest time for a call to a system outside to answer.
         outside_timeout_ms: u64 = 2_000,
         /// The longest time for a connection to be made.
