Match the deployments' services, and hold windows below retention

Hafod Tegid has three ledgers and Leña three booking services, one in each failure domain; the shapes and examples had three services in each. A window of remembered keys that is not shorter than the log's retention is refused, since claims would expire under it. Warm-up by completions has a test.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -305,6 +305,14 @@
             beat,
             why,
         );
+        let why = "more than idempotency.window_s";
+        let window = self.idempotency.window_s.saturating_add(1);
+        least(
+            "timings.log_retention_s",
+            times.log_retention_s,
+            window,
+            why,
+        );
         least("limits.max_body_bytes", self.limits.max_body_bytes, 1, "");
         if self.peers.secret_file.is_some() && self.peers.secret_hex.is_some() {
             let text = "two secrets: expected only one of secret_file and secret_hex";
--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -81,6 +81,11 @@
         replace: ("outside", "peers.secret_hex = \"00ff\"\noutside"),
         faults: &[(5, "peers.secret_hex", "at least 16 bytes")],
     },
+    Case {
+        name: "keys remembered longer than the log keeps claims",
+        replace: ("outside", "idempotency.window_s = 86401\noutside"),
+        faults: &[(1, "timings.log_retention_s", "idempotency.window_s")],
+    },
     Case {
         name: "not TOML",
         replace: ("region =", "region"),
@@ -152,6 +157,12 @@
     if std::env::var_os("SETTINGS_BLESS").is_some() {
         fs::write(&file, settings::page()).unwrap();
     }
-    assert_eq!(fs::read_to_string(file).unwrap(), settings::page());
+    let (kept, made) = (fs::read_to_string(file).unwrap(), settings::page());
+    let differs = |(kept, made): &(&str, &str)| kept != made;
+    let first = kept.lines().zip(made.lines()).find(differs);
+    assert!(
+        kept == made,
+        "docs/SETTINGS.md is old, first here: {first:?}"
+    );
     assert!(settings::keys::<Entry>().contains(&"timings.heartbeat_ms".into()));
 }
--- a/crates/standin/src/shape.rs
+++ b/crates/standin/src/shape.rs
@@ -46,14 +46,19 @@
         shape
     }
 
-    /// Returns the deployment Hafod Tegid: 48 engines and three services.
+    /// Returns the deployment Hafod Tegid: 48 engines and three ledgers.
     pub fn hafod_tegid() -> Self {
-        even(&["teifi", "tywi", "dyfi"], 2, 8, &SERVICES)
+        even(&["teifi", "tywi", "dyfi"], 2, 8, &["ledger"])
     }
 
-    /// Returns the deployment Leña: 48 engines and three services.
+    /// Returns the deployment Leña: 48 engines and three booking services.
     pub fn lena() -> Self {
-        even(&["concepcion", "los-angeles", "chillan"], 2, 8, &SERVICES)
+        even(
+            &["concepcion", "los-angeles", "chillan"],
+            2,
+            8,
+            &["booking"],
+        )
     }
 
     /// Returns the shape in the settings.
@@ -64,6 +69,3 @@
         }
     }
 }
-
-/// The plain services of the deployments.
-const SERVICES: [&str; 3] = ["ledger", "booking", "catalogue"];
--- a/crates/standin/tests/all/common.rs
+++ b/crates/standin/tests/all/common.rs
@@ -21,6 +21,8 @@
     shape.speed.token_ms = 0;
     shape.speed.call_ms = 0;
     shape.speed.list_lag_ms = 0;
+    // Never by time alone.
+    shape.speed.warm_ms = u64::MAX;
     shape
 }
 
--- a/crates/standin/tests/all/drive.rs
+++ b/crates/standin/tests/all/drive.rs
@@ -343,6 +343,27 @@
     }
 }
 
+#[tokio::test]
+async fn warmth_comes_with_completions_and_goes_without_notice() {
+    let formed = Formed::start(2).await;
+    let lead = formed.lead();
+    let boot = lead.report().boot;
+    for round in 0..2 {
+        let mut completions = 0;
+        while !lead.report().warm {
+            let (target, request) = (formed.target(), generate("prompt", 1, 2));
+            let stream = engine::generate(&formed.pool, target, &request, || true, LONG).await;
+            let mut stream = stream.unwrap();
+            while stream.next().await.is_some() {}
+            completions += 1;
+        }
+        assert_eq!(completions, small().speed.warm_completions, "{round}");
+        lead.cool();
+        assert!(!lead.report().warm);
+        assert_eq!(lead.report().boot, boot);
+    }
+}
+
 #[tokio::test]
 async fn a_full_engine_takes_the_most_urgent_next() {
     let formed = Formed::start(2).await;
--- a/crates/standin/tests/all/platform.rs
+++ b/crates/standin/tests/all/platform.rs
@@ -7,7 +7,7 @@
 use hyper_util::{client::legacy::Client, rt::TokioExecutor};
 use name::{Model, Offset};
 use serde_json::{Value, json};
-use standin::{Command, Mode, Place, World};
+use standin::{Command, Mode, Place, Shape, World};
 use std::{net::SocketAddr, time::Duration};
 
 /// Sends a request; returns the status, zero if there was no whole answer.
@@ -335,3 +335,17 @@
         assert_eq!(sent.0, status, "{path} {body}");
     }
 }
+
+#[test]
+fn example_settings_have_the_shapes_of_the_deployments() {
+    let examples = concat!(env!("CARGO_MANIFEST_DIR"), "/../../examples/settings");
+    let cases = [
+        ("hafod-tegid", Shape::hafod_tegid()),
+        ("lena", Shape::lena()),
+    ];
+    for (name, shape) in cases {
+        let file = format!("{examples}/{name}/standin.toml");
+        let settings = settings::load(file.as_ref()).unwrap();
+        assert_eq!(Shape::from_settings(&settings), shape, "{name}");
+    }
+}
