--- a/crates/backend/src/engine.rs
+++ b/crates/backend/src/engine.rs
@@ -27,6 +27,16 @@
 ///
 /// Returns a failure, always `not-run`, if no report arrives in time.
 pub async fn report(pool: &Pool, address: SocketAddr) -> Result<Report, Failure> {
+    // One bound for both tries, so that a silent server costs no more than it.
+    let read = time::timeout(pool.bounds().answer, read_report(pool, address)).await;
+    read.unwrap_or_else(|_| {
+        let message = format!("{address} sends no report");
+        Err(Failure::not_run(Kind::Unavailable, message))
+    })
+}
+
+/// Reads a report over an idle connection, or else over a new one.
+async fn read_report(pool: &Pool, address: SocketAddr) -> Result<Report, Failure> {
     if let Some(mut connection) = pool.take_idle(address, None)
         && let Ok(report) = connection.read_report(pool.bounds()).await
     {
@@ -81,7 +91,7 @@
 /// Starts a generation at the first member of a replica.
 ///
 /// `still_allowed` is asked directly before the first byte is written. `within`
-/// is the longest time until the engine accepts.
+/// is the longest time until the engine accepts, a new connection included.
 ///
 /// # Errors
 ///
@@ -94,7 +104,7 @@
     still_allowed: impl FnOnce() -> bool + Send + 'static,
     within: Duration,
 ) -> Result<Answer, Failure> {
-    let connection = pool.take(target.address, target.boot).await?;
+    let (connection, within) = pool.take_within(&target, within).await?;
     let attempt = generate.attempt;
     let request = attempt_request("/v1/generate", &target, attempt, json(generate)?)?;
     let check = Box::new(still_allowed);
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -17,7 +17,7 @@
     sync::{Arc, Mutex, MutexGuard, PoisonError},
     time::Duration,
 };
-use tokio::time;
+use tokio::time::{self, Instant};
 use uuid::Uuid;
 use verdict::Kind;
 
@@ -96,6 +96,21 @@
         }
     }
 
+    /// Takes a connection to `target` and returns what is left of `within`.
+    pub(crate) async fn take_within(
+        &self,
+        target: &Target,
+        within: Duration,
+    ) -> Result<(Connection, Duration), Failure> {
+        let end = Instant::now() + within;
+        let taken = time::timeout_at(end, self.take(target.address, target.boot)).await;
+        let connection = taken.unwrap_or_else(|_| {
+            let message = format!("no connection to {} in time", target.address);
+            Err(Failure::not_run(Kind::Unavailable, message))
+        })?;
+        Ok((connection, end.saturating_duration_since(Instant::now())))
+    }
+
     /// Keeps a connection whose last answer was read whole.
     ///
     /// Connections of earlier lives are dropped.
--- a/crates/backend/src/service.rs
+++ b/crates/backend/src/service.rs
@@ -10,7 +10,7 @@
 use http::HeaderValue;
 use name::Attempt;
 use std::time::Duration;
-use tokio::time;
+use tokio::time::{self, Instant};
 use verdict::Kind;
 
 /// A call to a plain service.
@@ -48,12 +48,13 @@
         let key = key.map_err(|error| Failure::not_run(Kind::Malformed, error.to_string()))?;
         request.headers_mut().insert(KEY_HEADER, key);
     }
-    let connection = pool.take(target.address, target.boot).await?;
+    let (connection, within) = pool.take_within(&target, within).await?;
     let check = Box::new(still_allowed);
     let attempt = call.attempt;
+    let end = Instant::now() + within;
     let sent = send_attempt(pool, connection, request, attempt, check, within);
     let (response, connection) = sent.await?;
-    let body = time::timeout(within, read_body(response.into_body(), pool.bounds())).await;
+    let body = time::timeout_at(end, read_body(response.into_body(), pool.bounds())).await;
     let body = body.unwrap_or_else(|_| Err(slow()))?;
     let answer: CallAnswer = parse(&body)?;
     if answer.attempt != attempt {
--- a/crates/standin/tests/all/platform.rs
+++ b/crates/standin/tests/all/platform.rs
@@ -323,10 +323,12 @@
     let process = standin::Process::start(&settings).await.unwrap();
     let address = process.control_address();
     let restart = json!({ "do": "restart", "instance": "teifi-f0-e0", "keep_weights": true });
+    let dark = json!({ "do": "domain", "domain": "teifi", "mode": "hang" });
     let unknown = json!({ "do": "restart", "instance": "nobody", "keep_weights": true });
     let cases = [
         ("GET", "/counters", Value::Null, 200),
         ("POST", "/command", restart, 200),
+        ("POST", "/command", dark, 200),
         ("POST", "/command", unknown, 404),
         ("POST", "/command", json!({ "do": "nothing" }), 422),
     ];
