Judge from the engines which replicas could serve

Group downtime and stranded accelerators are to be measured against what the engines themselves hold, not against what entry nodes believe. A survey names the replicas whose members are all present at one generation, and the engines that are up in none; also at the control route.

--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -180,25 +180,27 @@
     }
 }
 
+/// Returns the members that exist, in order.
+pub(crate) fn members(
+    server: &Server,
+    membership: &Membership,
+) -> impl Iterator<Item = Arc<Server>> {
+    let registry = server.around.registry.get();
+    let found = move |address| registry?.get(address)?.upgrade();
+    membership.peers.iter().filter_map(found)
+}
+
 /// Returns whether every member is there at the same generation.
-fn members_present(server: &Server, membership: &Membership) -> bool {
-    let Some(registry) = server.around.registry.get() else {
-        return false;
-    };
-    membership.peers.iter().all(|address| {
-        let peer = registry.get(address).and_then(std::sync::Weak::upgrade);
-        peer.is_some_and(|peer| peer.is_member(&membership.replica, membership.generation))
-    })
+pub(crate) fn members_present(server: &Server, membership: &Membership) -> bool {
+    let (replica, generation) = (&membership.replica, membership.generation);
+    let present = members(server, membership).filter(|m| m.is_member(replica, generation));
+    present.count() == membership.peers.len()
 }
 
 /// Returns whether the members lie in several fabric domains.
-fn is_spread(server: &Server, membership: &Membership) -> bool {
-    let Some(registry) = server.around.registry.get() else {
-        return false;
-    };
-    let peer = |address| registry.get(address).and_then(std::sync::Weak::upgrade);
-    let mut peers = membership.peers.iter().filter_map(peer);
-    peers.any(|peer| peer.listed.fabric != server.listed.fabric)
+pub(crate) fn is_spread(server: &Server, membership: &Membership) -> bool {
+    let own = &server.listed.fabric;
+    members(server, membership).any(|member| member.listed.fabric != *own)
 }
 
 /// Returns the membership to serve a request with, or the answer that refuses it.
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -16,6 +16,7 @@
 mod service;
 mod shape;
 mod stream;
+mod survey;
 mod world;
 
 pub use command::{Command, Place};
@@ -23,4 +24,5 @@
 pub use host::Mode;
 pub use server::{Faults, Server};
 pub use shape::{Domain, Shape};
+pub use survey::{Serving, Survey};
 pub use world::{Process, World, serve};
--- a/crates/standin/src/world.rs
+++ b/crates/standin/src/world.rs
@@ -1,7 +1,7 @@
 //! Everything outside, started together.
 
 use crate::{
-    Command, Counters, Mode, Place, Server, Shape,
+    Command, Counters, Mode, Place, Server, Shape, Survey,
     counters::Shared,
     host::{self, Host},
     platform::{List, Store},
@@ -36,14 +36,6 @@
     servers: Vec<Arc<Server>>,
 }
 
-/// Where the servers listen.
-struct Ports {
-    log: SocketAddr,
-    instances: SocketAddr,
-    weights: SocketAddr,
-    backends: SocketAddr,
-}
-
 impl Drop for World {
     fn drop(&mut self) {
         // The routes of each server hold it, so they are ended one by one.
@@ -63,10 +55,11 @@
     ///
     /// Returns an error if a server cannot listen.
     pub async fn start(shape: &Shape, seed: u64) -> io::Result<Self> {
-        let ports = Ports {
+        let ports = settings::Ports {
             log: ANY,
             instances: ANY,
             weights: ANY,
+            control: ANY,
             backends: ANY,
         };
         Self::start_at(shape, seed, &ports).await
@@ -78,16 +71,15 @@
     ///
     /// Returns an error if a server cannot listen.
     pub async fn start_settings(settings: &settings::Standin) -> io::Result<Self> {
-        let ports = Ports {
-            log: settings.ports.log,
-            instances: settings.ports.instances,
-            weights: settings.ports.weights,
-            backends: settings.ports.backends,
-        };
-        Self::start_at(&Shape::from_settings(settings), settings.seed, &ports).await
+        Self::start_at(
+            &Shape::from_settings(settings),
+            settings.seed,
+            &settings.ports,
+        )
+        .await
     }
 
-    async fn start_at(shape: &Shape, seed: u64, ports: &Ports) -> io::Result<Self> {
+    async fn start_at(shape: &Shape, seed: u64, ports: &settings::Ports) -> io::Result<Self> {
         let speed = Arc::new(shape.speed.clone());
         let shared = Arc::new(Shared::new());
         let log = Log::start(ports.log, Arc::clone(&shared), speed.appends_per_s).await?;
@@ -162,6 +154,11 @@
         self.shared.inspect(ask)
     }
 
+    /// Returns which replicas could serve now.
+    pub fn survey(&self) -> Survey {
+        Survey::new(self)
+    }
+
     /// Returns the time since the start, in milliseconds, as the counters state it.
     pub fn now_ms(&self) -> u64 {
         self.shared.now_ms()
@@ -311,7 +308,8 @@
 impl Process {
     /// Starts the stand-ins of `settings`, and their control route.
     ///
-    /// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`].
+    /// `POST /command` takes a [`Command`]; `GET /counters` returns [`Counters`],
+    /// `GET /survey` a [`Survey`].
     ///
     /// # Errors
     ///
@@ -323,6 +321,7 @@
         let router = Router::new()
             .route("/command", post(command))
             .route("/counters", get(counters))
+            .route("/survey", get(survey))
             .with_state(Arc::clone(&control));
         host::serve(bound, &control, |control| &control.host, router);
         Ok(Self(control))
@@ -365,6 +364,11 @@
     }
 }
 
+/// Returns which replicas could serve now.
+async fn survey(State(control): State<Arc<Control>>) -> Json<Survey> {
+    Json(control.world.survey())
+}
+
 /// Returns the counters.
 async fn counters(State(control): State<Arc<Control>>) -> Json<Counters> {
     Json(control.world.counters())
--- a/crates/standin/tests/all/drive.rs
+++ b/crates/standin/tests/all/drive.rs
@@ -450,7 +450,15 @@
 #[tokio::test]
 async fn a_replica_without_a_member_refuses() {
     let formed = Formed::start(3).await;
+    let before = formed.world.survey();
+    assert_eq!(before.serving[0].generation, formed.target().generation);
+    assert_eq!(
+        (before.serving[0].members.len(), before.stranded.len()),
+        (3, 9)
+    );
     formed.servers[2].restart(true);
+    let after = formed.world.survey();
+    assert_eq!((after.serving.len(), after.stranded.len()), (0, 12));
     let request = generate("prompt", 1, 4);
     let target = formed.target();
     let sent = engine::generate(&formed.pool, target, &request, || true, LONG).await;
--- a/crates/standin/tests/all/platform.rs
+++ b/crates/standin/tests/all/platform.rs
@@ -327,6 +327,7 @@
     let unknown = json!({ "do": "restart", "instance": "nobody", "keep_weights": true });
     let cases = [
         ("GET", "/counters", Value::Null, 200),
+        ("GET", "/survey", Value::Null, 200),
         ("POST", "/command", restart, 200),
         ("POST", "/command", dark, 200),
         ("POST", "/command", unknown, 404),
