--- a/crates/standin/tests/all/drive.rs
+++ b/crates/standin/tests/all/drive.rs
@@ -343,6 +343,27 @@
     }
 }
 
+#[tokio::test]
+async fn warmth_comes_with_completions_and_goes_without_notice() {
+    let formed = Formed::start(2).await;
+    let lead = formed.lead();
+    let boot = lead.report().boot;
+    for round in 0..2 {
+        let mut completions = 0;
+        while !lead.report().warm {
+            let (target, request) = (formed.target(), generate("prompt", 1, 2));
+            let stream = engine::generate(&formed.pool, target, &request, || true, LONG).await;
+            let mut stream = stream.unwrap();
+            while stream.next().await.is_some() {}
+            completions += 1;
+        }
+        assert_eq!(completions, small().speed.warm_completions, "{round}");
+        lead.cool();
+        assert!(!lead.report().warm);
+        assert_eq!(lead.report().boot, boot);
+    }
+}
+
 #[tokio::test]
 async fn a_full_engine_takes_the_most_urgent_next() {
     let formed = Formed::start(2).await;
@@ -429,7 +450,15 @@
 #[tokio::test]
 async fn a_replica_without_a_member_refuses() {
     let formed = Formed::start(3).await;
+    let before = formed.world.survey();
+    assert_eq!(before.serving[0].generation, formed.target().generation);
+    assert_eq!(
+        (before.serving[0].members.len(), before.stranded.len()),
+        (3, 9)
+    );
     formed.servers[2].restart(true);
+    let after = formed.world.survey();
+    assert_eq!((after.serving.len(), after.stranded.len()), (0, 12));
     let request = generate("prompt", 1, 4);
     let target = formed.target();
     let sent = engine::generate(&formed.pool, target, &request, || true, LONG).await;
