Renew votes once a second and learn only from lost members

A watcher repeated every vote at each poll, and each vote hashed all entry nodes. Votes are now renewed once a second, and the chosen watchers are kept until the epoch changes. The time to return is learned from lost members only, not from taken-out ones; engines that leave by themselves count as leaving; after a pause a node starts its delays anew.

--- a/crates/replica/src/pace.rs
+++ b/crates/replica/src/pace.rs
@@ -39,6 +39,14 @@
     reform: bool,
 }
 
+/// A member's absence.
+#[derive(Debug, Clone, Copy)]
+struct Absence {
+    since: Moment,
+    /// Whether it was lost, and not just unseen for a moment.
+    lost: bool,
+}
+
 /// Remembers between calls of [`propose`](crate::propose) what paces them.
 #[derive(Debug, Clone)]
 pub struct Pacer {
@@ -47,10 +55,11 @@
     known: BTreeMap<Replica, Generation>,
     spent: VecDeque<Moment>,
     wanted: BTreeMap<Replica, Wanted>,
-    absent: BTreeMap<Instance, Moment>,
+    absent: BTreeMap<Instance, Absence>,
     loading: BTreeMap<Instance, Moment>,
     ages: BTreeMap<Replica, (Generation, Moment)>,
     draining: BTreeMap<Replica, Moment>,
+    called: Moment,
     back: Duration,
     load: Duration,
 }
@@ -69,6 +78,7 @@
             loading: BTreeMap::new(),
             ages: BTreeMap::new(),
             draining: BTreeMap::new(),
+            called: Moment::START,
             back,
             load,
         }
@@ -88,7 +98,7 @@
     pub(crate) fn absent(&self, instance: &Instance, now: Moment) -> Duration {
         self.absent
             .get(instance)
-            .map(|since| now.since(*since))
+            .map(|absence| now.since(absence.since))
             .unwrap_or_default()
     }
 
@@ -119,7 +129,14 @@
     }
 
     /// Takes note of what changed since the last call.
+    ///
+    /// After a pause of this node, and while it is blind, nothing counts as
+    /// having lasted.
     pub(crate) fn observe(&mut self, state: &State, view: &View, survey: &Survey<'_>, now: Moment) {
+        if survey.is_blind() || now.since(self.called) > self.settings.pause {
+            self.wanted.clear();
+        }
+        self.called = now;
         self.count_reforms(state, now);
         self.note_absences(survey, now);
         self.note_loads(view, now);
@@ -163,10 +180,15 @@
         let mut absent = BTreeMap::new();
         for (instance, fate) in survey.groups.iter().flat_map(Group::members) {
             let before = self.absent.get(instance).copied();
-            if fate != Fate::Present {
-                absent.insert(instance.clone(), before.unwrap_or(now));
-            } else if let Some(since) = before {
-                self.back = smoothed(self.back, now.since(since));
+            if matches!(fate, Fate::Unseen | Fate::Lost | Fate::Gone) {
+                let mut absence = before.unwrap_or(Absence {
+                    since: now,
+                    lost: false,
+                });
+                absence.lost |= fate.is_dead();
+                absent.insert(instance.clone(), absence);
+            } else if let Some(absence) = before.filter(|a| a.lost) {
+                self.back = smoothed(self.back, now.since(absence.since));
             }
         }
         self.absent = absent;
--- a/crates/replica/src/survey.rs
+++ b/crates/replica/src/survey.rs
@@ -1,6 +1,6 @@
 //! One pass over state and view, as the start of every proposal.
 
-use crate::{Listing, Pacer, Report, Seen, View, serve};
+use crate::{Listing, Pacer, Phase, Report, Seen, View, serve};
 use clock::Moment;
 use name::{Instance, Replica};
 use state::{Assignment, State};
@@ -140,7 +140,8 @@
     if state.is_out(instance, &seen.domain) {
         return Fate::Out;
     }
-    let fresh = seen.fresh(settings, now).is_some();
+    let report = seen.fresh(settings, now);
+    let fresh = report.is_some();
     let suspected = seen.suspected(now);
     match (seen.listing, fresh) {
         (Listing::Leaving, true) => Fate::Leaving,
@@ -148,6 +149,8 @@
         _ if seen.is_gone(settings.gone_after, now) => Fate::Gone,
         (_, true) if suspected && absent > settings.vote_life * 3 => Fate::Lost,
         (_, true) if suspected => Fate::Unseen,
+        // The state still assigns it, so that it leaves by its own decision.
+        (_, true) if report.is_some_and(|r| r.phase == Phase::Leaving) => Fate::Leaving,
         (_, true) => Fate::Present,
         (_, false) if suspected => Fate::Lost,
         (_, false) => Fate::Unseen,
@@ -164,6 +167,7 @@
 ) -> Option<Free<'a>> {
     let report = seen.fresh(view.settings(), now)?;
     let usable = seen.listing == Listing::Live
+        && report.phase != Phase::Leaving
         && !seen.suspected(now)
         && !state.is_out(instance, &seen.domain);
     usable.then_some(Free {
--- a/crates/replica/src/view.rs
+++ b/crates/replica/src/view.rs
@@ -2,7 +2,7 @@
 
 use crate::{Report, Settings, Vote, watchers};
 use clock::Moment;
-use name::{Domain, Fabric, Instance, Node};
+use name::{Domain, Fabric, Instance, Node, Offset};
 use state::Epoch;
 use std::{
     collections::{BTreeMap, HashMap},
@@ -67,6 +67,8 @@
     past: Option<(Uuid, Moment)>,
     /// The watchers that suspect the instance.
     doubts: Vec<Doubt>,
+    /// The watchers, and the revision of the epoch that chose them.
+    chosen: Option<(Offset, Vec<Node>)>,
 }
 
 /// One watcher's suspicion.
@@ -166,8 +168,16 @@
         let Some(peer) = epoch.peers.iter().find(|p| p.node == vote.watcher) else {
             return false;
         };
-        let chosen = watchers(&vote.instance, &seen.domain, epoch, WATCHERS);
-        if !chosen.contains(&vote.watcher) {
+        if seen
+            .chosen
+            .as_ref()
+            .is_none_or(|(at, _)| *at != epoch.revision)
+        {
+            let chosen = watchers(&vote.instance, &seen.domain, epoch, WATCHERS);
+            seen.chosen = Some((epoch.revision, chosen));
+        }
+        let counts = |(_, chosen): &(Offset, Vec<Node>)| chosen.contains(&vote.watcher);
+        if !seen.chosen.as_ref().is_some_and(counts) {
             return false;
         }
         seen.doubts
@@ -223,12 +233,16 @@
             latest: None,
             past: None,
             doubts: Vec::new(),
+            chosen: None,
         }
     }
 
     fn relist(&mut self, listed: &Listed, now: Moment) {
         self.address = listed.address;
-        self.domain.clone_from(&listed.domain);
+        if self.domain != listed.domain {
+            self.domain = listed.domain.clone();
+            self.chosen = None;
+        }
         self.fabric.clone_from(&listed.fabric);
         self.set_listing(listing(listed), now);
     }
--- a/crates/replica/src/watch.rs
+++ b/crates/replica/src/watch.rs
@@ -6,6 +6,9 @@
 use state::{Epoch, Peer};
 use std::collections::{BTreeMap, BTreeSet};
 
+/// The number of votes in the time for which one counts.
+const RENEWALS: u32 = 3;
+
 /// A watcher's judgement on one instance, as gossip carries it.
 #[common::value]
 pub struct Vote {
@@ -67,7 +70,8 @@
     settings: Settings,
     judged: Moment,
     seen: BTreeMap<Instance, Moment>,
-    suspects: BTreeSet<Instance>,
+    /// The suspects, with the moments of the last votes on them.
+    suspects: BTreeMap<Instance, Moment>,
 }
 
 impl Watch {
@@ -78,7 +82,7 @@
             settings,
             judged: now,
             seen: BTreeMap::new(),
-            suspects: BTreeSet::new(),
+            suspects: BTreeMap::new(),
         }
     }
 
@@ -93,7 +97,7 @@
             })
             .collect();
         let seen = &self.seen;
-        self.suspects.retain(|i| seen.contains_key(i));
+        self.suspects.retain(|i, _| seen.contains_key(i));
     }
 
     /// Returns the watched instances.
@@ -126,16 +130,28 @@
         if lost.len() * 2 > self.seen.len() {
             return Judgement::Blind;
         }
-        let withdrawn = self.suspects.difference(&lost).map(|i| (i, false));
-        let votes = withdrawn
-            .chain(lost.iter().map(|i| (i, true)))
-            .map(|(i, suspected)| Vote {
-                watcher: self.own.clone(),
-                instance: i.clone(),
-                suspected,
-            })
-            .collect();
-        self.suspects = lost;
-        Judgement::Votes(votes)
+        let mut votes = Vec::new();
+        self.suspects.retain(|i, _| {
+            let stays = lost.contains(i);
+            if !stays {
+                votes.push((i.clone(), false));
+            }
+            stays
+        });
+        let renewal = self.settings.vote_life / RENEWALS;
+        for instance in lost {
+            let last = self.suspects.get(&instance);
+            if last.is_none_or(|at| now.since(*at) >= renewal) {
+                self.suspects.insert(instance.clone(), now);
+                votes.push((instance, true));
+            }
+        }
+        let watcher = &self.own;
+        let vote = |(instance, suspected)| Vote {
+            watcher: watcher.clone(),
+            instance,
+            suspected,
+        };
+        Judgement::Votes(votes.into_iter().map(vote).collect())
     }
 }
