--- a/crates/replica/src/form.rs
+++ b/crates/replica/src/form.rs
@@ -17,6 +17,9 @@
     time::Duration,
 };
 
+/// The number of calls for which replicas to form are planned ahead.
+const AHEAD: usize = 4;
+
 /// How long a set in one fabric domain must be free before it is formed.
 const FORM_DELAY: Duration = Duration::from_secs(1);
 
@@ -44,7 +47,8 @@
         .map(|(m, t)| (m, t.want.saturating_sub(t.have)))
         .filter(|(_, n)| *n > 0)
         .collect();
-    for _ in 0..scene.view.settings().forms {
+    // Later ones start their delay while the first are proposed.
+    for _ in 0..scene.view.settings().forms * AHEAD {
         let next = missing
             .iter()
             .max_by_key(|(m, n)| (**n, std::cmp::Reverse(**m)));
--- a/crates/replica/src/pool.rs
+++ b/crates/replica/src/pool.rs
@@ -2,31 +2,36 @@
 
 use crate::survey::Free;
 use name::{Fabric, Instance};
-use std::collections::BTreeMap;
+use std::{cmp::Reverse, collections::BTreeMap};
 
 /// The free instances that no proposal of this call has taken yet.
 #[derive(Debug, Default)]
 pub(crate) struct Pool<'a> {
-    free: Vec<Free<'a>>,
+    fabrics: BTreeMap<&'a Fabric, Vec<Free<'a>>>,
+    len: usize,
 }
 
 impl<'a> Pool<'a> {
     /// Returns a pool of all `free` instances, which are sorted by name.
-    pub(crate) fn new(free: Vec<Free<'a>>) -> Self {
-        Self { free }
+    pub(crate) fn new(free: &[Free<'a>]) -> Self {
+        let mut fabrics: BTreeMap<_, Vec<_>> = BTreeMap::new();
+        for f in free {
+            fabrics.entry(&f.seen.fabric).or_default().push(*f);
+        }
+        Self {
+            fabrics,
+            len: free.len(),
+        }
     }
 
     /// Returns the number of free instances.
     pub(crate) fn len(&self) -> usize {
-        self.free.len()
+        self.len
     }
 
     /// Returns the number of free instances in `fabric`.
     pub(crate) fn count(&self, fabric: &Fabric) -> usize {
-        self.free
-            .iter()
-            .filter(|f| f.seen.fabric == *fabric)
-            .count()
+        self.fabrics.get(fabric).map_or(0, Vec::len)
     }
 
     /// Takes `n` instances to stand beside members in `home`, or none.
@@ -40,24 +45,15 @@
         weights: &str,
         n: usize,
     ) -> Option<Vec<Instance>> {
-        let mut order: Vec<usize> = (0..self.free.len())
-            .filter(|i| cross || self.free[*i].seen.fabric == *home)
-            .collect();
-        if order.len() < n {
-            return None;
-        }
-        order.sort_by_key(|i| {
-            let f = &self.free[*i];
-            (!f.report.holds(weights), f.seen.fabric != *home)
-        });
-        order.truncate(n);
-        Some(self.remove(order))
+        let mut order: Vec<_> = self.within(home, cross).collect();
+        order.sort_by_key(|f| (!f.report.holds(weights), f.seen.fabric != *home));
+        self.take(order, n)
     }
 
     /// Returns whether [`pick`](Self::pick) would find `n` that hold the weights.
     pub(crate) fn is_warm(&self, home: &Fabric, cross: bool, weights: &str, n: usize) -> bool {
-        let fits = |f: &&Free<'_>| f.report.holds(weights) && (cross || f.seen.fabric == *home);
-        self.free.iter().filter(fits).count() >= n
+        let warm = self.within(home, cross).filter(|f| f.report.holds(weights));
+        warm.take(n).count() == n
     }
 
     /// Takes `n` instances of one fabric domain for a new replica.
@@ -65,50 +61,50 @@
     /// At least `spares` stay in the fabric domain. The fabric domain with most
     /// loaded weights is chosen, and then the one that fits most tightly.
     pub(crate) fn set(&mut self, weights: &str, n: usize, spares: usize) -> Option<Vec<Instance>> {
-        let mut fabrics: BTreeMap<&Fabric, (usize, usize)> = BTreeMap::new();
-        for f in &self.free {
-            let entry = fabrics.entry(&f.seen.fabric).or_default();
-            entry.0 += 1;
-            entry.1 += usize::from(f.report.holds(weights));
-        }
-        let home = fabrics
-            .into_iter()
-            .filter(|(_, (free, _))| *free >= n + spares)
-            .min_by_key(|(fabric, (free, warm))| (n.saturating_sub(*warm), *free, *fabric))
-            .map(|(fabric, _)| fabric.clone())?;
+        let warm = |free: &[Free<'_>]| free.iter().filter(|f| f.report.holds(weights)).count();
+        let home = self
+            .fabrics
+            .iter()
+            .filter(|(_, free)| free.len() >= n + spares)
+            .min_by_key(|(_, free)| (n.saturating_sub(warm(free)), free.len()))
+            .map(|(fabric, _)| (*fabric).clone())?;
         self.pick(&home, false, weights, n)
     }
 
     /// Takes `n` instances over as few fabric domains as possible.
     pub(crate) fn spread_set(&mut self, weights: &str, n: usize) -> Option<Vec<Instance>> {
-        let mut counts: BTreeMap<&Fabric, usize> = BTreeMap::new();
-        for f in &self.free {
-            *counts.entry(&f.seen.fabric).or_default() += 1;
-        }
-        let mut order: Vec<usize> = (0..self.free.len()).collect();
-        if order.len() < n {
-            return None;
-        }
-        order.sort_by_key(|i| {
-            let f = &self.free[*i];
-            let size = counts.get(&f.seen.fabric).copied().unwrap_or_default();
+        let mut order: Vec<_> = self.fabrics.values().flatten().copied().collect();
+        order.sort_by_key(|f| {
+            let fabric = &f.seen.fabric;
             let warm = f.report.holds(weights);
-            (std::cmp::Reverse(size), &f.seen.fabric, !warm)
+            (Reverse(self.count(fabric)), fabric, !warm)
         });
-        order.truncate(n);
-        Some(self.remove(order))
+        self.take(order, n)
     }
 
-    /// Removes the instances at `indices` and returns them in that order.
-    fn remove(&mut self, mut indices: Vec<usize>) -> Vec<Instance> {
-        let taken = indices
+    /// Returns the free instances in `home`, or all of them.
+    fn within(&self, home: &Fabric, cross: bool) -> impl Iterator<Item = Free<'a>> {
+        let local = self.fabrics.get(home).into_iter().flatten();
+        let others = self
+            .fabrics
             .iter()
-            .map(|i| self.free[*i].instance.clone())
-            .collect();
-        indices.sort_unstable();
-        for i in indices.into_iter().rev() {
-            self.free.remove(i);
+            .filter(move |(fabric, _)| cross && **fabric != home)
+            .flat_map(|(_, free)| free);
+        local.chain(others).copied()
+    }
+
+    /// Removes the first `n` of `order` and returns their names, or takes none.
+    fn take(&mut self, mut order: Vec<Free<'a>>, n: usize) -> Option<Vec<Instance>> {
+        if order.len() < n {
+            return None;
+        }
+        order.truncate(n);
+        self.len -= n;
+        for taken in &order {
+            if let Some(free) = self.fabrics.get_mut(&taken.seen.fabric) {
+                free.retain(|f| f.instance != taken.instance);
+            }
         }
-        taken
+        Some(order.into_iter().map(|f| f.instance.clone()).collect())
     }
 }
--- a/crates/replica/src/propose.rs
+++ b/crates/replica/src/propose.rs
@@ -75,7 +75,7 @@
 /// Returns all changes that the present situation calls for, most useful first.
 fn collect(scene: &Scene<'_>) -> Vec<Want> {
     let mut wants = Vec::new();
-    let mut pool = Pool::new(scene.survey.free.clone());
+    let mut pool = Pool::new(&scene.survey.free);
     let stuck = repair::replace(scene, &mut pool, &mut wants);
     let merged = merge::merge(scene, &pool, &stuck, &mut wants);
     if scene.policy.swap {
--- a/crates/replica/tests/all/fixture.rs
+++ b/crates/replica/tests/all/fixture.rs
@@ -4,7 +4,7 @@
 use plan::{Lists, Model};
 use replica::Listed;
 use state::{Epoch, Peer};
-use std::collections::BTreeMap;
+use std::{collections::BTreeMap, net::SocketAddr};
 use uuid::Uuid;
 
 /// The number of members of a replica.
@@ -16,13 +16,22 @@
 }
 
 /// Returns the listing of the instance `i`, eight to a fabric domain.
+///
+/// The first 48 fill two fabric domains in each of three failure domains; the
+/// next two join the first of them.
 pub fn listed(i: usize) -> Listed {
-    let text = format!("i{i:02}");
-    let fabric = i / 8 % 6;
+    let fabric = match i {
+        48 | 49 => 0,
+        _ => i / 8,
+    };
+    let domain = match fabric {
+        0..6 => fabric / 2,
+        _ => fabric % 3,
+    };
     Listed {
-        instance: n(&text),
-        address: format!("10.0.0.{i}:80").parse().unwrap(),
-        domain: n(&format!("d{}", fabric / 2)),
+        instance: n(&format!("i{i:02}")),
+        address: SocketAddr::from(([10, 0, (i / 256) as u8, (i % 256) as u8], 80)),
+        domain: n(&format!("d{domain}")),
         fabric: n(&format!("f{fabric}")),
         leaving: false,
     }
--- a/crates/replica/tests/all/main.rs
+++ b/crates/replica/tests/all/main.rs
@@ -7,4 +7,5 @@
 mod policy;
 mod propose;
 mod replay;
+mod scale;
 mod serve;
