--- a/crates/admit/src/queue/mod.rs
+++ b/crates/admit/src/queue/mod.rs
@@ -2,9 +2,10 @@
 //!
 //! Client accounts share in estimated tokens by start-time fair queueing: an
 //! account's tag advances by tokens / weight with each entry that leaves, and
-//! the account with the lowest tag is next. An account that was idle starts
-//! at the present tag, so it gains nothing by waiting and loses nothing by
-//! having waited. When an answer ends, [`Queue::settle`] corrects the tag by
+//! the account with the lowest tag is next. An account that used less than its
+//! share starts behind the present tag, by a bounded credit: its requests
+//! arrive in bursts, and without credit a burst would wait for its share of the
+//! slots although the account is below its share on average. When an answer ends, [`Queue::settle`] corrects the tag by
 //! what the estimate missed.
 //!
 //! Work-conserving: as long as an eligible entry is at the head of a class, one
@@ -41,6 +42,9 @@
     pub total: usize,
     /// Entries of one account.
     pub account: usize,
+    /// Tokens for each unit of weight that an account which used less than its
+    /// share may take ahead of the others; about two seconds of the pool's rate.
+    pub credit: u64,
 }
 
 /// A request that is to wait.
@@ -99,6 +103,7 @@
 impl<T> Queue<T> {
     /// Returns an empty queue.
     pub fn new(bounds: Bounds) -> Self {
+        let tag = bounds.credit.saturating_mul(SCALE);
         Self {
             bounds,
             lanes: HashMap::new(),
@@ -106,7 +111,8 @@
             indebted: BTreeSet::new(),
             deadlines: BTreeSet::new(),
             drain: Drain::default(),
-            tag: 0,
+            // Early accounts, too, start a whole credit behind.
+            tag,
             sequence: 0,
             tokens: 0,
             weights: 0,
@@ -209,7 +215,7 @@
         lane.unsettled = lane.unsettled.saturating_sub(1);
         let span = |tokens: u64| tokens.max(1).saturating_mul(SCALE) / u64::from(lane.weight);
         let tag = lane.tag.saturating_add(span(actual));
-        let tag = tag.saturating_sub(span(estimated)).max(self.tag);
+        let tag = tag.saturating_sub(span(estimated)).max(self.floor());
         self.retag(account, tag);
         self.forgive();
     }
@@ -275,9 +281,15 @@
         Ok(())
     }
 
+    /// Returns the lowest tag that an account may have: the present one less the credit.
+    fn floor(&self) -> u64 {
+        let credit = self.bounds.credit.saturating_mul(SCALE);
+        self.tag.saturating_sub(credit)
+    }
+
     /// Makes sure that `account` is among those with entries.
     fn activate(&mut self, account: &Account, weight: u32) {
-        let tag = self.tag;
+        let tag = self.floor();
         let lane = self.lanes.entry(account.clone()).or_default();
         if lane.len() > 0 {
             self.weights -= u64::from(lane.weight);
@@ -322,7 +334,7 @@
     /// Drops settled accounts without entries whose tag has been reached.
     fn forgive(&mut self) {
         while let Some((tag, _)) = self.indebted.first() {
-            if *tag > self.tag {
+            if *tag > self.floor() {
                 break;
             }
             let Some((_, account)) = self.indebted.pop_first() else {
--- /dev/null
+++ b/crates/admit/tests/queue.rs
@@ -0,0 +1,319 @@
+//! Shares of a queue, next to first come, first served.
+
+use admit::{Bounds, Entry, Queue, fifo};
+use clock::Moment;
+use name::Account;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap},
+    time::Duration,
+};
+
+/// Requests that the servers bear at once.
+const SLOTS: usize = 32;
+
+/// Tokens per second of one request in progress.
+const TOKENS_PER_S: f64 = 50.0;
+
+/// The simulated time.
+const SPAN: Duration = Duration::from_secs(600);
+
+/// One account's load in a simulation.
+#[derive(Clone)]
+struct Source {
+    account: Account,
+    weight: u32,
+    /// Offered tokens per second, relative to what all slots serve.
+    offered: f64,
+}
+
+/// What an account was served.
+#[derive(Default)]
+struct Served {
+    tokens: u64,
+    /// From arrival to the end, in microseconds.
+    totals: Vec<u64>,
+}
+
+impl Served {
+    fn p95(&mut self) -> f64 {
+        self.totals.sort_unstable();
+        self.totals[self.totals.len() * 95 / 100] as f64 / 1e6
+    }
+}
+
+/// Either queue.
+enum Line {
+    Fair(Queue<Arrival>),
+    First(fifo::Queue<Arrival>),
+}
+
+#[derive(Clone)]
+struct Arrival {
+    at: Moment,
+    source: usize,
+    tokens: u64,
+}
+
+fn account(name: &str) -> Account {
+    Account::try_from(name).expect("a name")
+}
+
+fn source(name: &str, weight: u32, offered: f64) -> Source {
+    Source {
+        account: account(name),
+        weight,
+        offered,
+    }
+}
+
+/// Returns the arrivals of one source; the seed is its own, so that they do not
+/// depend on the other sources.
+fn arrivals(source: &Source, number: usize) -> Vec<Arrival> {
+    let mut rng = ChaCha8Rng::seed_from_u64(7 + number as u64);
+    let mean = 100.0;
+    let per_s = source.offered * SLOTS as f64 * TOKENS_PER_S / mean;
+    let mut at = Moment::START;
+    let mut out = Vec::new();
+    while at < Moment::START + SPAN {
+        let gap = -(1.0 - rng.random::<f64>()).ln() / per_s;
+        at = at + Duration::from_secs_f64(gap);
+        let tokens = rng.random_range(50..=150);
+        out.push(Arrival {
+            at,
+            source: number,
+            tokens,
+        });
+    }
+    out
+}
+
+/// Simulates all slots before one queue.
+fn simulate(sources: &[Source], mut line: Line) -> Vec<Served> {
+    let each = sources.iter().enumerate();
+    let mut coming: Vec<Arrival> = each.flat_map(|(n, s)| arrivals(s, n)).collect();
+    coming.sort_by_key(|a| Reverse((a.at, a.source)));
+    let mut served: Vec<Served> = sources.iter().map(|_| Served::default()).collect();
+    let mut busy: BinaryHeap<Reverse<(Moment, usize, u64)>> = BinaryHeap::new();
+    let mut now = Moment::START;
+    while now < Moment::START + SPAN {
+        let ends = busy.peek().map(|Reverse((at, ..))| *at);
+        let Some(next) = coming.last().map(|a| a.at).into_iter().chain(ends).min() else {
+            break;
+        };
+        now = next;
+        while busy.peek().is_some_and(|Reverse((at, ..))| *at <= now) {
+            busy.pop();
+        }
+        while coming.last().is_some_and(|a| a.at <= now) {
+            let arrival = coming.pop().expect("just seen");
+            enter(&mut line, &sources[arrival.source], arrival, now);
+        }
+        while busy.len() < SLOTS {
+            let Some(arrival) = leave(&mut line, now) else {
+                break;
+            };
+            let takes = Duration::from_secs_f64(arrival.tokens as f64 / TOKENS_PER_S);
+            let end = now + takes;
+            busy.push(Reverse((end, arrival.source, arrival.tokens)));
+            let served = &mut served[arrival.source];
+            served.tokens += arrival.tokens;
+            served.totals.push(end.0 - arrival.at.0);
+        }
+    }
+    served
+}
+
+fn enter(line: &mut Line, source: &Source, arrival: Arrival, now: Moment) {
+    let deadline = now + SPAN * 10;
+    match line {
+        Line::First(queue) => drop(queue.push(arrival, deadline)),
+        Line::Fair(queue) => {
+            let entry = Entry {
+                account: source.account.clone(),
+                weight: source.weight,
+                class: 0,
+                tokens: 100,
+                deadline,
+                item: arrival,
+            };
+            drop(queue.push(entry, now));
+        }
+    }
+}
+
+fn leave(line: &mut Line, now: Moment) -> Option<Arrival> {
+    match line {
+        Line::First(queue) => queue.pop(now),
+        Line::Fair(queue) => {
+            let popped = queue.pop(now, |_| true)?;
+            queue.settle(&popped.account, popped.tokens, popped.item.tokens);
+            Some(popped.item)
+        }
+    }
+}
+
+fn fair() -> Line {
+    Line::Fair(Queue::new(Bounds {
+        total: 2_000,
+        account: 200,
+        credit: 3_200,
+    }))
+}
+
+fn first() -> Line {
+    Line::First(fifo::Queue::new(2_000))
+}
+
+#[test]
+fn a_large_account_delays_a_small_one_by_at_most_a_tenth() {
+    // Equal weights: half of the slots each. The small account offers 80% of
+    // its share, the large one 20 times its share.
+    let small = source("small", 1, 0.4);
+    let large = source("large", 1, 10.0);
+    let alone = simulate(&[small.clone()], fair())[0].p95();
+    let beside = simulate(&[small.clone(), large.clone()], fair())[0].p95();
+    let unfair = simulate(&[small, large], first())[0].p95();
+    println!(
+        "p95 of the small account: {alone:.3} s alone, {beside:.3} s beside, {unfair:.3} s first come first served"
+    );
+    assert!(beside <= alone * 1.1, "{beside} s against {alone} s");
+    assert!(unfair > alone * 1.1, "the baseline delays it: {unfair} s");
+}
+
+/// Returns Jain's index of tokens served for each unit of weight.
+fn jain(sources: &[Source], served: &[Served]) -> f64 {
+    let pairs = sources.iter().zip(served);
+    let shares: Vec<f64> = pairs
+        .map(|(s, got)| got.tokens as f64 / f64::from(s.weight))
+        .collect();
+    let sum: f64 = shares.iter().sum();
+    let squares: f64 = shares.iter().map(|x| x * x).sum();
+    sum * sum / (shares.len() as f64 * squares)
+}
+
+#[test]
+fn backlogged_accounts_are_served_by_weight() {
+    // Each offers more than its share, in a ratio that is not that of weights.
+    let sources: Vec<Source> = [(1, 4.0), (2, 1.0), (3, 2.0), (4, 0.8)]
+        .into_iter()
+        .map(|(weight, offered)| source(&format!("account-{weight}"), weight, offered))
+        .collect();
+    let by_share = jain(&sources, &simulate(&sources, fair()));
+    let by_arrival = jain(&sources, &simulate(&sources, first()));
+    println!("Jain's index by weight: {by_share:.4} fair, {by_arrival:.4} first come first served");
+    assert!(by_share > 0.99, "{by_share}");
+    assert!(by_arrival < 0.9, "{by_arrival}");
+}
+
+fn entry(account: &str, class: usize, tokens: u64, deadline: Moment, item: u32) -> Entry<u32> {
+    Entry {
+        account: self::account(account),
+        weight: 1,
+        class,
+        tokens,
+        deadline,
+        item,
+    }
+}
+
+#[test]
+fn urgent_classes_go_first_and_the_others_are_not_starved() {
+    let mut queue = Queue::new(Bounds {
+        total: 1_000,
+        account: 1_000,
+        credit: 0,
+    });
+    let (now, late) = (Moment::START, Moment::from_millis(60_000));
+    queue.push(entry("a", 1, 1, late, 0), now).expect("room");
+    for item in 1..=50 {
+        queue.push(entry("a", 0, 1, late, item), now).expect("room");
+    }
+    let order: Vec<u32> = std::iter::from_fn(|| queue.pop(now, |_| true))
+        .map(|p| p.item)
+        .collect();
+    assert_eq!(order[..7], [1, 2, 3, 4, 5, 6, 7]);
+    assert_eq!(order[7], 0, "the eighth is the one that waited longest");
+    assert_eq!(order.len(), 51);
+}
+
+#[test]
+fn refusals_are_not_run_and_name_a_retry_time() {
+    let (now, late) = (Moment::START, Moment::from_millis(600_000));
+    let bounds = Bounds {
+        total: 3,
+        account: 2,
+        credit: 0,
+    };
+    let mut queue = Queue::new(bounds);
+    for (account, is_taken) in [
+        ("a", true),
+        ("a", true),
+        ("a", false),
+        ("b", true),
+        ("c", false),
+    ] {
+        let result = queue.push(entry(account, 0, 10, late, 0), now);
+        assert_eq!(result.is_ok(), is_taken, "{account}");
+        if let Err(error) = result {
+            assert_eq!(error.verdict(), verdict::Verdict::NotRun);
+            assert!(error.retry_after().is_some());
+        }
+    }
+    let expired = queue.expire(late);
+    assert_eq!((expired.len(), queue.len()), (3, 0));
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_early() {
+    let mut queue = Queue::new(Bounds {
+        total: 1_000,
+        account: 1_000,
+        credit: 0,
+    });
+    let late = Moment::from_millis(600_000);
+    let at = |n: u64| Moment::from_millis(n * 100);
+    for item in 0..300 {
+        queue
+            .push(entry("a", 0, 100, late, item), at(0))
+            .expect("room");
+    }
+    // One request of 100 tokens each 100 ms: 1,000 tokens a second.
+    for n in 0..100 {
+        queue.pop(at(n), |_| true).expect("a backlog");
+    }
+    let now = at(100);
+    let wait = queue
+        .expected_wait(&account("a"), 1, now)
+        .expect("observed");
+    assert!((19.0..21.0).contains(&wait.as_secs_f64()), "{wait:?}");
+    let in_time = |s: u64| now + Duration::from_secs(s);
+    assert!(queue.push(entry("a", 0, 100, in_time(15), 0), now).is_err());
+    assert!(queue.push(entry("a", 0, 100, in_time(25), 0), now).is_ok());
+    // An account without a backlog does not wait for another's.
+    assert!(queue.push(entry("b", 0, 100, in_time(15), 0), now).is_ok());
+}
+
+#[test]
+fn entries_that_are_not_eligible_hold_up_no_others() {
+    let mut queue = Queue::new(Bounds {
+        total: 10,
+        account: 10,
+        credit: 0,
+    });
+    let (now, late) = (Moment::START, Moment::from_millis(60_000));
+    for (account, item) in [("a", 1), ("b", 2), ("c", 3)] {
+        queue
+            .push(entry(account, 0, 1, late, item), now)
+            .expect("room");
+    }
+    let taken = queue.pop(now, |item| *item == 3).map(|p| p.item);
+    assert_eq!(taken, Some(3));
+    assert!(queue.pop(now, |_| false).is_none());
+    let counts = BTreeMap::from([("a", 1), ("b", 1), ("c", 0)]);
+    for (name, count) in counts {
+        assert_eq!(queue.len_of(&account(name)), count, "{name}");
+    }
+}
