Prove the fold: deliveries, adoption, garbage, and both races

Both races are searched exhaustively.

Every configuration base had exactly one winner and no instance stood in two replicas. The same search finds a fold without the base check, one that forgets writers and one that forgets holders.

--- a/crates/name/src/id.rs
+++ b/crates/name/src/id.rs
@@ -15,8 +15,11 @@
     pub const ZERO: Self = Self(0);
 
     /// Returns the offset after this one.
+    ///
+    /// The last offset is its own next one, so that a false offset from a
+    /// peer cannot overflow.
     pub fn next(self) -> Self {
-        Self(self.0 + 1)
+        Self(self.0.saturating_add(1))
     }
 }
 
--- a/crates/state/src/fold.rs
+++ b/crates/state/src/fold.rs
@@ -46,6 +46,16 @@
     Rejected(Rejection),
 }
 
+impl fmt::Display for Outcome {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Accepted => f.write_str("accepted"),
+            Self::Repeated => f.write_str("repeated"),
+            Self::Rejected(rejection) => write!(f, "rejected: {rejection}"),
+        }
+    }
+}
+
 /// Why the fold refused a record.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Rejection {
--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -152,15 +152,7 @@
     pub fn offer_page(&mut self, page: Page) -> Vec<Event> {
         let last = Offset(page.tail.0.saturating_sub(1));
         self.target.get_or_insert(last);
-        if page.first > self.next() {
-            let cursor = self.wants().max(page.first);
-            let first = page.first;
-            if self.search.is_none() {
-                self.target = Some(last);
-            }
-            self.search = Some(Search { first, cursor });
-            self.is_ready = false;
-        }
+        self.look(page.first, last);
         let mut events = Vec::new();
         for entry in page.entries {
             if let Some(search) = &mut self.search {
@@ -172,6 +164,21 @@
         events
     }
 
+    /// Begins, goes on with or ends the search for a snapshot, as the log
+    /// keeps the records from `first` to `last`.
+    fn look(&mut self, first: Offset, last: Offset) {
+        if first <= self.next() {
+            self.search = None;
+            return;
+        }
+        let cursor = self.wants().max(first);
+        if self.search.is_none() {
+            self.target = Some(last);
+        }
+        self.search = Some(Search { first, cursor });
+        self.is_ready = false;
+    }
+
     /// Takes what a peer relayed.
     pub fn offer_relay(&mut self, relay: Relay) -> Vec<Event> {
         self.target.get_or_insert(relay.offset);
--- /dev/null
+++ b/crates/state/tests/all/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the fold, the follower and both races.
+
+mod fold;
+mod follower;
+mod make;
+mod search;
+mod stream;
--- /dev/null
+++ b/crates/state/tests/all/search.rs
@@ -0,0 +1,367 @@
+//! Exhaustive search of the races of two and three writers over the fold.
+//!
+//! Each writer has a list of intents. It appends the next one on the base that
+//! it sees in its own, perhaps old, view of the log, and goes on only once it
+//! has read the record back. An append that is lost, or delayed, is one that
+//! takes effect later. Within a budget of faults, any record that was appended
+//! takes effect once more at any later time, as after a lost answer or a
+//! delayed copy. A pause is any step that other writers take.
+
+use crate::make::{assign, lists, lists_text, operation, record, release, replica};
+use name::Offset;
+use state::{Change, Operation, Outcome, Record, Scope, State};
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    rc::Rc,
+};
+
+type Fold = fn(&mut State, Offset, &Record) -> Outcome;
+
+type Race = fn(usize, usize, usize, Fold) -> Search;
+
+/// What a writer wants; the base comes from its view.
+#[derive(Debug, Clone, Copy)]
+enum Intent {
+    Lists(usize),
+    Operate(Operation),
+    Assign(&'static str, &'static [&'static str]),
+    Release(&'static str),
+}
+
+impl Intent {
+    /// Returns the revision that the intent replaces in `state`.
+    fn base(self, state: &State) -> u64 {
+        match self {
+            Self::Lists(_) => state.lists_revision.0,
+            Self::Operate(_) => {
+                let scope = Scope::Domain("d".try_into().expect("a valid name"));
+                state.operations.get(&scope).map_or(0, |(at, _)| at.0)
+            }
+            Self::Assign(name, _) | Self::Release(name) => state.generation_of(&replica(name)).0,
+        }
+    }
+
+    fn change(self, base: u64) -> Change {
+        match self {
+            Self::Lists(number) => lists(base, &lists_text(number)),
+            Self::Operate(order) => operation(base, "d", order),
+            Self::Assign(name, members) => assign(base, name, members),
+            Self::Release(name) => release(base, name),
+        }
+    }
+
+    /// Returns what the intent's base counts revisions of.
+    fn key(self) -> String {
+        match self {
+            Self::Lists(_) => "lists".into(),
+            Self::Operate(_) => "operation".into(),
+            Self::Assign(name, _) | Self::Release(name) => format!("replica {name}"),
+        }
+    }
+}
+
+/// A record in short: who wrote it, which intent it is, and on which base.
+type Brief = (u8, u8, u8);
+
+/// One writer: its next intent and the base that its view of the log gives it.
+///
+/// Views that give the same base lead to the same worlds, so the base stands
+/// for the view. Reading back takes no step of its own, as the base may be
+/// renewed at any time after.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Default)]
+struct Writer {
+    base: u8,
+    next: u8,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+struct World {
+    log: Vec<Brief>,
+    writers: Vec<Writer>,
+    faults: usize,
+}
+
+/// A folded log with what was accepted on the way.
+#[derive(Debug, Clone, Default)]
+struct Folded {
+    state: State,
+    winners: HashSet<Brief>,
+    current: BTreeMap<String, u64>,
+}
+
+struct Search {
+    scripts: Vec<Vec<Intent>>,
+    fold: Fold,
+    faults: usize,
+}
+
+/// What a search visited.
+#[derive(Debug, Default)]
+struct Visited {
+    worlds: usize,
+    ends: usize,
+    logs: usize,
+}
+
+impl Search {
+    /// Visits every reachable world.
+    ///
+    /// # Errors
+    ///
+    /// Returns the first log that breaks an invariant, and how.
+    fn run(&self) -> Result<Visited, String> {
+        let start = World {
+            log: Vec::new(),
+            writers: vec![Writer::default(); self.scripts.len()],
+            faults: 0,
+        };
+        let empty = Rc::new(Folded::default());
+        let mut folded = HashMap::from([(Vec::new(), Rc::clone(&empty))]);
+        let mut seen = HashSet::from([start.clone()]);
+        let mut open = vec![(start, empty)];
+        let mut visited = Visited::default();
+        while let Some((world, at)) = open.pop() {
+            visited.worlds += 1;
+            let next = self.successors(&world, &at.state);
+            visited.ends += usize::from(next.is_empty());
+            for (mut world, appended) in next {
+                let grown = match folded.get(&world.log) {
+                    Some(grown) => Rc::clone(grown),
+                    None => {
+                        let last = *world.log.last().expect("a longer log");
+                        let grown = self.fold(&at, last);
+                        let grown = grown.map_err(|fault| format!("{fault} in {:?}", world.log))?;
+                        let grown = Rc::new(grown);
+                        folded.insert(world.log.clone(), Rc::clone(&grown));
+                        grown
+                    }
+                };
+                if let Some(writer) = appended {
+                    world.writers[writer].base = self.base(&world, writer, &grown.state);
+                }
+                if seen.insert(world.clone()) {
+                    open.push((world, grown));
+                }
+            }
+        }
+        visited.logs = folded.len();
+        Ok(visited)
+    }
+
+    /// Returns the base of a writer's next intent in `state`; 0 if it has none.
+    fn base(&self, world: &World, writer: usize, state: &State) -> u8 {
+        let next = usize::from(world.writers[writer].next);
+        let base = self.scripts[writer].get(next).map_or(0, |i| i.base(state));
+        u8::try_from(base).expect("a short log")
+    }
+
+    /// Returns every world one step later, with the writer that appended its
+    /// own next record to get there.
+    fn successors(&self, world: &World, state: &State) -> Vec<(World, Option<usize>)> {
+        let mut out = Vec::new();
+        if world.faults < self.faults {
+            let repeats: HashSet<&Brief> = world.log.iter().collect();
+            for brief in repeats {
+                let mut next = world.clone();
+                next.log.push(*brief);
+                next.faults += 1;
+                out.push((next, None));
+            }
+        }
+        for (at, writer) in world.writers.iter().enumerate() {
+            if usize::from(writer.next) == self.scripts[at].len() {
+                continue;
+            }
+            let mut next = world.clone();
+            let by = u8::try_from(at).expect("few writers");
+            next.log.push((by, writer.next, writer.base));
+            next.writers[at].next += 1;
+            out.push((next, Some(at)));
+            let base = self.base(world, at, state);
+            if writer.base != base {
+                let mut next = world.clone();
+                next.writers[at].base = base;
+                out.push((next, None));
+            }
+        }
+        out
+    }
+
+    /// Folds one more record and checks every invariant.
+    fn fold(&self, before: &Folded, brief: Brief) -> Result<Folded, String> {
+        let mut after = before.clone();
+        let (writer, at, base) = brief;
+        let intent = self.scripts[usize::from(writer)][usize::from(at)];
+        let key = intent.key();
+        let made = record(writer, u64::from(at) + 1, intent.change(base.into()));
+        let offset = before.state.offset.next();
+        if (self.fold)(&mut after.state, offset, &made) == Outcome::Accepted {
+            if !after.winners.insert(brief) {
+                return Err(format!("{brief:?} accepted twice"));
+            }
+            let released = matches!(intent, Intent::Release(_));
+            let revision = if released { 0 } else { offset.0 };
+            let held = after.current.insert(key.clone(), revision);
+            if held.unwrap_or_default() != u64::from(base) {
+                return Err(format!("two winners on base {base} of {key}"));
+            }
+        }
+        // Lists and operations are whole here, so each base has its winner.
+        let is_won = |w: &Brief| {
+            w.2 == base && self.scripts[usize::from(w.0)][usize::from(w.1)].key() == key
+        };
+        if !key.starts_with("replica") && !after.winners.iter().any(is_won) {
+            return Err(format!("no winner on base {base} of {key}"));
+        }
+        check_instances(&after.state)?;
+        check_forward(&before.state, &after.state)?;
+        Ok(after)
+    }
+}
+
+/// Checks that no instance belongs to two replicas, and that the index agrees.
+fn check_instances(state: &State) -> Result<(), String> {
+    let mut holders = BTreeMap::new();
+    for (replica, assignment) in &state.assignments {
+        for instance in &assignment.members {
+            if let Some(other) = holders.insert(instance, replica) {
+                return Err(format!("{instance} in {other} and {replica}"));
+            }
+        }
+    }
+    Ok(())
+}
+
+/// Checks that nothing went back.
+fn check_forward(before: &State, after: &State) -> Result<(), String> {
+    let operations = before.operations.iter();
+    let kept = operations.filter(|(scope, old)| after.operations.get(scope) >= Some(old));
+    let is_forward = after.offset > before.offset
+        && after.lists_revision >= before.lists_revision
+        && kept.count() == before.operations.len();
+    is_forward.then_some(()).ok_or_else(|| "went back".into())
+}
+
+fn whole(state: &mut State, offset: Offset, record: &Record) -> Outcome {
+    state.apply(offset, record)
+}
+
+/// A fold without the check of the base.
+fn without_base(state: &mut State, offset: Offset, record: &Record) -> Outcome {
+    let mut record = record.clone();
+    match &mut record.change {
+        Change::Lists { base, .. } => *base = state.lists_revision,
+        Change::Assign { base, replica, .. } | Change::Release { base, replica } => {
+            *base = state.generation_of(replica);
+        }
+        Change::Operation { base, scope, .. } => {
+            *base = state
+                .operations
+                .get(scope)
+                .map_or(Offset::ZERO, |(at, _)| *at);
+        }
+        _ => {}
+    }
+    state.apply(offset, &record)
+}
+
+/// A fold that forgets its writers.
+fn without_writers(state: &mut State, offset: Offset, record: &Record) -> Outcome {
+    state.writers.clear();
+    state.apply(offset, record)
+}
+
+/// A fold that forgets who holds an instance.
+fn without_holders(state: &mut State, offset: Offset, record: &Record) -> Outcome {
+    let mut blind = state.clone();
+    blind.index = state::Index::default();
+    let outcome = blind.apply(offset, record);
+    blind.index = state.index.clone();
+    *state = blind;
+    outcome
+}
+
+fn configuration(writers: usize, records: usize, faults: usize, fold: Fold) -> Search {
+    let orders = [Operation::TakeOut, Operation::BringBack];
+    let script = |writer| {
+        let intents = (0..records).map(|n| match n % 3 {
+            1 => Intent::Operate(orders[(writer + n) % 2]),
+            _ => Intent::Lists(writer * records + n),
+        });
+        intents.collect()
+    };
+    let scripts = (0..writers).map(script).collect();
+    Search {
+        scripts,
+        fold,
+        faults,
+    }
+}
+
+fn assignment(writers: usize, records: usize, faults: usize, fold: Fold) -> Search {
+    use Intent::{Assign, Release};
+    let scripts = [
+        [
+            Assign("r", &["a", "b"]),
+            Release("r"),
+            Assign("s", &["b"]),
+            Assign("r", &["c"]),
+        ],
+        [
+            Assign("r", &["b", "c"]),
+            Assign("s", &["a", "b"]),
+            Release("s"),
+            Assign("r", &["a"]),
+        ],
+        [
+            Assign("s", &["a", "c"]),
+            Release("r"),
+            Assign("r", &["a", "c"]),
+            Release("s"),
+        ],
+    ];
+    let scripts = scripts[..writers]
+        .iter()
+        .map(|s| s[..records].to_vec())
+        .collect();
+    Search {
+        scripts,
+        fold,
+        faults,
+    }
+}
+
+/// Searches a race at several sizes: writers, records of each, repeats.
+fn search_all(name: &str, race: Race) {
+    for (writers, records, faults) in [(2, 4, 1), (2, 3, 2), (3, 2, 1), (3, 3, 0)] {
+        let name = format!("{name}, {writers} writers of {records}, {faults} repeats");
+        let visited = race(writers, records, faults, whole).run();
+        let visited = visited.unwrap_or_else(|fault| panic!("{name}: {fault}"));
+        println!("{name}: {visited:?}");
+        assert!(visited.ends > 0);
+    }
+}
+
+#[test]
+fn each_configuration_base_has_one_winner() {
+    search_all("configuration", configuration);
+}
+
+#[test]
+fn no_assignment_race_puts_an_instance_in_two_replicas() {
+    search_all("assignment", assignment);
+}
+
+#[test]
+fn the_search_finds_broken_folds() {
+    let cases = [
+        ("winners on base", configuration(2, 3, 0, without_base)),
+        ("winners on base", assignment(2, 3, 0, without_base)),
+        ("accepted twice", assignment(2, 3, 1, without_writers)),
+        (" in r and s", assignment(2, 3, 0, without_holders)),
+    ];
+    for (expected, search) in cases {
+        let fault = search.run().expect_err(expected);
+        assert!(fault.contains(expected), "{fault}");
+    }
+}
