--- /dev/null
+++ b/crates/log/tests/all/main.rs
@@ -0,0 +1,5 @@
+//! Tests of the writer's decisions, the client and the tail.
+
+mod client;
+mod tail;
+mod writer;
