Tell callers what became of their records

An append's answer decides nothing: it may be lost, and another record may have won the base. log::Outbox queues records, appends the writer's batches and completes each caller's wait when the record was read back and folded. A record that never left can be withdrawn, so that an operator in an outage gets an honest refusal.

--- a/crates/log/src/lib.rs
+++ b/crates/log/src/lib.rs
@@ -4,7 +4,8 @@
 //! defines; [`Store`] holds the two calls as closures, so that tests put
 //! another log in their place. [`Writer`] decides what to append and when:
 //! records are appended in batches, one batch at a time, and again if an
-//! answer was lost, until each was read back. [`follow`] reads the log's tail
+//! answer was lost, until each was read back. [`Outbox`] carries that out and
+//! tells callers what became of their records. [`follow`] reads the log's tail
 //! for ever and hands over each page.
 //!
 //! An append whose answer was lost may have taken effect. [`Error`] says which
@@ -16,6 +17,7 @@
 mod error;
 #[cfg(feature = "test-util")]
 mod memory;
+mod outbox;
 pub mod proto;
 mod store;
 mod tail;
@@ -26,6 +28,7 @@
 pub use error::Error;
 #[cfg(feature = "test-util")]
 pub use memory::{Faults, Memory};
+pub use outbox::{Decision, Outbox, Submitted};
 pub use state::{Entry, Page};
 pub use store::Store;
 pub use tail::{Read, Tail, follow};
