--- a/crates/state/tests/all/fold.rs
+++ b/crates/state/tests/all/fold.rs
@@ -326,3 +326,44 @@
         );
     }
 }
+
+/// Returns the largest state that the system is designed for, with every
+/// entry node as a writer.
+fn design_size() -> State {
+    let mut state = State::default();
+    let mut apply = |by: u32, change| {
+        let offset = state.offset.next();
+        let mut made = record(0, 1, change);
+        made.writer = state::Writer(name::Incarnation(uuid::Uuid::from_u128(by.into())));
+        made.sequence = Sequence(offset.0);
+        assert_eq!(state.apply(offset, &made), Outcome::Accepted);
+    };
+    let text = include_str!("../../../../examples/lists/lena.toml");
+    apply(0, lists(0, text));
+    for replica in 0..400_u32 {
+        let members = (0..4).map(|n| format!("instance-{}", replica * 4 + n));
+        let members: Vec<String> = members.collect();
+        let members: Vec<&str> = members.iter().map(String::as_str).collect();
+        apply(
+            replica % 340,
+            assign(0, &format!("replica-{replica}"), &members),
+        );
+        apply(replica % 340, take_out(0, &format!("domain-{replica}")));
+    }
+    let nodes: Vec<String> = (0..340).map(|n| format!("node-{n}")).collect();
+    let nodes: Vec<&str> = nodes.iter().map(String::as_str).collect();
+    apply(0, epoch(0, &nodes));
+    state
+}
+
+#[test]
+fn a_snapshot_of_the_design_size_fits_a_record() {
+    let state = design_size();
+    let covers = state.offset;
+    let snapshot = Box::new(Snapshot { covers, state });
+    let made = record(1, 1, Change::Snapshot { snapshot });
+    let text = encode(&made).expect("it fits");
+    println!("snapshot at the design size: {} bytes", text.len());
+    assert!(text.len() < MAX_RECORD_BYTES / 2, "{} bytes", text.len());
+    assert_eq!(decode(text.as_bytes()), Ok(made));
+}
