--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -46,6 +46,9 @@
 /// The time for permits to be written, beyond which they are void.
 const SEND_WITHIN: Duration = Duration::from_millis(250);
 
+/// Tokens for each unit of weight that an account below its share may take ahead.
+const IDLE_CREDIT: u64 = 800;
+
 /// How long evidence of warmth is believed.
 const WARM_FOR: Duration = Duration::from_millis(1_500);
 
@@ -370,6 +373,7 @@
         watched: Watched::new(watch(), watch()),
         room: Room::new(admit::Bounds {
             total: usize::try_from(limits.queue_requests).unwrap_or(usize::MAX),
+            credit: IDLE_CREDIT,
             account: usize::try_from(limits.queue_requests_per_account).unwrap_or(usize::MAX),
         }),
         servers: Servers::new(place, timing, route_policy(settings)?),
