--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -13,7 +13,10 @@
     net::{SocketAddr, TcpListener},
     time::Duration,
 };
-use tokio::time::{Instant, sleep};
+use tokio::{
+    runtime::{Builder, Runtime},
+    time::{Instant, sleep},
+};
 
 /// The token of the operator in the example lists.
 pub const OPERATOR_TOKEN: &str = "demo-operator";
@@ -21,6 +24,12 @@
 /// The secret that the entry nodes of a deployment share, in hexadecimal.
 const SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
 
+/// The time within which a node must start again.
+const RESTART_WITHIN: Duration = Duration::from_secs(5);
+
+/// The threads of each node.
+const NODE_THREADS: usize = 2;
+
 /// The time between two looks whether something is so.
 const STEP: Duration = Duration::from_millis(20);
 
@@ -103,11 +112,52 @@
     log: Logger,
     clock: Clock,
     world: World,
-    entries: Vec<Option<Entry>>,
+    entries: Vec<Option<Running>>,
     addresses: Vec<Addresses>,
     client: Client,
 }
 
+/// An entry node on a runtime of its own, which a kill ends with all its tasks.
+#[derive(Debug)]
+struct Running {
+    entry: Entry,
+    runtime: Runtime,
+}
+
+impl Running {
+    /// Starts a node.
+    fn start(settings: settings::Entry, clock: Clock, log: &Logger) -> Result<Self, Error> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(NODE_THREADS)
+            .thread_name(settings.node.as_str())
+            .enable_all()
+            .build()?;
+        let entered = runtime.enter();
+        let started = Entry::start(settings, clock, log);
+        drop(entered);
+        match started {
+            Ok(entry) => Ok(Self { entry, runtime }),
+            Err(failure) => {
+                runtime.shutdown_background();
+                Err(Error(failure.to_string()))
+            }
+        }
+    }
+
+    /// Stops the node as planned.
+    async fn stop(self) {
+        let stopped = self.runtime.spawn(self.entry.stop());
+        // The node's tasks have ended by themselves, or it panicked.
+        let _ = stopped.await;
+        self.runtime.shutdown_background();
+    }
+
+    /// Ends the node as if its process were killed.
+    fn kill(self) {
+        self.runtime.shutdown_background();
+    }
+}
+
 /// The addresses of one node, which a restart keeps.
 #[derive(Debug, Clone, Copy)]
 struct Addresses {
@@ -156,7 +206,7 @@
             addresses,
         };
         for number in 0..deployment.options.nodes {
-            deployment.start_entry(number)?;
+            deployment.start_entry(number).await?;
         }
         deployment.publish().await?;
         Ok(deployment)
@@ -164,14 +214,28 @@
 
     /// Starts the entry node with a number, again after a stop or kill.
     ///
+    /// The listeners of a killed node close a moment after the kill, so that a
+    /// few tries may be needed.
+    ///
     /// # Errors
     ///
     /// Returns an error if it does not start.
-    pub fn start_entry(&mut self, number: usize) -> Result<(), Error> {
+    pub async fn start_entry(&mut self, number: usize) -> Result<(), Error> {
+        let until = Instant::now() + RESTART_WITHIN;
+        loop {
+            match self.try_start(number) {
+                Err(_) if Instant::now() < until => sleep(STEP).await,
+                result => return result,
+            }
+        }
+    }
+
+    /// Tries once to start a node.
+    fn try_start(&mut self, number: usize) -> Result<(), Error> {
         let text = self.settings(number);
         let settings = settings::parse(&text, "deployment").map_err(|e| Error(e.to_string()))?;
-        let entry = Entry::start(settings, self.clock.clone(), &self.log);
-        self.entries[number] = Some(entry.map_err(|e| Error(e.to_string()))?);
+        let running = Running::start(settings, self.clock.clone(), &self.log)?;
+        self.entries[number] = Some(running);
         Ok(())
     }
 
@@ -181,7 +245,7 @@
             if is_planned {
                 entry.stop().await;
             } else {
-                entry.kill().await;
+                entry.kill();
             }
         }
     }
@@ -259,7 +323,9 @@
 
     /// Returns whether a node may take work and sees enough servable replicas.
     async fn is_up(&self, number: usize, replicas: u64) -> bool {
-        let is_ready = self.entries[number].as_ref().is_some_and(Entry::is_ready);
+        let is_ready = self.entries[number]
+            .as_ref()
+            .is_some_and(|running| running.entry.is_ready());
         if !is_ready {
             return false;
         }
@@ -348,7 +414,16 @@
 
     /// Stops every node as planned, all at once.
     pub async fn stop(&mut self) {
-        let running: Vec<Entry> = self.entries.iter_mut().filter_map(Option::take).collect();
-        futures_util::future::join_all(running.into_iter().map(Entry::stop)).await;
+        let running: Vec<Running> = self.entries.iter_mut().filter_map(Option::take).collect();
+        futures_util::future::join_all(running.into_iter().map(Running::stop)).await;
+    }
+}
+
+impl Drop for Deployment {
+    /// Ends the nodes that still run, since a runtime must not be dropped in a task.
+    fn drop(&mut self) {
+        for running in self.entries.iter_mut().filter_map(Option::take) {
+            running.kill();
+        }
     }
 }
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -196,28 +196,18 @@
             }
             sleep(STOP_STEP).await;
         }
-        self.end(true).await;
+        self.end().await;
     }
 
-    /// Ends the node at once, as if its process were killed.
-    pub async fn kill(self) {
-        self.end(false).await;
-    }
-
-    /// Ends every task; a planned end tells the peers.
-    async fn end(mut self, is_planned: bool) {
+    /// Tells the peers, and ends every task.
+    async fn end(mut self) {
         let node = Arc::clone(&self.node);
-        if is_planned {
-            let now = node.clock.now();
-            node.members().say_goodbye(now);
-            beats::run(Arc::clone(&node)).await;
-            info!(node.log, "entry node stopped");
-        }
+        let now = node.clock.now();
+        node.members().say_goodbye(now);
+        beats::run(Arc::clone(&node)).await;
+        info!(node.log, "entry node stopped");
         node.stopped.cancel();
         node.ended.cancel();
-        if !is_planned {
-            self.tasks.abort_all();
-        }
         while self.tasks.join_next().await.is_some() {}
     }
 }
