Bound held records by their memory, not by their data alone

Empty records from a peer counted nothing against the bound, so any number could be held. Each record now counts 64 bytes beside its data; the new test feeds 99 empty records against a bound of 640 bytes and 10 are held.

--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -243,13 +243,13 @@
         if self.pending.contains_key(&entry.offset) {
             return;
         }
-        self.pending_bytes += entry.data.len();
+        self.pending_bytes += entry.cost();
         self.pending.insert(entry.offset, entry);
         while self.pending_bytes > self.limits.pending_bytes {
             let Some((_, last)) = self.pending.pop_last() else {
                 break;
             };
-            self.pending_bytes -= last.data.len();
+            self.pending_bytes -= last.cost();
         }
     }
 
@@ -260,7 +260,7 @@
                 return;
             }
             let entry = held.remove();
-            self.pending_bytes -= entry.data.len();
+            self.pending_bytes -= entry.cost();
             if entry.offset == self.next() {
                 events.push(self.fold(entry));
             }
--- a/crates/state/src/history.rs
+++ b/crates/state/src/history.rs
@@ -15,6 +15,18 @@
     pub data: Arc<str>,
 }
 
+/// What a kept record costs beside its data, in bytes.
+const ENTRY_BYTES: usize = 64;
+
+impl Entry {
+    /// Returns the memory that the record takes, in bytes.
+    ///
+    /// Counts more than the data, so that empty records are bounded too.
+    pub(crate) fn cost(&self) -> usize {
+        self.data.len() + ENTRY_BYTES
+    }
+}
+
 /// The latest records without gaps, bounded by bytes.
 #[derive(Debug, Clone)]
 pub(crate) struct History {
@@ -35,13 +47,13 @@
 
     /// Adds the record after the last one.
     pub(crate) fn push(&mut self, entry: Entry) {
-        self.bytes += entry.data.len();
+        self.bytes += entry.cost();
         self.entries.push_back(entry);
         while self.bytes > self.max_bytes {
             let Some(old) = self.entries.pop_front() else {
                 break;
             };
-            self.bytes -= old.data.len();
+            self.bytes -= old.cost();
         }
     }
 
@@ -60,7 +72,7 @@
         let mut out: Vec<Entry> = Vec::new();
         let mut bytes = 0;
         for entry in self.entries.iter().skip(skip) {
-            bytes += entry.data.len();
+            bytes += entry.cost();
             if !out.is_empty() && bytes > max_bytes {
                 break;
             }
--- a/crates/state/tests/all/follower.rs
+++ b/crates/state/tests/all/follower.rs
@@ -323,6 +323,44 @@
     }
 }
 
+#[test]
+fn records_ahead_of_their_turn_are_bounded_and_read_again() {
+    let specs: Vec<Spec> = (0..40).map(|n| (n % 8, n % 4, n % 3, n % 2)).collect();
+    let stream = Stream::new(&specs);
+    // The bound, and the offset reached once the first record came last.
+    for (pending_bytes, reached) in [(0, 1), (1 << 20, 40)] {
+        let limits = Limits {
+            pending_bytes,
+            ..Limits::default()
+        };
+        let mut node = Follower::new(writer(1), limits);
+        for entry in stream.entries.iter().rev() {
+            node.offer(entry.clone());
+        }
+        assert_eq!(node.state().offset, Offset(reached));
+        catch_up(&mut node, &stream, Offset(1));
+        assert_eq!(node.state(), &stream.states[40]);
+    }
+    let limits = Limits {
+        pending_bytes: 640,
+        ..Limits::default()
+    };
+    let mut node = Follower::new(writer(1), limits);
+    for offset in (2..=100).rev() {
+        node.offer(Entry {
+            offset: Offset(offset),
+            at: Wall(0),
+            data: "".into(),
+        });
+    }
+    node.offer(Entry {
+        offset: Offset(1),
+        at: Wall(0),
+        data: "".into(),
+    });
+    assert_eq!(node.state().offset, Offset(11));
+}
+
 #[test]
 fn a_new_node_is_ready_only_after_an_answer() {
     let mut node = follower();
