--- a/crates/log/tests/all/outbox.rs
+++ b/crates/log/tests/all/outbox.rs
@@ -4,7 +4,10 @@
 use log::{Backoff, Decision, Faults, Full, Memory, Outbox, Submitted, Tail, Writer, follow};
 use name::{Incarnation, Offset, Sequence};
 use state::{Change, Event, Follower, Operation, Outcome, Record, Scope, encode};
-use std::{sync::Mutex, time::Duration};
+use std::{
+    sync::{Arc, Mutex},
+    time::Duration,
+};
 
 const SHORT: Duration = Duration::from_millis(1);
 
@@ -149,3 +152,41 @@
         Some(Decision::Read(Outcome::Accepted))
     );
 }
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn many_callers_at_once_are_each_told_their_own_decision() {
+    const CALLERS: usize = 8;
+    const RECORDS: usize = 40;
+    let log = Memory::new(Clock::new(clock::Moment::default, || Wall(5)));
+    log.set(Faults {
+        lost_answers: 3,
+        lost_appends: 3,
+        ..Faults::default()
+    });
+    let outbox = Arc::new(outbox());
+    let node = tokio::spawn({
+        let (log, outbox) = (log.clone(), Arc::clone(&outbox));
+        async move { run(&log, own(1), &outbox).await }
+    });
+    let callers = (0..CALLERS).map(|caller| {
+        let outbox = Arc::clone(&outbox);
+        tokio::spawn(async move {
+            let mut won = 0;
+            for record in 0..RECORDS {
+                // Two callers order the same; the base lets one of them win.
+                let domain = format!("d{}-{record}", caller / 2);
+                let decision = take_out(&outbox, own(1), &domain).decision.await;
+                won += usize::from(decision.ok() == Some(Decision::Read(Outcome::Accepted)));
+            }
+            won
+        })
+    });
+    let callers: Vec<_> = callers.collect();
+    let mut won = 0;
+    for caller in callers {
+        won += caller.await.expect("no panic");
+    }
+    assert_eq!(won, CALLERS / 2 * RECORDS);
+    assert!(outbox.is_empty());
+    node.abort();
+}
--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -103,6 +103,8 @@
     /// The offset to reach before the node is ready; none before any answer.
     target: Option<Offset>,
     is_ready: bool,
+    /// Whether the last page ended before the state.
+    is_ahead: bool,
     times: Times,
 }
 
@@ -119,6 +121,7 @@
             search: None,
             target: None,
             is_ready: false,
+            is_ahead: false,
             times: Times::default(),
         }
     }
@@ -148,8 +151,18 @@
         self.is_ready
     }
 
+    /// Returns whether the last page of the log ended before the state.
+    ///
+    /// True for a moment when peers relay faster than the log answers. If it
+    /// stays true, the log lost records that were folded, and what is appended
+    /// at their offsets is passed over.
+    pub fn is_ahead_of_log(&self) -> bool {
+        self.is_ahead
+    }
+
     /// Takes a page of the log.
     pub fn offer_page(&mut self, page: Page) -> Vec<Event> {
+        self.is_ahead = page.tail < self.next();
         let last = Offset(page.tail.0.saturating_sub(1));
         self.target.get_or_insert(last);
         self.look(page.first, last);
--- a/crates/state/tests/all/follower.rs
+++ b/crates/state/tests/all/follower.rs
@@ -361,6 +361,24 @@
     assert_eq!(node.state().offset, Offset(11));
 }
 
+#[test]
+fn a_log_that_lost_records_is_noticed_and_nothing_goes_back() {
+    let stream = with_snapshot();
+    let mut node = follower();
+    catch_up(&mut node, &stream, Offset(1));
+    assert!(!node.is_ahead_of_log());
+    let mut other = Stream::new(&[]);
+    other.push("x".into());
+    assert!(
+        node.offer_page(page(&other, Offset(1), Offset(1), 9))
+            .is_empty()
+    );
+    assert!(node.is_ahead_of_log());
+    assert_eq!(node.state(), &stream.states[4]);
+    node.offer_page(page(&stream, Offset(1), node.wants(), 9));
+    assert!(!node.is_ahead_of_log());
+}
+
 #[test]
 fn a_new_node_is_ready_only_after_an_answer() {
     let mut node = follower();
