--- a/crates/state/tests/all/follower.rs
+++ b/crates/state/tests/all/follower.rs
@@ -9,7 +9,6 @@
 use proptest::prelude::*;
 use state::{
     Change, Entry, Event, Follower, Limits, Outcome, Page, Snapshot, State, Uncovered, encode,
-    snapshot_due,
 };
 use std::{sync::Arc, time::Duration};
 
@@ -390,36 +389,6 @@
     assert!(empty.is_empty());
 }
 
-#[test]
-fn a_snapshot_is_due_well_before_records_expire() {
-    let hour = Duration::from_secs(3_600);
-    // Records, age of the oldest in s, rank, whether due with an hour's retention.
-    let cases = [
-        (0, 9_999, 0, false),
-        (1, 899, 0, false),
-        (1, 900, 0, true),
-        (1, 900, 1, false),
-        (1, 957, 1, true),
-        (1, 1_349, 340, false),
-        (1, 1_350, 340, true),
-        (8_192, 0, 0, true),
-        (8_192, 0, 1, false),
-        (8_448, 0, 1, true),
-    ];
-    for (records, age, rank, due) in cases {
-        let uncovered = Uncovered {
-            records,
-            oldest: Some(Wall(0)),
-        };
-        let now = Wall(age * 1_000);
-        assert_eq!(
-            snapshot_due(&uncovered, hour, rank, now),
-            due,
-            "{records} {age} {rank}"
-        );
-    }
-}
-
 #[test]
 fn uncovered_records_are_counted_from_the_last_snapshot() {
     let stream = with_snapshot();
--- a/crates/state/tests/all/main.rs
+++ b/crates/state/tests/all/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the fold, the follower and both races.
 
+mod due;
 mod fold;
 mod follower;
 mod make;
