--- a/crates/state/src/follower.rs
+++ b/crates/state/src/follower.rs
@@ -103,6 +103,8 @@
     /// The offset to reach before the node is ready; none before any answer.
     target: Option<Offset>,
     is_ready: bool,
+    /// Whether the last page ended before the state.
+    is_ahead: bool,
     times: Times,
 }
 
@@ -119,6 +121,7 @@
             search: None,
             target: None,
             is_ready: false,
+            is_ahead: false,
             times: Times::default(),
         }
     }
@@ -148,8 +151,18 @@
         self.is_ready
     }
 
+    /// Returns whether the last page of the log ended before the state.
+    ///
+    /// True for a moment when peers relay faster than the log answers. If it
+    /// stays true, the log lost records that were folded, and what is appended
+    /// at their offsets is passed over.
+    pub fn is_ahead_of_log(&self) -> bool {
+        self.is_ahead
+    }
+
     /// Takes a page of the log.
     pub fn offer_page(&mut self, page: Page) -> Vec<Event> {
+        self.is_ahead = page.tail < self.next();
         let last = Offset(page.tail.0.saturating_sub(1));
         self.target.get_or_insert(last);
         self.look(page.first, last);
@@ -243,13 +256,13 @@
         if self.pending.contains_key(&entry.offset) {
             return;
         }
-        self.pending_bytes += entry.data.len();
+        self.pending_bytes += entry.cost();
         self.pending.insert(entry.offset, entry);
         while self.pending_bytes > self.limits.pending_bytes {
             let Some((_, last)) = self.pending.pop_last() else {
                 break;
             };
-            self.pending_bytes -= last.data.len();
+            self.pending_bytes -= last.cost();
         }
     }
 
@@ -260,7 +273,7 @@
                 return;
             }
             let entry = held.remove();
-            self.pending_bytes -= entry.data.len();
+            self.pending_bytes -= entry.cost();
             if entry.offset == self.next() {
                 events.push(self.fold(entry));
             }
