--- a/crates/admit/src/slot/ownership.rs
+++ b/crates/admit/src/slot/ownership.rs
@@ -2,6 +2,7 @@
 
 use name::{Incarnation, Node, Offset};
 use state::Epoch;
+use std::collections::BTreeMap;
 
 /// The entry nodes of one epoch, among which slots are divided.
 ///
@@ -15,10 +16,12 @@
 
 impl From<&Epoch> for Ownership {
     fn from(epoch: &Epoch) -> Self {
-        let peers = epoch.peers.iter();
+        let peers = epoch.peers.iter().map(|p| (p.node.clone(), p.incarnation));
+        // Two lives under one name would both own its slots: the last counts.
+        let peers: BTreeMap<Node, Incarnation> = peers.collect();
         Self {
             revision: epoch.revision,
-            peers: peers.map(|p| (p.node.clone(), p.incarnation)).collect(),
+            peers: peers.into_iter().collect(),
         }
     }
 }
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -138,3 +138,27 @@
     let permit = gate.try_acquire(now).expect("one of two is in use");
     assert!(permit.is_cold());
 }
+
+#[test]
+fn slots_are_divided_wholly_and_only_the_last_life_of_a_node_counts() {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let peer = |name: &str, life: u128| Peer {
+        node: name.try_into().expect("a name"),
+        incarnation: Incarnation(Uuid::from_u128(life)),
+        domain: "domain".try_into().expect("a name"),
+        peer_address: address,
+        caller_address: address,
+    };
+    let peers = vec![peer("a", 1), peer("b", 2), peer("c", 3), peer("a", 4)];
+    let epoch = Epoch {
+        revision: Offset(1),
+        peers: peers.clone(),
+    };
+    let ownership = Ownership::from(&epoch);
+    let owned = |p: &Peer| ownership.owned("server", &p.node, p.incarnation, 300);
+    assert!(owned(&peers[0]).is_empty(), "an earlier life");
+    let mut all: Vec<u32> = peers[1..].iter().flat_map(owned).collect();
+    assert!(peers[1..].iter().all(|p| owned(p).len() > 70), "even");
+    all.sort_unstable();
+    assert_eq!(all, (0..300).collect::<Vec<u32>>());
+}
