Keep room in a full queue for accounts without entries

Many accounts could fill the whole queue, and one within its share was then refused. A quarter more than the bound is kept for accounts without entries.

--- a/crates/admit/src/queue/mod.rs
+++ b/crates/admit/src/queue/mod.rs
@@ -32,13 +32,17 @@
 /// The retry time given while no drain rate has been observed.
 const RETRY_UNKNOWN: Duration = Duration::from_secs(1);
 
+/// The part of the bound, one in so many, that is kept for accounts without entries.
+const RESERVE_DIVISOR: usize = 4;
+
 /// The longest retry time given.
 const RETRY_MAX: Duration = Duration::from_secs(30);
 
 /// How much a queue may hold.
 #[common::value]
 pub struct Bounds {
-    /// Entries over all accounts.
+    /// Entries over all accounts; a quarter more is kept for accounts without
+    /// entries, so that the others cannot shut them out.
     pub total: usize,
     /// Entries of one account.
     pub account: usize,
@@ -272,7 +276,11 @@
         if self.len_of(&entry.account) >= self.bounds.account {
             return refuse(Kind::Limited, "too many requests of this account wait");
         }
-        if self.len() >= self.bounds.total {
+        let reserve = match self.len_of(&entry.account) {
+            0 => self.bounds.total / RESERVE_DIVISOR,
+            _ => 0,
+        };
+        if self.len() >= self.bounds.total.saturating_add(reserve) {
             return refuse(Kind::Overloaded, "too many requests wait");
         }
         if now + wait.unwrap_or_default() >= entry.deadline {
--- a/crates/admit/tests/queue.rs
+++ b/crates/admit/tests/queue.rs
@@ -266,6 +266,23 @@
     assert_eq!((expired.len(), queue.len()), (3, 0));
 }
 
+#[test]
+fn many_accounts_cannot_shut_out_one_without_entries() {
+    let (now, late) = (Moment::START, Moment::from_millis(600_000));
+    let mut queue = Queue::new(Bounds {
+        total: 8,
+        account: 4,
+        credit: 0,
+    });
+    let cases = [("a", 4), ("b", 4), ("c", 1), ("d", 1), ("e", 0)];
+    for (account, room) in cases {
+        let push = |_| queue.push(entry(account, 0, 10, late, 0), now).is_ok();
+        let taken = (0..5).map(push).filter(|is_taken| *is_taken).count();
+        assert_eq!(taken, room, "{account}");
+    }
+    assert_eq!(queue.len(), 10);
+}
+
 #[test]
 fn a_deadline_that_cannot_be_met_is_refused_early() {
     let mut queue = Queue::new(Bounds {
