--- /dev/null
+++ b/crates/member/examples/exchange.rs
@@ -0,0 +1,62 @@
+//! Measures full, delta and digest exchange at 9 and 340 nodes.
+//!
+//! Bytes are those that a node sends and receives, as estimated Protocol
+//! Buffers messages without transport. Processor time is that of making and
+//! taking beats and of suspicion, without encoding or transport.
+
+use clock::Moment;
+use member::{Exchange, Settings};
+use net::Net;
+use std::time::{Duration, Instant};
+
+#[path = "../tests/all/net.rs"]
+#[expect(dead_code, reason = "the tests use the rest")]
+mod net;
+
+/// The measured time, in seconds of one beat each.
+const SECONDS: usize = 60;
+
+fn main() {
+    println!(
+        "nodes exchange restart_every_s bytes_per_node_s bytes_per_exchange cpu_us_per_node_s"
+    );
+    for count in [9, 340] {
+        for exchange in [Exchange::Full, Exchange::Delta, Exchange::Digest] {
+            // 400 restarts a day are one in 216 s; 10 s is a bad hour.
+            for every in [None, Some(10), Some(1)] {
+                measure(count, exchange, every);
+            }
+        }
+    }
+}
+
+/// Prints the costs of one way at one size.
+fn measure(count: usize, exchange: Exchange, every: Option<usize>) {
+    let settings = Settings {
+        exchange,
+        ..Settings::default()
+    };
+    let mut net = Net::from_epoch(count, settings);
+    net.run(30);
+    assert!(net.now() > Moment::START);
+    net.reset_counts();
+    let mut spent = Duration::ZERO;
+    for second in 0..SECONDS {
+        if every.is_some_and(|every| second % every == 0) {
+            let at = (second * 7) % count;
+            net.stop(at);
+            net.start(at);
+        }
+        let start = Instant::now();
+        net.run(1);
+        spent += start.elapsed();
+    }
+    let bytes = net.bytes_per_node(SECONDS);
+    let calls = net.calls_per_node(SECONDS).max(1);
+    let micros = spent.as_micros() / (SECONDS * count) as u128;
+    let every = every.map_or("never".to_owned(), |every| every.to_string());
+    println!(
+        "{count} {exchange:?} {every} {bytes} {} {micros}",
+        bytes / calls / 2
+    );
+}
--- a/crates/member/src/beat.rs
+++ b/crates/member/src/beat.rs
@@ -23,6 +23,22 @@
     pub voucher: Option<Voucher>,
 }
 
+/// Asks for the words about nodes that are not dead, in the order of names.
+#[common::value]
+pub struct Ask {
+    /// The last name that is known already.
+    pub after: Option<Node>,
+}
+
+/// Words in the order of names.
+#[common::value]
+pub struct Page {
+    /// The words.
+    pub words: Vec<Word>,
+    /// Whether no words follow.
+    pub is_last: bool,
+}
+
 /// One direction of an exchange between two members.
 #[common::value]
 pub struct Beat {
@@ -36,6 +52,12 @@
     pub seen: u64,
     /// The sender's last change that `words` include.
     pub sent: u64,
+    /// A digest of the sender's words about nodes that are not dead.
+    pub digest: u64,
+    /// Asks for words by name; the reply holds a page.
+    pub ask: Option<Ask>,
+    /// Words by name, in a reply to a call that asks.
+    pub page: Option<Page>,
     /// A digest of the sender's words for each bucket; empty unless asked for.
     pub digests: Vec<u32>,
     /// Words that may be new to the receiver.
@@ -48,8 +70,11 @@
     /// Returns the estimated length on the wire, in bytes, without transport.
     pub fn bytes(&self) -> usize {
         const TAGS: usize = 2 * 8;
-        const NUMBERS: usize = 16 + 16 + 4 + 4 + 1 + 12;
-        let words: usize = self.words.iter().map(|word| word.bytes() + 2).sum();
-        TAGS + NUMBERS + self.node.as_str().len() + 4 * self.digests.len() + words
+        const NUMBERS: usize = 16 + 16 + 4 + 4 + 8 + 1 + 12;
+        let page = self.page.iter().flat_map(|page| &page.words);
+        let words: usize = self.words.iter().chain(page).map(|w| w.bytes() + 2).sum();
+        let after = self.ask.iter().filter_map(|ask| ask.after.as_ref());
+        let ask: usize = after.map(|node| node.as_str().len()).sum();
+        TAGS + NUMBERS + ask + self.node.as_str().len() + 4 * self.digests.len() + words
     }
 }
--- a/crates/member/src/exchange.rs
+++ b/crates/member/src/exchange.rs
@@ -1,8 +1,8 @@
 //! Beats: what is sent to a partner, and what is made of what comes.
 
 use crate::{
-    Beat, Health, Report, Table, Voucher, Word,
-    table::{Exchange, Held, Link},
+    Beat, Exchange, Health, Report, Table, Voucher, Word,
+    table::{Held, Link},
 };
 use clock::Moment;
 use name::Node;
@@ -17,7 +17,9 @@
     /// Takes a call; returns the reply.
     pub fn answer(&mut self, beat: &Beat, report: &Report, now: Moment) -> Beat {
         self.hear(beat, now);
-        self.beat(Some(&beat.node), report)
+        let mut reply = self.beat(Some(&beat.node), report);
+        reply.page = beat.ask.as_ref().map(|ask| self.page(ask));
+        reply
     }
 
     /// Takes the reply to a call; returns the voucher in it, if any.
@@ -26,25 +28,34 @@
     /// before the call was sent.
     pub fn answered(&mut self, reply: &Beat, now: Moment) -> Option<Voucher> {
         self.hear(reply, now);
+        if let Some(page) = &reply.page {
+            self.learn(page, &reply.node, now);
+        }
         reply.report.voucher.clone()
     }
 
     /// Returns the beat for `to`, or for a node that is not known yet.
     pub(crate) fn beat(&self, to: Option<&Node>, report: &Report) -> Beat {
         let link = to.and_then(|node| self.links.get(node));
-        let (words, sent) = match (link, self.settings.exchange) {
+        let (mut words, sent) = match (link, self.settings.exchange) {
             (None, _) => (vec![self.own().clone()], 0),
             (Some(_), Exchange::Full) => (self.words().cloned().collect(), self.change),
             (Some(link), Exchange::Delta) => self.delta(link, to),
             (Some(link), Exchange::Digest) => (self.differing(link), self.change),
         };
         let own = self.own();
+        if link.is_some_and(|link| !link.introduced) && !words.contains(own) {
+            words.push(own.clone());
+        }
         Beat {
             node: self.own.clone(),
             incarnation: own.peer.incarnation,
             to: link.and_then(|link| link.incarnation),
             seen: link.map_or(0, |link| link.seen),
             sent,
+            digest: self.digest,
+            ask: None,
+            page: None,
             digests: match self.settings.exchange {
                 Exchange::Digest => self.digests(),
                 _ => Vec::new(),
@@ -104,17 +115,19 @@
             return;
         }
         let own = self.own().peer.incarnation;
+        let recent = self.recent();
         let link = self
             .links
             .entry(beat.node.clone())
-            .or_insert_with(|| Link::new(now));
+            .or_insert_with(|| Link::new(recent, now));
         let is_new_life = link.incarnation != Some(beat.incarnation);
         if is_new_life {
-            *link = Link::new(now);
+            *link = Link::new(recent, now);
             link.incarnation = Some(beat.incarnation);
         }
         if beat.to == Some(own) {
             link.acknowledged = link.acknowledged.max(beat.seen);
+            link.introduced = true;
         }
         link.seen = link.seen.max(beat.sent);
         link.digests.clone_from(&beat.digests);
@@ -125,7 +138,11 @@
             self.forget_source(&beat.node);
         }
         for word in &beat.words {
-            self.take(word, &beat.node, now);
+            self.take(word, &beat.node, true, now);
+        }
+        let differs = beat.digest != self.digest;
+        if let Some(link) = self.links.get_mut(&beat.node) {
+            link.differs = differs.then(|| link.differs.unwrap_or(now));
         }
     }
 
@@ -138,19 +155,21 @@
         }
     }
 
-    /// Takes a word that `source` sent.
-    fn take(&mut self, word: &Word, source: &Node, now: Moment) {
+    /// Takes a word that `source` sent; passes it on if it is news to others.
+    pub(crate) fn take(&mut self, word: &Word, source: &Node, passes_on: bool, now: Moment) {
         if word.peer.node == self.own {
             self.refute(word, now);
             return;
         }
-        let news = match self.members.get(&word.peer.node) {
+        let is_news = match self.members.get(&word.peer.node) {
             Some(Held { word: held, .. }) => word.replaces(held),
             // The dead are not news, or they would be passed around for ever.
             None => word.health != Health::Dead,
         };
-        if news {
-            self.put(word.clone(), Some(source), now);
+        match (is_news, passes_on) {
+            (true, true) => self.put(word.clone(), Some(source), now),
+            (true, false) => self.enter(word.clone(), now),
+            (false, _) => {}
         }
     }
 
--- a/crates/member/src/table.rs
+++ b/crates/member/src/table.rs
@@ -1,63 +1,16 @@
 //! The members that a node knows.
 
-use crate::{Beat, Graph, Health, Report, Role, Sight, Word};
+use crate::{Beat, Graph, Health, Report, Role, Settings, Sight, Word, lesson::Lesson};
 use clock::Moment;
 use name::{Incarnation, Node};
 use state::{Epoch, Peer};
 use std::{
     collections::{BTreeMap, BTreeSet, HashMap},
     net::SocketAddr,
-    time::Duration,
 };
 
-/// The time scales and sizes of membership.
-#[common::value]
-pub struct Settings {
-    /// The time between two calls to the same partner.
-    pub interval: Duration,
-    /// The silence after which a partner is suspected.
-    pub suspect_after: Duration,
-    /// The time in which a suspected member may refute.
-    pub dead_after: Duration,
-    /// How long a dead member is remembered.
-    pub forget_after: Duration,
-    /// The number of nodes up to which all exchange beats with all.
-    pub full: usize,
-    /// Half the number of partners above that.
-    pub circles: usize,
-    /// The number of words in one beat.
-    pub max_words: usize,
-    /// How the words of a beat are chosen.
-    pub exchange: Exchange,
-}
-
-impl Default for Settings {
-    /// Returns a call each second, suspicion after 3 s, death 4 s later.
-    fn default() -> Self {
-        Self {
-            interval: Duration::from_secs(1),
-            suspect_after: Duration::from_secs(3),
-            dead_after: Duration::from_secs(4),
-            forget_after: Duration::from_secs(600),
-            full: 16,
-            circles: 6,
-            max_words: 32,
-            exchange: Exchange::Delta,
-        }
-    }
-}
-
-/// How the words of a beat are chosen.
-#[common::key]
-#[serde(rename_all = "snake_case")]
-pub enum Exchange {
-    /// All words each time.
-    Full,
-    /// The words that changed since the receiver's last acknowledgement.
-    Delta,
-    /// The words of the buckets whose digests differed last.
-    Digest,
-}
+/// The number of words that a new partner gets unasked.
+const RECENT_WORDS: usize = 8;
 
 /// A call that is due.
 #[common::plain]
@@ -74,7 +27,7 @@
 #[derive(Debug, Clone)]
 pub(crate) struct Held {
     pub(crate) word: Word,
-    /// The number of this node's change that brought the word.
+    /// The number of this node's change that brought the word; zero for none.
     pub(crate) change: u64,
     /// The member that brought the word.
     pub(crate) source: Option<Node>,
@@ -91,6 +44,10 @@
     pub(crate) acknowledged: u64,
     /// The other node's last change that was taken.
     pub(crate) seen: u64,
+    /// Whether the other node has heard this life of this node.
+    pub(crate) introduced: bool,
+    /// Since when the other node's members have differed.
+    pub(crate) differs: Option<Moment>,
     /// The other node's last digests.
     pub(crate) digests: Vec<u32>,
     /// When the other node was heard, or the watch began.
@@ -111,12 +68,15 @@
     /// The nodes by the number of the change that brought their word.
     pub(crate) changes: BTreeMap<u64, Node>,
     pub(crate) change: u64,
+    /// A digest of all words about nodes that are not dead.
+    pub(crate) digest: u64,
+    pub(crate) lesson: Lesson,
     /// The nodes of the epoch, dead or not.
     epoch: BTreeSet<Node>,
     pub(crate) links: HashMap<Node, Link>,
     graph: Graph,
     is_graph_old: bool,
-    rounds: usize,
+    pub(crate) rounds: usize,
     reads_log: bool,
     last_tick: Option<Moment>,
 }
@@ -140,6 +100,8 @@
             members: BTreeMap::new(),
             changes: BTreeMap::new(),
             change: 0,
+            digest: 0,
+            lesson: Lesson::new(now),
             epoch: BTreeSet::new(),
             links: HashMap::new(),
             graph: Graph::default(),
@@ -213,8 +175,9 @@
                 role: Role::Open,
                 health: Health::Alive,
             };
+            // All nodes learn it from the log: there is nothing to pass on.
             if !self.members.contains_key(&peer.node) {
-                self.put(word, None, now);
+                self.enter(word, now);
             }
         }
     }
@@ -237,6 +200,7 @@
             });
         }
         calls.extend(self.seed_call(report));
+        self.ask(&mut calls, now);
         calls
     }
 
@@ -289,6 +253,11 @@
         self.graph.partners.iter()
     }
 
+    /// Returns the part of the graph around this node.
+    pub(crate) fn graph(&self) -> &Graph {
+        &self.graph
+    }
+
     /// Returns what is seen of `nodes`.
     fn sight_of<'a>(&self, nodes: impl Iterator<Item = &'a Node>, now: Moment) -> Sight {
         let mut sight = Sight::default();
@@ -365,6 +334,7 @@
         for node in gone {
             if let Some(held) = self.members.remove(&node) {
                 self.changes.remove(&held.change);
+                self.digest ^= held.word.digest();
             }
         }
         let (partners, quiet) = (&self.graph.partners, self.settings.suspect_after);
@@ -386,34 +356,55 @@
             .map(|(node, _)| node);
         let (full, circles) = (self.settings.full, self.settings.circles);
         self.graph = Graph::around(&self.own, nodes, full, circles);
+        let recent = self.recent();
         for node in &self.graph.partners {
             self.links
                 .entry(node.clone())
-                .or_insert_with(|| Link::new(now));
+                .or_insert_with(|| Link::new(recent, now));
         }
     }
 
-    /// Enters a word as this node's next change.
+    /// Returns the change after which the words count as recent.
+    ///
+    /// A new partner gets these, since its last partners may not have had the
+    /// time to pass them on.
+    pub(crate) fn recent(&self) -> u64 {
+        let first = self.changes.keys().rev().nth(RECENT_WORDS - 1);
+        first.map_or(0, |change| change - 1)
+    }
+
+    /// Enters a word as this node's next change, to be passed on.
     pub(crate) fn put(&mut self, word: Word, source: Option<&Node>, now: Moment) {
         let node = word.peer.node.clone();
+        self.enter(word, now);
         self.change += 1;
-        let before = self.members.get(&node);
-        let was = before.map(|held| held.word.health == Health::Dead);
-        if was != Some(word.health == Health::Dead) {
+        self.changes.insert(self.change, node.clone());
+        let held = self.members.get_mut(&node).expect("it was entered");
+        held.change = self.change;
+        held.source = source.cloned();
+    }
+
+    /// Enters a word that the other nodes learn without this one.
+    pub(crate) fn enter(&mut self, word: Word, now: Moment) {
+        let node = word.peer.node.clone();
+        let before = self.members.remove(&node);
+        let was_dead = before.as_ref().map(|held| held.word.health == Health::Dead);
+        if was_dead != Some(word.health == Health::Dead) {
             self.is_graph_old = true;
         }
-        let since = match before {
-            Some(held) if held.word.is_same_claim(&word) => held.since,
-            _ => now,
-        };
-        if let Some(held) = before {
+        let mut since = now;
+        if let Some(held) = &before {
             self.changes.remove(&held.change);
+            self.digest ^= held.word.digest();
+            if held.word.is_same_claim(&word) {
+                since = held.since;
+            }
         }
-        self.changes.insert(self.change, node.clone());
+        self.digest ^= word.digest();
         let held = Held {
             word,
-            change: self.change,
-            source: source.cloned(),
+            change: 0,
+            source: None,
             since,
         };
         self.members.insert(node, held);
@@ -422,11 +413,15 @@
 
 impl Link {
     /// Returns a link to a node that was not heard yet.
-    pub(crate) fn new(now: Moment) -> Self {
+    ///
+    /// It gets the changes after `change`; what it lacks before, it asks for.
+    pub(crate) fn new(change: u64, now: Moment) -> Self {
         Self {
             incarnation: None,
-            acknowledged: 0,
+            acknowledged: change,
             seen: 0,
+            introduced: false,
+            differs: None,
             digests: Vec::new(),
             heard: now,
             was_heard: false,
--- a/crates/member/src/word.rs
+++ b/crates/member/src/word.rs
@@ -64,6 +64,18 @@
         (self.life, self.peer.incarnation, self.version, self.health)
     }
 
+    /// Returns a digest of the word; zero if the member is dead.
+    ///
+    /// The dead are forgotten at different times, so they do not count.
+    pub(crate) fn digest(&self) -> u64 {
+        if self.health == Health::Dead {
+            return 0;
+        }
+        let (life, incarnation, version, health) = self.order();
+        let topic = format!("{life}/{incarnation}/{version}/{health:?}");
+        name::score(&topic, self.peer.node.as_str())
+    }
+
     /// Returns the estimated length on the wire, in bytes.
     ///
     /// Counts a Protocol Buffers message: names as text, the incarnation as 16
--- /dev/null
+++ b/crates/member/tests/all/main.rs
@@ -0,0 +1,6 @@
+//! The tests of membership, over one small network of tables.
+
+mod epoch;
+mod freshness;
+mod net;
+mod table;
--- /dev/null
+++ b/crates/member/tests/all/net.rs
@@ -0,0 +1,200 @@
+//! A network of tables that exchange beats in lock step, one round a second.
+
+use clock::Moment;
+use member::{Beat, Report, Settings, Table};
+use name::{Incarnation, Node, Offset};
+use state::{Epoch, Peer};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+use uuid::Uuid;
+
+/// The number of failure domains.
+const DOMAINS: usize = 12;
+
+/// Returns the name of node `at`.
+pub fn node(at: usize) -> Node {
+    format!("entry-{at:03}").try_into().expect("a name")
+}
+
+/// Returns the peer that is life `life` of node `at`.
+pub fn peer(at: usize, life: u64) -> Peer {
+    let address = |port| SocketAddr::from(([10, 0, 0, 1], port + u16::try_from(at).expect("few")));
+    Peer {
+        node: node(at),
+        incarnation: Incarnation(Uuid::from_u128((at as u128 + 1) * 1_000 + u128::from(life))),
+        domain: format!("domain-{}", at % DOMAINS)
+            .try_into()
+            .expect("a name"),
+        peer_address: address(7_000),
+        caller_address: address(8_000),
+    }
+}
+
+/// A network of tables.
+#[derive(Debug)]
+pub struct Net {
+    /// The running nodes' tables.
+    pub tables: Vec<Option<Table>>,
+    /// The nodes that neither send nor receive.
+    pub paused: BTreeSet<usize>,
+    /// Nodes below the number reach only each other.
+    pub split: Option<usize>,
+    settings: Settings,
+    lives: Vec<u64>,
+    seeds: Vec<SocketAddr>,
+    epoch: Epoch,
+    round: u64,
+    bytes: usize,
+    calls: usize,
+    places: HashMap<SocketAddr, usize>,
+}
+
+impl Net {
+    /// Returns nodes that know the first node's address alone.
+    pub fn from_seed(count: usize, settings: Settings) -> Self {
+        Self::new(count, settings, Epoch::default())
+    }
+
+    /// Returns nodes that know each other from the epoch.
+    pub fn from_epoch(count: usize, settings: Settings) -> Self {
+        let peers = (0..count).map(|at| peer(at, 1)).collect();
+        let revision = Offset(1);
+        Self::new(count, settings, Epoch { revision, peers })
+    }
+
+    fn new(count: usize, settings: Settings, epoch: Epoch) -> Self {
+        let mut net = Self {
+            tables: (0..count).map(|_| None).collect(),
+            paused: BTreeSet::new(),
+            split: None,
+            settings,
+            lives: vec![0; count],
+            seeds: vec![peer(0, 1).peer_address],
+            epoch,
+            round: 0,
+            bytes: 0,
+            calls: 0,
+            places: (0..count)
+                .map(|at| (peer(at, 1).peer_address, at))
+                .collect(),
+        };
+        for at in 0..count {
+            net.start(at);
+        }
+        net
+    }
+
+    /// Returns the time of the round.
+    pub fn now(&self) -> Moment {
+        Moment::START + Duration::from_secs(self.round)
+    }
+
+    /// Returns the nodes that run.
+    pub fn running(&self) -> impl Iterator<Item = usize> {
+        (0..self.tables.len()).filter(|at| self.tables[*at].is_some())
+    }
+
+    /// Returns the life of node `at`.
+    pub fn incarnation(&self, at: usize) -> Incarnation {
+        peer(at, self.lives[at]).incarnation
+    }
+
+    /// Tells all running nodes of an epoch; later starts learn it at once.
+    pub fn adopt(&mut self, epoch: &Epoch) {
+        let now = self.now();
+        self.epoch = epoch.clone();
+        for table in self.tables.iter_mut().flatten() {
+            table.adopt(epoch, now);
+        }
+    }
+
+    /// Returns the epoch that was adopted last.
+    pub fn epoch(&self) -> &Epoch {
+        &self.epoch
+    }
+
+    /// Ends a node without a word.
+    pub fn stop(&mut self, at: usize) {
+        self.tables[at] = None;
+    }
+
+    /// Starts the next life of a node.
+    pub fn start(&mut self, at: usize) {
+        self.start_at(at, 1_000_000 + self.round * 1_000);
+    }
+
+    /// Starts the next life of a node, whose wall clock shows `life`.
+    pub fn start_at(&mut self, at: usize, life: u64) {
+        self.lives[at] += 1;
+        let own = peer(at, self.lives[at]);
+        let (seeds, settings, now) = (self.seeds.clone(), self.settings.clone(), self.now());
+        let mut table = Table::new(own, life, seeds, settings, now);
+        table.adopt(&self.epoch, now);
+        self.tables[at] = Some(table);
+    }
+
+    /// Runs some rounds.
+    pub fn run(&mut self, rounds: usize) {
+        for _ in 0..rounds {
+            self.round += 1;
+            for at in 0..self.tables.len() {
+                self.call(at);
+            }
+        }
+    }
+
+    /// Lets a node make its calls of the round.
+    fn call(&mut self, at: usize) {
+        let now = self.now();
+        let report = Report::default();
+        if self.paused.contains(&at) {
+            return;
+        }
+        let Some(table) = &mut self.tables[at] else {
+            return;
+        };
+        for call in table.calls(&report, now) {
+            self.count(&call.beat);
+            let Some(to) = self.reached(at, call.to) else {
+                continue;
+            };
+            let callee = self.tables[to].as_mut().expect("it was reached");
+            let reply = callee.answer(&call.beat, &report, now);
+            self.count(&reply);
+            let caller = self.tables[at].as_mut().expect("it runs");
+            caller.answered(&reply, now);
+            self.calls += 1;
+        }
+    }
+
+    /// Returns the node at an address, if `from` reaches it.
+    fn reached(&self, from: usize, address: SocketAddr) -> Option<usize> {
+        let to = *self.places.get(&address)?;
+        let side = |at: usize| self.split.is_some_and(|split| at < split);
+        let is_up = self.tables[to].is_some() && !self.paused.contains(&to);
+        (is_up && to != from && side(to) == side(from)).then_some(to)
+    }
+
+    fn count(&mut self, beat: &Beat) {
+        self.bytes += beat.bytes();
+    }
+
+    /// Counts bytes and calls from here on.
+    pub fn reset_counts(&mut self) {
+        self.bytes = 0;
+        self.calls = 0;
+    }
+
+    /// Returns what a node sends and receives in a round, in bytes.
+    pub fn bytes_per_node(&self, rounds: usize) -> u64 {
+        (2 * self.bytes / rounds / self.tables.len()) as u64
+    }
+
+    /// Returns the calls that a node makes in a round.
+    pub fn calls_per_node(&self, rounds: usize) -> u64 {
+        (self.calls / rounds / self.tables.len()) as u64
+    }
+}
