End the rest of slots when reports show their server idle

Cause: a slot that moved with an epoch rested for the longest request, 122 s, so that a restarted node, or any node at a server that appeared after an epoch, had no slots for two minutes; cold servers could not even begin to warm up. Change: a report without requests in progress, asked for after the old owner could send the last time (voucher, send deadline, lag of the load), ends the rest. The longest request is 60 s by default. Ruled out: using resting slots while the server is warm, bound to its life. It would pass the warm limit by what the old owner still has in progress. Figures: the model of slots holds as before (400 random cases, the exhaustive search); a restarted node has open slots within the 20 s that the test allows, where the rest alone is longer than a minute.

--- a/crates/admit/benches/admit.rs
+++ b/crates/admit/benches/admit.rs
@@ -56,6 +56,7 @@
             warm: true,
             warm_limit: SLOTS,
             cold_limit: 2,
+            idle: false,
             at: Moment::from_millis(at),
         });
     }
--- a/crates/admit/src/slot/gate.rs
+++ b/crates/admit/src/slot/gate.rs
@@ -20,17 +20,23 @@
     pub lease: Duration,
     /// How long after its grant a permit may still be sent.
     pub send: Duration,
+    /// How long after a change of epoch the old owner of a slot may still send:
+    /// at least the lifetime of a voucher, plus `send`, plus the time by which
+    /// the load in a report lags.
+    pub settle: Duration,
     /// How long a newly owned slot rests: at least the lifetime of a voucher,
     /// plus `send`, plus the longest request.
     pub rest: Duration,
 }
 
 impl Default for Timing {
-    /// Returns a lease of 1 s, a send deadline of 0.1 s and a rest of 62 s.
+    /// Returns a lease of 1 s, a send deadline of 0.1 s, a settling time of 4 s
+    /// and a rest of 62 s.
     fn default() -> Self {
         Self {
             lease: Duration::from_secs(1),
             send: Duration::from_millis(100),
+            settle: Duration::from_secs(4),
             rest: Duration::from_secs(62),
         }
     }
@@ -96,6 +102,15 @@
     pub first_token: Option<Duration>,
 }
 
+/// Until when an owned slot may still be in use by its old owner.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+struct Rest {
+    /// From then on the old owner sends nothing new.
+    settled: Moment,
+    /// From then on nothing that it sent is in progress.
+    over: Moment,
+}
+
 /// The slots of one node at one server.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Gate {
@@ -105,8 +120,8 @@
     slots: u32,
     timing: Timing,
     revision: Option<Offset>,
-    /// The owned slots, each with the moment at which its rest ends.
-    owned: BTreeMap<u32, Moment>,
+    /// The owned slots.
+    owned: BTreeMap<u32, Rest>,
     /// Includes slots that were lost while in use.
     in_use: BTreeSet<u32>,
     warmth: Warmth,
@@ -148,12 +163,19 @@
         }
         let is_first = base == Some(Offset::ZERO);
         let is_successor = self.revision.is_some() && base == self.revision;
-        let rested = now + self.timing.rest;
+        let resting = Rest {
+            settled: now + self.timing.settle,
+            over: now + self.timing.rest,
+        };
+        let free = Rest {
+            settled: now,
+            over: now,
+        };
         let new = ownership.owned(&self.key, &self.node, self.incarnation, self.slots);
         let until = |slot: u32| match self.owned.get(&slot) {
             Some(kept) if is_successor => *kept,
-            _ if is_first => now,
-            _ => rested,
+            _ if is_first => free,
+            _ => resting,
         };
         self.owned = new.into_iter().map(|slot| (slot, until(slot))).collect();
         self.revision = Some(revision);
@@ -165,7 +187,18 @@
     }
 
     /// Takes in a report of the server.
+    ///
+    /// One that shows no request in progress, asked for after the old owners of
+    /// slots could send the last time, ends the rest of those slots: whatever
+    /// the old owners sent has ended.
     pub fn observe(&mut self, evidence: Evidence) {
+        if evidence.idle {
+            for rest in self.owned.values_mut() {
+                if rest.settled <= evidence.at {
+                    rest.over = rest.over.min(evidence.at);
+                }
+            }
+        }
         self.warmth.observe(evidence, self.timing.lease);
     }
 
@@ -235,7 +268,7 @@
     fn idle(&self, now: Moment, open: u32) -> impl Iterator<Item = u32> {
         let below = self.owned.range(..open);
         below
-            .filter(move |(slot, rested)| **rested <= now && !self.in_use.contains(slot))
+            .filter(move |(slot, rest)| rest.over <= now && !self.in_use.contains(slot))
             .map(|(slot, _)| *slot)
     }
 
@@ -244,6 +277,6 @@
     /// A resting slot may still be in use by its old owner, so it is no room.
     fn share(&self, now: Moment, open: u32) -> usize {
         let below = self.owned.range(..open);
-        below.filter(|(_, rested)| **rested <= now).count()
+        below.filter(|(_, rest)| rest.over <= now).count()
     }
 }
--- a/crates/admit/src/slot/warmth.rs
+++ b/crates/admit/src/slot/warmth.rs
@@ -24,6 +24,8 @@
     pub warm_limit: u32,
     /// Requests in progress that it bears when cold.
     pub cold_limit: u32,
+    /// Whether it shows no request running or waiting.
+    pub idle: bool,
     /// When this node asked for the report; the report is not older than that.
     pub at: Moment,
 }
--- a/crates/admit/tests/gate.rs
+++ b/crates/admit/tests/gate.rs
@@ -8,6 +8,13 @@
 use uuid::Uuid;
 
 fn gate() -> Gate {
+    let mut gate = adopted(Some(Offset::ZERO), Moment::START);
+    gate.vouch(Moment::from_millis(60_000));
+    gate
+}
+
+/// Returns a gate whose node alone is in an epoch that replaced `base`.
+fn adopted(base: Option<Offset>, at: Moment) -> Gate {
     let node: Node = "node".try_into().expect("a name");
     let incarnation = Incarnation(Uuid::nil());
     let address = "127.0.0.1:1".parse().expect("an address");
@@ -21,8 +28,7 @@
     let revision = Offset(1);
     let mut gate = Gate::new("server", (node, incarnation), 16, Timing::default());
     let ownership = Ownership::from(&Epoch { revision, peers });
-    gate.adopt(&ownership, Some(Offset::ZERO), Moment::START);
-    gate.vouch(Moment::from_millis(60_000));
+    gate.adopt(&ownership, base, at);
     gate
 }
 
@@ -32,6 +38,7 @@
         warm,
         warm_limit: 16,
         cold_limit: 2,
+        idle: false,
         at: Moment::from_millis(at),
     }
 }
@@ -162,3 +169,55 @@
     all.sort_unstable();
     assert_eq!(all, (0..300).collect::<Vec<u32>>());
 }
+
+/// A report after a change of epoch, and the slots that are open right after it.
+struct Idle {
+    name: &'static str,
+    idle: bool,
+    at: u64,
+    open: usize,
+}
+
+#[test]
+fn an_idle_report_ends_the_rest_of_slots_once_their_old_owner_sends_no_more() {
+    // The epoch is adopted at 100 ms without a base, so that every slot rests.
+    let settle = u64::try_from(Timing::default().settle.as_millis()).expect("short");
+    let rest = u64::try_from(Timing::default().rest.as_millis()).expect("short");
+    let cases = [
+        Idle {
+            name: "idle too early",
+            idle: true,
+            at: 100 + settle - 1,
+            open: 0,
+        },
+        Idle {
+            name: "idle after settling",
+            idle: true,
+            at: 100 + settle,
+            open: 2,
+        },
+        Idle {
+            name: "busy after settling",
+            idle: false,
+            at: 100 + settle,
+            open: 0,
+        },
+        Idle {
+            name: "busy after the rest",
+            idle: false,
+            at: 100 + rest,
+            open: 2,
+        },
+    ];
+    for case in cases {
+        let mut gate = adopted(None, Moment::from_millis(100));
+        gate.vouch(Moment::from_millis(1_000_000));
+        let idle = case.idle;
+        gate.observe(Evidence {
+            idle,
+            ..evidence(1, false, case.at)
+        });
+        let open = gate.open(Moment::from_millis(case.at));
+        assert_eq!(open, case.open, "{}", case.name);
+    }
+}
--- a/crates/admit/tests/slots.rs
+++ b/crates/admit/tests/slots.rs
@@ -17,6 +17,7 @@
     timing: || Timing {
         lease: Duration::from_millis(400),
         send: Duration::from_millis(200),
+        settle: Duration::from_millis(500),
         rest: Duration::from_millis(1_000),
     },
 };
@@ -31,6 +32,7 @@
     timing: || Timing {
         lease: Duration::from_millis(200),
         send: Duration::from_millis(100),
+        settle: Duration::from_millis(200),
         rest: Duration::from_millis(300),
     },
 };
--- a/crates/admit/tests/world/mod.rs
+++ b/crates/admit/tests/world/mod.rs
@@ -217,6 +217,7 @@
             warm: self.is_warm,
             warm_limit: self.shape.slots,
             cold_limit: self.shape.cold_limit,
+            idle: self.running.is_empty(),
             at: self.now,
         });
     }
--- a/crates/entry/src/driver/survey.rs
+++ b/crates/entry/src/driver/survey.rs
@@ -114,10 +114,18 @@
             .iter()
             .map(|member| member.bearing.cold_limit)
             .min()?,
+        idle: is_idle(view, assignment),
         at: members.iter().map(|member| member.taken).min()?,
     })
 }
 
+/// Returns whether the lead of a replica reports nothing in progress.
+fn is_idle(view: &View, assignment: &Assignment) -> bool {
+    let lead = assignment.members.first().and_then(|lead| view.get(lead));
+    let latest = lead.and_then(|seen| seen.latest.as_ref());
+    latest.is_some_and(|sighting| sighting.report.running == 0)
+}
+
 /// Returns what an instance bears, if that is of the life that the view shows.
 fn borne(node: &Node, view: &View, instance: &Instance) -> Option<Borne> {
     let boot: Uuid = view.get(instance)?.latest.as_ref()?.report.boot;
@@ -152,6 +160,7 @@
                     warm: borne.bearing.warm,
                     warm_limit: borne.bearing.warm_limit,
                     cold_limit: borne.bearing.cold_limit,
+                    idle: report.running == 0,
                     at: borne.taken,
                 },
                 running: report.running,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -46,6 +46,9 @@
 /// The time for permits to be written, beyond which they are void.
 const SEND_WITHIN: Duration = Duration::from_millis(250);
 
+/// The most by which the load in reports lags.
+const LOAD_LAG: Duration = Duration::from_secs(2);
+
 /// Tokens for each unit of weight that an account below its share may take ahead.
 const IDLE_CREDIT: u64 = 800;
 
@@ -325,6 +328,7 @@
     let timing = Timing {
         lease: WARM_FOR,
         send: SEND_WITHIN,
+        settle: millis(timings.voucher_bound_ms) + SEND_WITHIN + LOAD_LAG,
         rest: millis(timings.voucher_bound_ms) + SEND_WITHIN + millis(limits.request_timeout_ms),
     };
     let beat = millis(timings.heartbeat_ms);
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -192,7 +192,7 @@
         /// The time for a request's body to arrive.
         body_timeout_ms: u64 = 10_000,
         /// The time after which a request without a deadline of its own ends.
-        request_timeout_ms: u64 = 120_000,
+        request_timeout_ms: u64 = 60_000,
         /// The largest number of connections from callers.
         max_connections: u32 = 4_096,
         /// The largest number of requests that wait, over all client accounts.
--- a/tests/all/stops.rs
+++ b/tests/all/stops.rs
@@ -1,6 +1,6 @@
 //! Planned stops of entry nodes and instances, and restarts.
 
-use crate::fixture::{check_draft, deployment, draft};
+use crate::fixture::{check_draft, deployment, draft, within};
 use name::Instance;
 use standin::Command;
 use std::{sync::Arc, time::Duration};
@@ -90,5 +90,19 @@
     let (streamed, right) = draft(&deployment, deployment.callers()[2], 3, 4).await;
     assert!(streamed.is_whole, "{streamed:?}");
     check_draft("restarted", &streamed, &right);
+    // Its slots rest until reports show that the earlier life's requests have
+    // ended, not for the longest request.
+    within(
+        "the new life has open slots",
+        Duration::from_secs(20),
+        async || {
+            let replicas = deployment.query(2, "/admin/v1/replicas").await.unwrap();
+            let replicas = replicas["replicas"].as_array().unwrap().clone();
+            replicas
+                .iter()
+                .any(|replica| replica["open_slots_here"].as_u64() > Some(0))
+        },
+    )
+    .await;
     deployment.stop().await;
 }
