Keep moved replicas together and let models reach their share

Tests of moves, returned members, shares and leaving members showed two faults. A replica that moved into one fabric domain at the cost of a load was spread again half a second later by the loaded instance that it had just freed: loaded instances of other fabric domains now replace loading members only in replicas that are spread already. A model one replica below its share stayed there, since the tolerance was counted on both sides.

--- a/crates/replica/src/form.rs
+++ b/crates/replica/src/form.rs
@@ -111,8 +111,8 @@
 
 /// Dissolves one replica of a model beyond its share that another model lacks.
 ///
-/// Shares are compared with a replica's width of tolerance, so that a change in
-/// the number of instances dissolves nothing. Replicas of models that are no
+/// A model lacks a replica only below its share rounded down, so that the loss of
+/// an instance shifts nothing between models. Replicas of models that are no
 /// longer listed are dissolved as well.
 pub(crate) fn rebalance(
     scene: &Scene<'_>,
@@ -126,7 +126,7 @@
     let lacking = targets.values().any(|t| t.have < t.least);
     let beyond = |group: &&Group<'_>| {
         let model = &group.assignment.model;
-        let surplus = targets.get(model).is_some_and(|t| t.have > t.least + 1);
+        let surplus = targets.get(model).is_some_and(|t| t.have > t.want);
         !lists.models.contains_key(model) || (lacking && surplus)
     };
     let chosen = scene
--- a/crates/replica/src/repair.rs
+++ b/crates/replica/src/repair.rs
@@ -137,11 +137,17 @@
         let a = group.assignment;
         let weights = weights(&a.model, &a.version);
         let mut members = a.members.clone();
+        // A replica in one fabric domain stays there: it would have to load
+        // anyway when it moves back.
+        let spread = group
+            .kept()
+            .filter_map(|i| scene.view.get(i))
+            .any(|s| s.fabric != home);
+        let cross = scene.policy.cross && spread;
         for member in &mut members {
             let cold = scene.view.fresh(member, scene.now).is_some_and(|r| {
                 matches!(r.phase, Phase::Idle | Phase::Loading) && !r.holds(&weights)
             });
-            let cross = scene.policy.cross;
             if cold
                 && pool.is_warm(&home, cross, &weights, 1)
                 && let Some(warm) = pool.pick(&home, cross, &weights, 1).and_then(first)
--- a/crates/replica/tests/all/propose.rs
+++ b/crates/replica/tests/all/propose.rs
@@ -411,3 +411,102 @@
     assert!(Policy::named("other").is_none());
     assert_eq!(Policy::default().name, "adaptive");
 }
+
+/// Returns whether the replica `m-1` spans fabric domains.
+fn is_spread(world: &World) -> bool {
+    let standings = servable(&world.state, &world.view, world.now);
+    standings[&n::<Replica>("m-1")].as_ref().unwrap().spread
+}
+
+#[test]
+fn a_spread_replica_moves_back_when_that_is_worth_it() {
+    struct Case {
+        name: &'static str,
+        restart: bool,
+        /// Whether it is spread 30 s and 700 s after the member returned.
+        spread: (bool, bool),
+    }
+    let cases = [
+        Case {
+            name: "at once to an instance that holds the weights",
+            restart: false,
+            spread: (false, false),
+        },
+        Case {
+            name: "late if weights must be loaded",
+            restart: true,
+            spread: (true, false),
+        },
+    ];
+    for case in cases {
+        let mut world = settled("adaptive", 9);
+        let lost = member(&world, 1);
+        world.stop(&lost, secs(20), case.restart);
+        world.run(secs(15));
+        assert!(is_spread(&world), "{}", case.name);
+        world.run(secs(35));
+        let early = is_spread(&world);
+        world.run(secs(670));
+        assert_eq!((early, is_spread(&world)), case.spread, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_loaded_member_takes_its_place_back_from_one_that_loads() {
+    let mut world = settled("adaptive", 17);
+    let spare = n::<Instance>("i16");
+    world.engines.get_mut(&spare).unwrap().loaded = false;
+    let lost = member(&world, 1);
+    world.stop(&lost, secs(20), false);
+    world.run(secs(15));
+    assert_eq!(member(&world, 1), spare, "the load begins without a wait");
+    assert_eq!(world.serving().len(), 3);
+    world.run(secs(10));
+    assert_eq!(member(&world, 1), lost);
+    assert_eq!(world.serving().len(), 4);
+}
+
+#[test]
+fn a_new_model_gets_its_share() {
+    let mut world = settled("adaptive", 16);
+    let model = world.lists.models[&n::<name::Model>("m")].clone();
+    world.lists.models.insert(n("z"), model);
+    world.run(secs(60));
+    let of = |world: &World, model: &str| {
+        let all = world.state.assignments.values();
+        all.filter(|a| a.model.as_str() == model).count()
+    };
+    assert_eq!((of(&world, "m"), of(&world, "z")), (2, 2));
+    assert_eq!(world.serving().len(), 4);
+    // The loss of an instance does not shift replicas between models.
+    let lost = member(&world, 0);
+    let before = world.state.assignments.len();
+    world.stop(&lost, secs(40), false);
+    world.run(secs(60));
+    assert_eq!(world.state.assignments.len(), before);
+    world.lists.models.remove(&n::<name::Model>("z"));
+    world.run(secs(90));
+    assert_eq!((of(&world, "m"), of(&world, "z")), (4, 0));
+}
+
+#[test]
+fn a_leaving_member_is_replaced_after_its_requests_end() {
+    let mut world = settled("adaptive", 17);
+    let leaving = member(&world, 3);
+    for engine in world.engines.values_mut() {
+        engine.running = 1;
+    }
+    world.engines.get_mut(&leaving).unwrap().listed.leaving = true;
+    world.run(secs(1));
+    let standings = servable(&world.state, &world.view, world.now);
+    let first = standings[&n::<Replica>("m-1")].as_ref().unwrap_err();
+    assert_eq!(first.cause, Cause::Leaving);
+    world.run(secs(30));
+    assert_eq!(member(&world, 3), leaving, "requests in progress go on");
+    for engine in world.engines.values_mut() {
+        engine.running = 0;
+    }
+    world.run(secs(10));
+    assert_ne!(member(&world, 3), leaving);
+    assert_eq!(world.serving().len(), 4);
+}
