--- a/crates/replica/tests/all/main.rs
+++ b/crates/replica/tests/all/main.rs
@@ -2,6 +2,7 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod drain;
 mod fixture;
 mod orders;
 mod policy;
--- a/crates/replica/tests/all/propose.rs
+++ b/crates/replica/tests/all/propose.rs
@@ -5,28 +5,28 @@
     replay::World,
 };
 use name::{Generation, Instance, Replica};
-use replica::{Cause, Pacer, Policy, propose, servable};
+use replica::{Pacer, Policy, propose, servable};
 use state::{Change, Operation, Outcome, Rejection, Scope};
 use std::{collections::BTreeMap, time::Duration};
 
-fn secs(s: u64) -> Duration {
+pub fn secs(s: u64) -> Duration {
     Duration::from_secs(s)
 }
 
 /// Returns a world of `count` engines after all replicas serve.
-fn settled(policy: &str, count: usize) -> World {
+pub fn settled(policy: &str, count: usize) -> World {
     let mut world = World::new(Policy::named(policy).unwrap(), count, 1);
     world.run(secs(20));
     assert_eq!(world.serving().len(), count / MEMBERS);
     world
 }
 
-fn generations(world: &World) -> BTreeMap<Replica, Generation> {
+pub fn generations(world: &World) -> BTreeMap<Replica, Generation> {
     let of = &world.state.assignments;
     of.iter().map(|(r, a)| (r.clone(), a.generation)).collect()
 }
 
-fn operate(world: &mut World, scope: Scope, operation: Operation) {
+pub fn operate(world: &mut World, scope: Scope, operation: Operation) {
     let base = world.state.operations.get(&scope).map(|(at, _)| *at);
     let change = Change::Operation {
         base: base.unwrap_or_default(),
@@ -37,7 +37,7 @@
     assert_eq!(world.append(change), Outcome::Accepted);
 }
 
-fn domain(world: &World, name: &str) -> Vec<Instance> {
+pub fn domain(world: &World, name: &str) -> Vec<Instance> {
     let inside = world
         .engines
         .values()
@@ -46,7 +46,7 @@
 }
 
 /// Returns the instance in `place` of the replica `m-1`.
-fn member(world: &World, place: usize) -> Instance {
+pub fn member(world: &World, place: usize) -> Instance {
     world.state.assignments[&n::<Replica>("m-1")].members[place].clone()
 }
 
@@ -327,67 +327,6 @@
     assert_eq!([0, 1, 2].map(first), [1_250, 1_750, 2_250]);
 }
 
-#[test]
-fn a_failure_domain_taken_out_drains_and_returns_warm() {
-    let mut world = settled("adaptive", 50);
-    let before = generations(&world);
-    for engine in world.engines.values_mut() {
-        engine.running = 3;
-    }
-    operate(&mut world, Scope::Domain(n("d1")), Operation::TakeOut);
-    let inside = domain(&world, "d1");
-    let standings = servable(&world.state, &world.view, world.now);
-    let out = standings.values().filter(|s| {
-        s.as_ref()
-            .is_err_and(|b| b.cause == Cause::Out && b.is_planned())
-    });
-    assert_eq!(out.count(), 4, "no new work from the moment of the fold");
-    world.run(secs(60));
-    assert_eq!(generations(&world), before, "requests in progress go on");
-    for instance in &inside {
-        assert!(world.engines[instance].phase == replica::Phase::Ready);
-    }
-    operate(&mut world, Scope::Domain(n("d1")), Operation::BringBack);
-    world.run(secs(1));
-    assert_eq!(world.serving().len(), 12, "the same replicas serve again");
-    assert_eq!(generations(&world), before);
-}
-
-#[test]
-fn one_instance_taken_out_is_replaced_after_its_requests_end() {
-    let mut world = settled("adaptive", 17);
-    let out = member(&world, 2);
-    for engine in world.engines.values_mut() {
-        engine.running = 1;
-    }
-    operate(&mut world, Scope::Instance(out.clone()), Operation::TakeOut);
-    world.run(secs(30));
-    assert_eq!(member(&world, 2), out, "not while requests are in progress");
-    for engine in world.engines.values_mut() {
-        engine.running = 0;
-    }
-    world.run(secs(10));
-    assert_ne!(member(&world, 2), out);
-    assert_eq!(world.serving().len(), 4);
-}
-
-#[test]
-fn a_take_out_holds_on_a_node_that_sees_no_engine() {
-    let mut world = settled("adaptive", 50);
-    operate(&mut world, Scope::Domain(n("d1")), Operation::TakeOut);
-    world.entries.clear();
-    let later = world.now + secs(60);
-    let standings = servable(&world.state, &world.view, later);
-    let out = standings
-        .values()
-        .filter(|s| s.as_ref().is_err_and(|b| b.cause == Cause::Out));
-    assert_eq!(out.count(), 4, "out goes before silent");
-    let mut pacer = Pacer::new(world.view.settings().clone());
-    let (state, lists, view) = (&world.state, &world.lists, &world.view);
-    let changes = propose(state, lists, view, &world.policy, 0, later, &mut pacer);
-    assert_eq!(changes, []);
-}
-
 #[test]
 fn a_new_version_reaches_one_replica_at_a_time() {
     let mut world = settled("adaptive", 16);
@@ -488,25 +427,3 @@
     world.run(secs(90));
     assert_eq!((of(&world, "m"), of(&world, "z")), (4, 0));
 }
-
-#[test]
-fn a_leaving_member_is_replaced_after_its_requests_end() {
-    let mut world = settled("adaptive", 17);
-    let leaving = member(&world, 3);
-    for engine in world.engines.values_mut() {
-        engine.running = 1;
-    }
-    world.engines.get_mut(&leaving).unwrap().listed.leaving = true;
-    world.run(secs(1));
-    let standings = servable(&world.state, &world.view, world.now);
-    let first = standings[&n::<Replica>("m-1")].as_ref().unwrap_err();
-    assert_eq!(first.cause, Cause::Leaving);
-    world.run(secs(30));
-    assert_eq!(member(&world, 3), leaving, "requests in progress go on");
-    for engine in world.engines.values_mut() {
-        engine.running = 0;
-    }
-    world.run(secs(10));
-    assert_ne!(member(&world, 3), leaving);
-    assert_eq!(world.serving().len(), 4);
-}
