--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -11,6 +11,7 @@
 use std::{
     fmt, io,
     net::{SocketAddr, TcpListener},
+    sync::Arc,
     time::Duration,
 };
 use tokio::time::{Instant, sleep};
@@ -102,7 +103,7 @@
     options: Options,
     log: Logger,
     clock: Clock,
-    world: World,
+    world: Arc<World>,
     entries: Vec<Option<Entry>>,
     addresses: Vec<Addresses>,
     client: Client,
@@ -152,7 +153,7 @@
             client: Client::new(),
             log: log.clone(),
             options,
-            world,
+            world: Arc::new(world),
             addresses,
         };
         for number in 0..deployment.options.nodes {
@@ -322,7 +323,7 @@
     }
 
     /// Returns the systems outside.
-    pub fn world(&self) -> &World {
+    pub fn world(&self) -> &Arc<World> {
         &self.world
     }
 
--- /dev/null
+++ b/crates/bench/src/report.rs
@@ -0,0 +1,156 @@
+//! What a run measured, as JSON and as a table.
+
+use std::fmt::Write;
+
+/// What one run measured; what was not measured is absent.
+#[common::sample]
+pub struct Run {
+    /// The deployment.
+    pub deployment: String,
+    /// The scenario.
+    pub scenario: String,
+    /// The policy, by name.
+    pub policy: String,
+    /// The seed.
+    pub seed: u64,
+    /// Whether it was a short run.
+    pub quick: bool,
+    /// The time under load, in seconds.
+    pub length_s: f64,
+    /// Missing replicas against those at the start, times seconds.
+    pub group_downtime_s: Option<f64>,
+    /// Engines that were up and in no serving replica, times seconds.
+    pub stranded_accelerator_s: Option<f64>,
+    /// The weighted whole answers over the weighted calls.
+    pub service_ratio: Option<f64>,
+    /// The same for calls that arrived while a domain left and returned.
+    pub service_ratio_during_change: Option<f64>,
+    /// The time to the first token, in milliseconds.
+    pub first_token_p95_ms: Option<f64>,
+    /// The time between tokens, in milliseconds.
+    pub between_tokens_p95_ms: Option<f64>,
+    /// The time to the first token beyond that of a direct call, in milliseconds.
+    pub added_first_token_p50_ms: Option<f64>,
+    /// The same at 95 in 100.
+    pub added_first_token_p95_ms: Option<f64>,
+    /// The longest time until a configuration was in force everywhere, in seconds.
+    pub config_in_force_max_s: Option<f64>,
+    /// Requests begun in a domain later than 3 s after it was taken out.
+    pub work_after_take_out: Option<u64>,
+    /// Engines that fell over because of load while cold.
+    pub cold_overloads: Option<u64>,
+    /// Runs beyond the first of calls that may not be repeated.
+    pub double_runs: Option<u64>,
+    /// Answers that are not those of their requests.
+    pub wrong_answers: Option<u64>,
+    /// Calls that ran although their callers were told "not run".
+    pub false_not_run: Option<u64>,
+    /// Calls cut off on their way while an entry and an instance stopped as planned.
+    pub cut_by_planned_stop: Option<u64>,
+    /// Requests begun by backend servers over calls.
+    pub attempts_per_request: Option<f64>,
+    /// The processor time of the idle process, by node, as a part of one core.
+    pub control_cpu_ratio: Option<f64>,
+    /// The bytes that control sends, by node and second.
+    pub control_bytes_per_s: Option<f64>,
+    /// The resident memory of the process, by node.
+    pub resident_bytes: Option<u64>,
+    /// The calls by the reason of their failure, the commonest first.
+    pub faults: Vec<(String, u64)>,
+}
+
+/// The runs of one command.
+#[common::sample]
+pub struct Report {
+    /// The runs, in order.
+    pub runs: Vec<Run>,
+}
+
+/// A column of the table: its head, and the field that it shows.
+type Column = (&'static str, fn(&Run) -> Option<f64>);
+
+/// The columns of the table.
+const COLUMNS: [Column; 15] = [
+    ("down s", |run| run.group_downtime_s),
+    ("strand s", |run| run.stranded_accelerator_s),
+    ("service", |run| run.service_ratio),
+    ("in change", |run| run.service_ratio_during_change),
+    ("first ms", |run| run.first_token_p95_ms),
+    ("between", |run| run.between_tokens_p95_ms),
+    ("+p50 ms", |run| run.added_first_token_p50_ms),
+    ("+p95 ms", |run| run.added_first_token_p95_ms),
+    ("config s", |run| run.config_in_force_max_s),
+    ("late work", |run| run.work_after_take_out.map(as_f64)),
+    ("overload", |run| run.cold_overloads.map(as_f64)),
+    ("double", |run| run.double_runs.map(as_f64)),
+    ("wrong", |run| run.wrong_answers.map(as_f64)),
+    ("false nr", |run| run.false_not_run.map(as_f64)),
+    ("attempts", |run| run.attempts_per_request),
+];
+
+/// Returns a count as a number of the table.
+fn as_f64(count: u64) -> f64 {
+    count as f64
+}
+
+impl Report {
+    /// Returns a table with a line for each deployment, scenario and policy.
+    ///
+    /// A cell is the median over the seeds, with the least and the largest in
+    /// brackets if they differ; `-` is not measured.
+    pub fn table(&self) -> String {
+        let mut text = format!("{:<26} {:<18}", "scenario", "policy");
+        for (head, _) in COLUMNS {
+            let _ = write!(text, " {head:>20}");
+        }
+        let mut done: Vec<(&str, &str, &str)> = Vec::new();
+        for run in &self.runs {
+            let key = (&*run.deployment, &*run.scenario, &*run.policy);
+            if done.contains(&key) {
+                continue;
+            }
+            done.push(key);
+            let same: Vec<&Run> = self
+                .runs
+                .iter()
+                .filter(|r| (&*r.deployment, &*r.scenario, &*r.policy) == key)
+                .collect();
+            let _ = write!(text, "\n{:<26} {:<18}", run.scenario, run.policy);
+            for (_, field) in COLUMNS {
+                let _ = write!(text, " {:>20}", cell(&same, field));
+            }
+        }
+        if self.runs.iter().any(|run| run.quick) {
+            text.push_str("\nquick: short runs, whose figures are no measurements");
+        }
+        text
+    }
+}
+
+/// Returns the median of a field with its spread.
+fn cell(runs: &[&Run], field: fn(&Run) -> Option<f64>) -> String {
+    let mut values: Vec<f64> = runs.iter().filter_map(|run| field(run)).collect();
+    values.sort_by(f64::total_cmp);
+    let (Some(least), Some(largest)) = (values.first(), values.last()) else {
+        return "-".into();
+    };
+    let median = values[values.len() / 2];
+    match (largest - least).abs() < f64::EPSILON {
+        true => number(median),
+        false => format!(
+            "{} [{} {}]",
+            number(median),
+            number(*least),
+            number(*largest)
+        ),
+    }
+}
+
+/// Returns a number with as many places as its size deserves.
+fn number(value: f64) -> String {
+    match value.abs() {
+        size if size < f64::EPSILON => "0".into(),
+        size if size < 10.0 => format!("{value:.3}"),
+        _ => format!("{value:.1}"),
+    }
+}
--- /dev/null
+++ b/crates/bench/src/sample.rs
@@ -0,0 +1,67 @@
+//! Samples of the engines' state, of this process, and of quantiles.
+
+use standin::World;
+use std::{fs, sync::Arc, time::Duration};
+use tokio::time::{Instant, MissedTickBehavior, interval};
+
+/// The time between two looks at the engines.
+const EACH: Duration = Duration::from_millis(20);
+
+/// The ticks a second in which the kernel counts processor time.
+const TICKS_PER_S: f64 = 100.0;
+
+/// The size of a page of memory, in bytes.
+const PAGE_BYTES: u64 = 4_096;
+
+/// Integrals over the time of a run.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub(crate) struct Integrals {
+    /// Replicas missing against those at the start, times seconds.
+    pub(crate) downtime_s: f64,
+    /// Engines that are up and in no serving replica, times seconds.
+    pub(crate) stranded_s: f64,
+}
+
+/// Looks at the engines until `end`.
+pub(crate) async fn watch(world: Arc<World>, end: Instant) -> Integrals {
+    let full = world.survey().serving.len();
+    let mut integrals = Integrals::default();
+    let mut ticks = interval(EACH);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut last = Instant::now();
+    while last < end {
+        ticks.tick().await;
+        let survey = world.survey();
+        let now = Instant::now();
+        let passed = (now - last).as_secs_f64();
+        let missing = full.saturating_sub(survey.serving.len());
+        integrals.downtime_s += missing as f64 * passed;
+        integrals.stranded_s += survey.stranded.len() as f64 * passed;
+        last = now;
+    }
+    integrals
+}
+
+/// Returns the processor time of this process so far.
+pub(crate) fn processor() -> Option<Duration> {
+    let stat = fs::read_to_string("/proc/self/stat").ok()?;
+    // The name before it may hold spaces, so that fields are counted from its end.
+    let fields: Vec<&str> = stat.rsplit_once(')')?.1.split_whitespace().collect();
+    let user: f64 = fields.get(11)?.parse().ok()?;
+    let system: f64 = fields.get(12)?.parse().ok()?;
+    Some(Duration::from_secs_f64((user + system) / TICKS_PER_S))
+}
+
+/// Returns the resident memory of this process, in bytes.
+pub(crate) fn resident() -> Option<u64> {
+    let statm = fs::read_to_string("/proc/self/statm").ok()?;
+    let pages: u64 = statm.split_whitespace().nth(1)?.parse().ok()?;
+    Some(pages * PAGE_BYTES)
+}
+
+/// Returns the value below which `hundredths` of the values lie.
+pub(crate) fn quantile(values: &mut [Duration], hundredths: usize) -> Option<Duration> {
+    values.sort_unstable();
+    let place = (values.len() * hundredths / 100).min(values.len().checked_sub(1)?);
+    values.get(place).copied()
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,5 +1,6 @@
 //! The subcommands, one a file.
 
+mod bench;
 mod demo;
 mod entry;
 mod standin;
@@ -21,6 +22,7 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Bench(bench::Bench),
     Demo(demo::Demo),
     Entry(entry::Entry),
     Standin(standin::Standin),
@@ -39,6 +41,7 @@
         Err(early) => return early_exit(&early),
     };
     let outcome = match parsed.command {
+        Command::Bench(command) => command.run(),
         Command::Demo(command) => command.run(),
         Command::Entry(command) => command.run(),
         Command::Standin(command) => command.run(),
