--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -11,6 +11,7 @@
 use std::{
     fmt, io,
     net::{SocketAddr, TcpListener},
+    sync::Arc,
     time::Duration,
 };
 use tokio::{
@@ -111,7 +112,7 @@
     options: Options,
     log: Logger,
     clock: Clock,
-    world: World,
+    world: Arc<World>,
     entries: Vec<Option<Running>>,
     addresses: Vec<Addresses>,
     client: Client,
@@ -202,7 +203,7 @@
             client: Client::new(),
             log: log.clone(),
             options,
-            world,
+            world: Arc::new(world),
             addresses,
         };
         for number in 0..deployment.options.nodes {
@@ -388,7 +389,7 @@
     }
 
     /// Returns the systems outside.
-    pub fn world(&self) -> &World {
+    pub fn world(&self) -> &Arc<World> {
         &self.world
     }
 
