--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -307,7 +307,7 @@
     });
     deployment.end_entry(STOPPED_NODE, true).await;
     pace.until(65).await;
-    deployment.start_entry(STOPPED_NODE)?;
+    deployment.start_entry(STOPPED_NODE).await?;
     deployment
         .world()
         .apply(&Command::List { instance: leaving });
