Add a fault matrix on virtual time

Cause: the promises were tested one crate at a time. Change: a harness drives the decision code of three nodes, eight backend servers and the log on virtual time, with faults at each step. Not yet judged: the violations that it reports.

--- /dev/null
+++ b/crates/proof/src/backend.rs
@@ -0,0 +1,302 @@
+//! Fakes of the backend servers.
+
+use crate::world::{End, Message, NodeMessage, World, expected_part, instance};
+use clock::Moment;
+use name::{Attempt, Domain, Generation, Instance, Replica};
+use replica::{Command, Listed, Phase, Report};
+use route::answer::{End as Finish, Frame};
+use std::time::Duration;
+use uuid::Uuid;
+
+/// Requests in progress that a server bears when cold.
+pub(crate) const COLD_LIMIT: u32 = 4;
+
+/// Requests in progress that a server bears when warm.
+pub(crate) const WARM_LIMIT: u32 = 24;
+
+/// The time after a start for which a server is cold.
+const COLD_FOR: Duration = Duration::from_secs(3);
+
+/// The time within which a server that turned cold without a restart is noticed.
+const NOTICE: Duration = Duration::from_millis(1_500);
+
+/// The time between two frames.
+const FRAME_EACH: Duration = Duration::from_millis(150);
+
+/// The time from an order until the engine is ready.
+const JOIN_TIME: Duration = Duration::from_millis(300);
+
+/// The place that an engine was ordered to take.
+#[common::plain]
+pub(crate) struct Place {
+    pub(crate) replica: Replica,
+    pub(crate) generation: Generation,
+    pub(crate) member: u32,
+    pub(crate) size: usize,
+    pub(crate) ready: Moment,
+}
+
+/// A request in progress at a server.
+#[derive(Debug, Clone)]
+pub(crate) struct Run {
+    pub(crate) request: usize,
+    pub(crate) own: usize,
+    pub(crate) attempt: Attempt,
+    pub(crate) node: (usize, u32),
+    pub(crate) generation: Generation,
+    pub(crate) index: u32,
+    pub(crate) total: u32,
+}
+
+/// A backend server: a model engine or a plain service.
+#[derive(Debug)]
+pub(crate) struct Server {
+    pub(crate) name: Instance,
+    pub(crate) domain: Domain,
+    pub(crate) is_engine: bool,
+    pub(crate) is_up: bool,
+    pub(crate) boot: u128,
+    pub(crate) fences: bool,
+    pub(crate) highest: Generation,
+    pub(crate) place: Option<Place>,
+    /// When it last started, ended or took another place.
+    pub(crate) changed: Moment,
+    /// When it last turned cold, and whether by a start.
+    pub(crate) cold_at: (Moment, bool),
+    pub(crate) leaving: Option<Moment>,
+    pub(crate) runs: Vec<Run>,
+}
+
+impl Server {
+    pub(crate) fn new(index: usize, domain: &Domain, is_engine: bool) -> Self {
+        Self {
+            name: instance(index),
+            domain: domain.clone(),
+            is_engine,
+            is_up: true,
+            boot: 1,
+            fences: true,
+            highest: Generation::default(),
+            place: None,
+            changed: Moment::START,
+            cold_at: (Moment::START, true),
+            leaving: None,
+            runs: Vec::new(),
+        }
+    }
+
+    /// Returns the identity of its life.
+    pub(crate) fn life(&self) -> Uuid {
+        let number = self.name.as_str().bytes().map(u128::from).sum::<u128>();
+        Uuid::from_u128(number << 64 | self.boot)
+    }
+
+    pub(crate) fn is_warm(&self, now: Moment) -> bool {
+        now >= self.cold_at.0 + COLD_FOR
+    }
+
+    /// Returns its report.
+    pub(crate) fn report(&self, now: Moment) -> Report {
+        let place = self.place.as_ref();
+        let phase = match place {
+            None => Phase::Idle,
+            Some(place) if now < place.ready => Phase::Joining,
+            Some(_) => Phase::Ready,
+        };
+        Report {
+            instance: self.name.clone(),
+            boot: self.life(),
+            phase,
+            replica: place.map(|p| p.replica.clone()),
+            generation: place.map_or(self.highest, |p| p.generation),
+            member: place.map_or(0, |p| p.member),
+            loaded: vec!["chat@1".into()],
+            running: u32::try_from(self.runs.len()).unwrap_or(u32::MAX),
+            fences: self.fences,
+        }
+    }
+
+    /// Returns how the platform lists it.
+    pub(crate) fn listed(&self, index: usize) -> Listed {
+        Listed {
+            instance: self.name.clone(),
+            address: address(index),
+            domain: self.domain.clone(),
+            fabric: self.domain.as_str().try_into().expect("a name is a name"),
+            leaving: self.leaving.is_some(),
+        }
+    }
+
+    /// Ends its process.
+    pub(crate) fn stop(&mut self, now: Moment) -> Vec<Run> {
+        self.is_up = false;
+        self.changed = now;
+        self.place = None;
+        self.highest = Generation::default();
+        std::mem::take(&mut self.runs)
+    }
+
+    /// Starts its process anew.
+    pub(crate) fn start(&mut self, now: Moment) {
+        self.is_up = true;
+        self.boot += 1;
+        self.changed = now;
+        self.cold_at = (now, true);
+    }
+}
+
+/// Returns the address of a server.
+pub(crate) fn address(index: usize) -> std::net::SocketAddr {
+    let port = 7_000 + u16::try_from(index).unwrap_or(0);
+    ([10, 0, 0, 1], port).into()
+}
+
+impl World {
+    /// Returns whether every member of the replica that `server` leads is in place.
+    fn is_whole(&self, server: usize) -> bool {
+        let Some(place) = &self.servers[server].place else {
+            return !self.servers[server].is_engine;
+        };
+        let is_member = |s: &&Server| {
+            s.is_up
+                && s.place
+                    .as_ref()
+                    .is_some_and(|p| p.replica == place.replica && p.generation == place.generation)
+        };
+        self.servers.iter().filter(is_member).count() == place.size
+    }
+
+    /// Takes a request, which begins to run unless the server refuses it.
+    pub(crate) fn begin_run(&mut self, server: usize, run: Run) {
+        let now = self.now;
+        if !self.is_whole(server) {
+            return self.answer_run(server, &run, None, Some(false));
+        }
+        self.trace.requests[run.request].begun += 1;
+        let held = &mut self.servers[server];
+        let attempt = run.attempt;
+        held.runs.push(run);
+        let (cold_at, by_start) = held.cold_at;
+        let is_noticed = by_start || now >= cold_at + NOTICE;
+        let count = held.runs.len();
+        if !held.is_warm(now) && count > COLD_LIMIT as usize && is_noticed {
+            let text = format!("{} holds {count} requests while cold", held.name);
+            self.note(crate::Promise::ColdLimit, text);
+        }
+        let boot = self.servers[server].boot;
+        let next = Message::Frame {
+            server,
+            boot,
+            attempt,
+        };
+        self.push(FRAME_EACH, next);
+    }
+
+    /// Sends the next frame of a run.
+    pub(crate) fn advance_run(&mut self, server: usize, boot: u128, attempt: Attempt) {
+        if self.servers[server].boot != boot || !self.servers[server].is_up {
+            return;
+        }
+        let runs = &self.servers[server].runs;
+        let Some(at) = runs.iter().position(|run| run.attempt == attempt) else {
+            return;
+        };
+        if !self.is_whole(server) {
+            let run = self.servers[server].runs.remove(at);
+            return self.answer_run(server, &run, None, Some(true));
+        }
+        let run = &mut self.servers[server].runs[at];
+        let is_last = run.index + 1 >= run.total;
+        let frame = Frame {
+            attempt,
+            generation: run.generation,
+            index: run.index,
+            text: expected_part(run.own, run.index),
+            end: is_last.then_some(Finish::Whole),
+        };
+        run.index += 1;
+        let run = run.clone();
+        if is_last {
+            self.servers[server].runs.remove(at);
+        } else {
+            let next = Message::Frame {
+                server,
+                boot,
+                attempt,
+            };
+            self.push(FRAME_EACH, next);
+        }
+        self.answer_run(server, &run, Some(frame), None);
+    }
+
+    /// Answers with a frame, or with a failure that says whether it had begun.
+    fn answer_run(&mut self, server: usize, run: &Run, frame: Option<Frame>, begun: Option<bool>) {
+        let (node, life) = run.node;
+        let body = match (frame, begun) {
+            (Some(frame), _) => NodeMessage::Frame {
+                request: run.request,
+                frame,
+            },
+            (None, begun) => NodeMessage::Refused {
+                request: run.request,
+                attempt: run.attempt,
+                begun: begun.unwrap_or(true),
+            },
+        };
+        self.send(
+            End::Server(server),
+            End::Node(node),
+            Message::ToNode { node, life, body },
+        );
+    }
+
+    /// Breaks the connections of runs that ended with their server.
+    pub(crate) fn break_runs(&mut self, server: usize, runs: &[Run]) {
+        for run in runs {
+            self.answer_run(server, run, None, Some(true));
+        }
+    }
+
+    /// Takes an order.
+    pub(crate) fn take_order(&mut self, server: usize, command: &Command) {
+        let now = self.now;
+        let was_whole = self.is_whole(server);
+        let held = &mut self.servers[server];
+        let generation = match command {
+            Command::Join { generation, .. } | Command::Leave { generation } => *generation,
+        };
+        if held.fences && generation < held.highest {
+            return;
+        }
+        let is_newer = generation > held.highest;
+        held.highest = held.highest.max(generation);
+        let place = match command {
+            Command::Join {
+                replica,
+                generation,
+                member,
+                peers,
+                ..
+            } => Some(Place {
+                replica: replica.clone(),
+                generation: *generation,
+                member: *member,
+                size: peers.len(),
+                ready: now + JOIN_TIME,
+            }),
+            Command::Leave { .. } => None,
+        };
+        let key = |p: &Option<Place>| p.as_ref().map(|p| (p.replica.clone(), p.generation));
+        if key(&held.place) == key(&place) {
+            return;
+        }
+        held.place = place;
+        held.changed = now;
+        let runs = std::mem::take(&mut held.runs);
+        if is_newer && was_whole && !runs.is_empty() {
+            let text = format!("an order cut off {} requests at {}", runs.len(), held.name);
+            self.note(crate::Promise::PlannedStop, text);
+        }
+        self.break_runs(server, &runs);
+    }
+}
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -2,6 +2,7 @@
 
 mod demo;
 mod entry;
+mod matrix;
 mod standin;
 
 use crate::Exit;
@@ -23,6 +24,7 @@
 enum Command {
     Demo(demo::Demo),
     Entry(entry::Entry),
+    Matrix(matrix::Matrix),
     Standin(standin::Standin),
 }
 
@@ -41,6 +43,7 @@
     let outcome = match parsed.command {
         Command::Demo(command) => command.run(),
         Command::Entry(command) => command.run(),
+        Command::Matrix(command) => command.run(),
         Command::Standin(command) => command.run(),
     };
     match outcome {
