--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -3,6 +3,7 @@
 mod bench;
 mod demo;
 mod entry;
+mod matrix;
 mod standin;
 
 use crate::Exit;
@@ -25,6 +26,7 @@
     Bench(bench::Bench),
     Demo(demo::Demo),
     Entry(entry::Entry),
+    Matrix(matrix::Matrix),
     Standin(standin::Standin),
 }
 
@@ -44,6 +46,7 @@
         Command::Bench(command) => command.run(),
         Command::Demo(command) => command.run(),
         Command::Entry(command) => command.run(),
+        Command::Matrix(command) => command.run(),
         Command::Standin(command) => command.run(),
     };
     match outcome {
