Put operators' commands on the command line; hold routes as data

Operators had only HTTP. The command line now has config, take-out, bring-back, status, log, replicas, instances, accounts, entries, histograms and token new.

A refused repeat whose effect is in force is answered as accepted; a node that never said how far it is counts as behind (it was left out before). A node without a peers' secret no longer starts: anyone could have posed as a peer or resumed another account's stream. Secrets of a node and of proofs are redacted in Debug.

--- a/crates/entry/src/admin/commands.rs
+++ b/crates/entry/src/admin/commands.rs
@@ -17,7 +17,7 @@
     response::{IntoResponse, Response},
 };
 use http::{HeaderMap, StatusCode};
-use name::Offset;
+use name::{Domain, Instance, Offset};
 use serde::{Deserialize, de::DeserializeOwned};
 use serde_json::{Value, json};
 use state::{Change, Operation, Outcome, Rejection, Scope};
@@ -28,7 +28,7 @@
 const PATIENCE: Duration = Duration::from_secs(10);
 
 /// The largest body of a command, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// The longest time for the body of a command to arrive.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
@@ -43,14 +43,35 @@
 
 /// An operation on a failure domain or instance.
 #[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
 struct Ordered {
-    #[serde(flatten)]
-    scope: Scope,
+    scope: Sort,
+    name: String,
     operation: Operation,
     /// The revision of the last operation on the scope; the one in force if absent.
     base: Option<Offset>,
 }
 
+/// What kind of thing an operation names.
+#[derive(Debug, Clone, Copy, Deserialize)]
+#[serde(rename_all = "snake_case")]
+enum Sort {
+    Domain,
+    Instance,
+}
+
+impl Ordered {
+    /// Returns what the operation concerns.
+    fn scope(&self) -> Result<Scope, Failure> {
+        let name = self.name.as_str();
+        let scope = match self.scope {
+            Sort::Domain => Domain::try_from(name).map(Scope::Domain),
+            Sort::Instance => Instance::try_from(name).map(Scope::Instance),
+        };
+        scope.map_err(|error| Error::not_run(Kind::Malformed, format!("name: {error}")).into())
+    }
+}
+
 /// Reads the body of a command.
 async fn body<T: DeserializeOwned>(body: Body) -> Result<T, Failure> {
     let bytes = read_body(body, MAX_BODY_BYTES, BODY_WITHIN).await?;
@@ -78,10 +99,18 @@
         by,
     };
     let decided = commit(&node, change, PATIENCE).await;
+    let state = node.control().state;
+    if is_refused(&decided) && *state.lists_text == *text {
+        return Ok(accepted(state.lists_revision));
+    }
     Ok(answer(&node, decided, |rejection| {
-        let difference = plan::difference(&node.control().state.lists_text, &text);
+        let difference = plan::difference(&state.lists_text, &text);
         let difference: Vec<String> = difference.iter().map(ToString::to_string).collect();
-        json!({"reason": rejection.to_string(), "difference": difference})
+        json!({
+            "reason": rejection.to_string(),
+            "revision": state.lists_revision,
+            "difference": difference,
+        })
     }))
 }
 
@@ -92,11 +121,11 @@
     request: Body,
 ) -> Result<Response, Failure> {
     let by = identify(&node, &headers)?;
+    let ordered: Ordered = body(request).await?;
+    let scope = ordered.scope()?;
     let Ordered {
-        scope,
-        operation,
-        base,
-    } = body(request).await?;
+        operation, base, ..
+    } = ordered;
     if !is_known(&node, &scope) {
         let message = format!("{scope} is not known");
         return Err(Failure(Error::not_run(Kind::NotFound, message)));
@@ -118,17 +147,37 @@
         by,
     };
     let decided = commit(&node, change, PATIENCE).await;
+    let state = node.control().state;
+    let held = state.operations.get(&scope).copied();
+    match held {
+        Some((revision, held)) if is_refused(&decided) && held == operation => {
+            return Ok(accepted(revision));
+        }
+        _ => {}
+    }
     Ok(answer(&node, decided, |rejection| {
-        let held = node
-            .control()
-            .state
-            .operations
-            .get(&scope)
-            .map(|(_, held)| *held);
-        json!({"reason": rejection.to_string(), "in_force": held})
+        json!({
+            "reason": rejection.to_string(),
+            "revision": held.map(|(revision, _)| revision),
+            "in_force": held.map(|(_, operation)| operation),
+        })
     }))
 }
 
+/// Returns whether the fold refused a change.
+///
+/// A repeat can be refused because its first record came in between the look at
+/// the state and its own record. What is wanted is then in force.
+fn is_refused(decided: &Result<Decided, Undecided>) -> bool {
+    matches!(
+        decided,
+        Ok(Decided {
+            outcome: Outcome::Rejected(_),
+            ..
+        })
+    )
+}
+
 /// Returns whether any instance or entry node is in the scope.
 fn is_known(node: &Node, scope: &Scope) -> bool {
     let state = node.control().state;
--- a/crates/entry/src/admin/operator.rs
+++ b/crates/entry/src/admin/operator.rs
@@ -35,9 +35,9 @@
 /// Returns the first operator, if `token` is the peers' secret.
 fn first(node: &Node, token: &str) -> Result<Arc<str>, Failure> {
     use subtle::ConstantTimeEq;
-    let expected = hex::encode(&node.secret);
+    let expected = hex::encode(node.secret.expose());
     let is_same: bool = expected.as_bytes().ct_eq(token.as_bytes()).into();
-    match is_same && !node.secret.is_empty() {
+    match is_same {
         true => Ok(FIRST.into()),
         false => Err(refused(
             "no lists are in force; use the peers' secret as the token",
--- /dev/null
+++ b/crates/entry/src/admin/progress.rs
@@ -0,0 +1,100 @@
+//! How far each node is with what operators ordered.
+
+use crate::{
+    admin::{operator::identify, queries::Answer},
+    known::Progress,
+    node::Node,
+};
+use axum::{Json, extract::State};
+use clock::Moment;
+use http::HeaderMap;
+use name::{Domain, Node as Name, Offset};
+use serde::Serialize;
+use serde_json::{Value, json};
+use state::Scope;
+use std::{collections::BTreeMap, sync::Arc};
+
+/// How far one node is with one operation.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize)]
+struct Step {
+    node: Name,
+    /// Whether the node has the operation in force; unknown counts as no.
+    in_force: bool,
+    /// Its requests in progress in the failure domain, if known.
+    in_progress: Option<u32>,
+    /// The age of what it said, in milliseconds; none if it never said anything.
+    said_ms_ago: Option<u64>,
+}
+
+/// Serves `GET /admin/v1/operations`: what was taken out or brought back, how
+/// far each node is, and what is in progress there.
+pub(super) async fn operations(State(node): State<Arc<Node>>, headers: HeaderMap) -> Answer {
+    identify(&node, &headers)?;
+    let state = node.control().state;
+    let now = node.clock.now();
+    let said = said(&node, state.offset, now);
+    let operations: Vec<Value> = state
+        .operations
+        .iter()
+        .map(|(scope, (revision, operation))| {
+            let members = state.epoch.peers.iter().map(|peer| &peer.node);
+            let steps: Vec<Step> = members
+                .map(|member| step(member, said.get(member), scope, *revision, now))
+                .collect();
+            let behind: Vec<&Name> = steps
+                .iter()
+                .filter(|step| !step.in_force)
+                .map(|step| &step.node)
+                .collect();
+            let known: Vec<u32> = steps.iter().filter_map(|step| step.in_progress).collect();
+            let in_progress = match scope {
+                Scope::Domain(_) => json!(known.iter().sum::<u32>()),
+                Scope::Instance(_) => Value::Null,
+            };
+            json!({
+                "target": scope,
+                "operation": operation,
+                "revision": revision,
+                "not_yet_in_force_at": behind,
+                "in_progress": in_progress,
+                "nodes": steps,
+            })
+        })
+        .collect();
+    Ok(Json(json!({"operations": operations})))
+}
+
+/// Returns what each node said of itself last, this one included.
+fn said(node: &Node, folded: Offset, now: Moment) -> BTreeMap<Name, Progress> {
+    let mut said = node.known.progress();
+    let own = Progress {
+        folded,
+        in_progress: node.servers().in_progress(),
+        at: now,
+    };
+    said.insert(node.identity.node.clone(), own);
+    said
+}
+
+/// Returns how far a node is with an operation.
+fn step(
+    node: &Name,
+    said: Option<&Progress>,
+    scope: &Scope,
+    revision: Offset,
+    now: Moment,
+) -> Step {
+    let count = |progress: &Progress, domain: &Domain| {
+        progress.in_progress.get(domain).copied().unwrap_or(0)
+    };
+    Step {
+        node: node.clone(),
+        in_force: said.is_some_and(|progress| progress.folded >= revision),
+        in_progress: match scope {
+            Scope::Domain(domain) => said.map(|progress| count(progress, domain)),
+            Scope::Instance(_) => None,
+        },
+        said_ms_ago: said
+            .map(|progress| u64::try_from(now.since(progress.at).as_millis()).unwrap_or(u64::MAX)),
+    }
+}
--- a/crates/entry/src/admin/queries.rs
+++ b/crates/entry/src/admin/queries.rs
@@ -15,17 +15,16 @@
 use http::{HeaderMap, StatusCode};
 use replica::servable;
 use serde_json::{Value, json};
-use state::Scope;
 use std::{sync::Arc, time::Duration};
 
 /// The largest lists to check, in bytes.
-const MAX_BODY_BYTES: usize = 4 << 20;
+const MAX_BODY_BYTES: usize = 1 << 20;
 
 /// The longest time for lists to arrive.
 const BODY_WITHIN: Duration = Duration::from_secs(10);
 
 /// A query's answer.
-type Answer = Result<Json<Value>, Failure>;
+pub(super) type Answer = Result<Json<Value>, Failure>;
 
 /// Serves `GET /admin/v1/lists`.
 pub(super) async fn lists(State(node): State<Arc<Node>>, headers: HeaderMap) -> Answer {
@@ -43,6 +42,7 @@
     body: Body,
 ) -> Result<Response, Failure> {
     #[derive(serde::Deserialize)]
+    #[serde(deny_unknown_fields)]
     struct Text {
         text: String,
     }
@@ -60,43 +60,6 @@
     })
 }
 
-/// Serves `GET /admin/v1/operations`: what was taken out or brought back, how
-/// far each node is, and what is in progress there.
-pub(super) async fn operations(State(node): State<Arc<Node>>, headers: HeaderMap) -> Answer {
-    identify(&node, &headers)?;
-    let state = node.control().state;
-    let mut progress = node.known.progress();
-    progress.retain(|peer, _| state.epoch.peers.iter().any(|p| p.node == *peer));
-    let own_work = node.servers().in_progress();
-    let operations: Vec<Value> = state
-        .operations
-        .iter()
-        .map(|(scope, (revision, operation))| {
-            let behind: Vec<_> = progress
-                .iter()
-                .filter(|(_, p)| p.folded < *revision)
-                .map(|(peer, _)| peer)
-                .collect();
-            let in_progress = match scope {
-                Scope::Domain(domain) => {
-                    let others = progress.values().filter_map(|p| p.in_progress.get(domain));
-                    let own = own_work.get(domain).copied().unwrap_or(0);
-                    json!(others.sum::<u32>() + own)
-                }
-                Scope::Instance(_) => Value::Null,
-            };
-            json!({
-                "target": scope,
-                "operation": operation,
-                "revision": revision,
-                "not_yet_in_force_at": behind,
-                "in_progress": in_progress,
-            })
-        })
-        .collect();
-    Ok(Json(json!({"operations": operations})))
-}
-
 /// Serves `GET /admin/v1/status`.
 pub(super) async fn status(State(node): State<Arc<Node>>, headers: HeaderMap) -> Answer {
     identify(&node, &headers)?;
@@ -127,6 +90,31 @@
     })))
 }
 
+/// Serves `GET /admin/v1/log`: how this node stands to the log service.
+pub(super) async fn log(State(node): State<Arc<Node>>, headers: HeaderMap) -> Answer {
+    identify(&node, &headers)?;
+    let now = node.clock.now();
+    let sight = node.sight(now);
+    let voucher = node.freshness().voucher(now);
+    let age = voucher.as_ref().map(|voucher| voucher.age.as_millis());
+    Ok(Json(json!({
+        "node": node.identity.node,
+        "freshness": node.status(now),
+        "reads_log": node.freshness().reads_log(),
+        "tail_offset": voucher.map(|voucher| voucher.offset),
+        "tail_age_ms": age.and_then(|age| u64::try_from(age).ok()),
+        "control_offset": node.control().state.offset,
+        "undecided_changes": node.writer.undecided(),
+        "undecided_claims": node.claims().waiting(),
+        "peers": {
+            "known": sight.known,
+            "heard": sight.heard,
+            "without_log": sight.without_log,
+        },
+        "retention_s": node.settings.timings.log_retention_s,
+    })))
+}
+
 /// Serves `GET /admin/v1/replicas`.
 pub(super) async fn replicas(State(node): State<Arc<Node>>, headers: HeaderMap) -> Answer {
     identify(&node, &headers)?;
--- a/crates/entry/src/driver/writer.rs
+++ b/crates/entry/src/driver/writer.rs
@@ -112,6 +112,11 @@
         }
     }
 
+    /// Returns the number of changes that callers wait for.
+    pub(crate) fn undecided(&self) -> usize {
+        self.lock().waiting.len()
+    }
+
     /// Withdraws a record that is no longer wanted, if it was never sent.
     fn withdraw(&self, sequence: Sequence) -> Undecided {
         let mut inner = self.lock();
--- /dev/null
+++ b/crates/entry/src/endpoint.rs
@@ -0,0 +1,82 @@
+//! The HTTP routes as data, from which the routers are built.
+//!
+//! The routes stand in tables, so that a test can hold the page that describes
+//! them against what a node serves.
+
+use crate::{admin, http, node::Node};
+use axum::{Router, routing::MethodRouter};
+use std::{fmt, sync::Arc};
+
+/// Who may call a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Audience {
+    /// Callers, with an API key of a client account.
+    Callers,
+    /// Operators, with a token.
+    Operators,
+}
+
+/// A route that an entry node serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Who may call it.
+    pub audience: Audience,
+    /// The HTTP method.
+    pub method: &'static str,
+    /// The path, with placeholders in braces.
+    pub path: &'static str,
+}
+
+impl fmt::Display for Endpoint {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{} {}", self.method, self.path)
+    }
+}
+
+/// A route with what serves it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Served {
+    method: &'static str,
+    path: &'static str,
+    handler: fn() -> MethodRouter<Arc<Node>>,
+}
+
+impl Served {
+    /// Returns a route that `handler` serves.
+    pub(crate) const fn new(
+        method: &'static str,
+        path: &'static str,
+        handler: fn() -> MethodRouter<Arc<Node>>,
+    ) -> Self {
+        Self {
+            method,
+            path,
+            handler,
+        }
+    }
+
+    /// Returns the router of `routes`.
+    pub(crate) fn router(routes: &[Self]) -> Router<Arc<Node>> {
+        routes.iter().fold(Router::new(), |router, route| {
+            router.route(route.path, (route.handler)())
+        })
+    }
+
+    fn endpoint(&self, audience: Audience) -> Endpoint {
+        Endpoint {
+            audience,
+            method: self.method,
+            path: self.path,
+        }
+    }
+}
+
+/// Returns every route that an entry node serves over HTTP.
+pub fn endpoints() -> Vec<Endpoint> {
+    let callers = [http::WORK, http::ABOUT].concat();
+    let callers = callers.iter().map(|r| r.endpoint(Audience::Callers));
+    let operators = admin::ROUTES.iter();
+    callers
+        .chain(operators.map(|r| r.endpoint(Audience::Operators)))
+        .collect()
+}
--- a/crates/entry/src/http/drafts.rs
+++ b/crates/entry/src/http/drafts.rs
@@ -113,7 +113,7 @@
     let Some(value) = headers.get(LAST_EVENT_HEADER) else {
         let seed = seed.unwrap_or_else(rand::random);
         return Ok((
-            StreamId::new(&node.secret, &caller.account, request, seed),
+            StreamId::new(node.secret.expose(), &caller.account, request, seed),
             0,
         ));
     };
@@ -127,7 +127,7 @@
     let place = Place::parse(text).ok_or_else(malformed)?;
     if !place
         .stream
-        .belongs_to(&node.secret, &caller.account, request)
+        .belongs_to(node.secret.expose(), &caller.account, request)
     {
         return Err(Error::not_run(
             Kind::Forbidden,
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -12,7 +12,7 @@
 pub(crate) use caller::bearer;
 pub(crate) use reply::Failure;
 
-use crate::node::Node;
+use crate::{endpoint::Served, node::Node};
 use axum::{
     Router,
     extract::{Request, State},
@@ -25,20 +25,30 @@
 
 pub(crate) use body::{json, read as read_body};
 
-/// Returns the routes for callers.
+/// The routes for work of callers, which a planned stop waits for.
+pub(crate) const WORK: &[Served] = &[
+    Served::new("POST", "/v1/completions", || post(drafts::text)),
+    Served::new("POST", "/v1/chat/completions", || post(drafts::chat)),
+    Served::new("POST", "/v1/services/{service}/{call}", || {
+        post(services::call)
+    }),
+    Served::new("POST", "/v1/tickets", || post(services::ticket)),
+];
+
+/// The routes that tell callers about this node.
+pub(crate) const ABOUT: &[Served] = &[
+    Served::new("GET", "/v1/entries", || get(health::entries)),
+    Served::new("GET", "/v1/models", || get(health::models)),
+    Served::new("GET", "/healthz", || get(health::healthz)),
+    Served::new("GET", "/readyz", || get(health::readyz)),
+];
+
+/// Returns the router for callers.
 pub(crate) fn routes(node: Arc<Node>) -> Router {
-    let work = Router::new()
-        .route("/v1/completions", post(drafts::text))
-        .route("/v1/chat/completions", post(drafts::chat))
-        .route("/v1/services/{service}/{call}", post(services::call))
-        .route("/v1/tickets", post(services::ticket))
-        .layer(middleware::from_fn_with_state(Arc::clone(&node), counted));
-    Router::new()
+    let work =
+        Served::router(WORK).layer(middleware::from_fn_with_state(Arc::clone(&node), counted));
+    Served::router(ABOUT)
         .merge(work)
-        .route("/v1/entries", get(health::entries))
-        .route("/v1/models", get(health::models))
-        .route("/healthz", get(health::healthz))
-        .route("/readyz", get(health::readyz))
         .fallback(not_found)
         .method_not_allowed_fallback(wrong_method)
         .with_state(node)
@@ -100,12 +110,12 @@
 }
 
 /// Answers a path that is no route.
-async fn not_found() -> Failure {
+pub(crate) async fn not_found() -> Failure {
     Failure(Error::not_run(Kind::NotFound, "no such route"))
 }
 
 /// Answers a method that the route does not take.
-async fn wrong_method() -> Failure {
+pub(crate) async fn wrong_method() -> Failure {
     Failure(Error::not_run(
         Kind::Malformed,
         "the route does not take this method",
--- a/crates/entry/src/lib.rs
+++ b/crates/entry/src/lib.rs
@@ -12,6 +12,7 @@
 
 mod admin;
 mod driver;
+mod endpoint;
 mod http;
 mod identity;
 mod known;
@@ -21,4 +22,5 @@
 mod serve;
 mod start;
 
+pub use endpoint::{Audience, Endpoint, endpoints};
 pub use start::{Entry, Failure};
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -20,6 +20,7 @@
 use once::Tickets;
 use plan::{Lists, Plan};
 use replica::View;
+use settings::Secret;
 use slog::Logger;
 use state::{Follower, State};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError, RwLock};
@@ -53,7 +54,7 @@
     /// Its settings.
     pub(crate) settings: settings::Entry,
     /// The secret that entry nodes share.
-    pub(crate) secret: Vec<u8>,
+    pub(crate) secret: Secret,
     /// Both clocks.
     pub(crate) clock: Clock,
     /// Where events are logged.
@@ -131,7 +132,7 @@
 pub(crate) struct Parts {
     pub(crate) identity: Identity,
     pub(crate) settings: settings::Entry,
-    pub(crate) secret: Vec<u8>,
+    pub(crate) secret: Secret,
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
--- a/crates/entry/src/peer/proof.rs
+++ b/crates/entry/src/peer/proof.rs
@@ -5,8 +5,9 @@
 //! own clock, so that a recorded proof does not serve for long.
 
 use clock::{Clock, Wall};
+use settings::Secret;
 use sha2::{Digest, Sha256};
-use std::{sync::Arc, time::Duration};
+use std::time::Duration;
 use subtle::ConstantTimeEq;
 use tonic::{Request, Status, metadata::MetadataValue, service::Interceptor};
 
@@ -19,15 +20,15 @@
 /// Makes and checks proofs.
 #[derive(Debug, Clone)]
 pub(crate) struct Proof {
-    secret: Arc<[u8]>,
+    secret: Secret,
     clock: Clock,
 }
 
 impl Proof {
     /// Returns the proof of whoever holds `secret`.
-    pub(crate) fn new(secret: &[u8], clock: Clock) -> Self {
+    pub(crate) fn new(secret: &Secret, clock: Clock) -> Self {
         Self {
-            secret: secret.into(),
+            secret: secret.clone(),
             clock,
         }
     }
@@ -40,11 +41,11 @@
     /// Returns the keyed hash of a time, nested so that it cannot be extended.
     fn hash(&self, wall: Wall) -> [u8; 32] {
         let inner = Sha256::new()
-            .chain_update(&self.secret)
+            .chain_update(self.secret.expose())
             .chain_update(wall.0.to_be_bytes())
             .finalize();
         Sha256::new()
-            .chain_update(&self.secret)
+            .chain_update(self.secret.expose())
             .chain_update(inner)
             .finalize()
             .into()
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -279,9 +279,11 @@
         .peers
         .secret()
         .map_err(failed("cannot read the peers' secret"))?;
-    let secret = secret
-        .map(|secret| secret.expose().to_vec())
-        .unwrap_or_default();
+    // Without it anyone could pose as a peer or resume any account's stream.
+    let secret = secret.ok_or_else(|| Failure {
+        what: "peers: no secret; set secret_file or secret_hex".into(),
+        source: None,
+    })?;
     let metrics = Metrics::new(&settings.metrics).map_err(failed("cannot send metrics"))?;
     let tables = tables(&settings, &identity, &clock)?;
     let timings = &settings.timings;
--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,11 +1,19 @@
 //! The subcommands, one a file.
 
+mod admin;
 mod demo;
 mod entry;
 mod standin;
 
 use crate::Exit;
+use admin::{
+    config::Config,
+    operation::{BringBack, TakeOut},
+    query::{Accounts, Entries, Histograms, Instances, Log, Replicas, Status},
+    token::Token,
+};
 use argh::{EarlyExit, FromArgs};
+use std::io::{Write, stderr, stdout};
 
 /// Serves large models whose replicas span several instances.
 #[derive(Debug, FromArgs)]
@@ -24,41 +32,80 @@
     Demo(demo::Demo),
     Entry(entry::Entry),
     Standin(standin::Standin),
+    Config(Config),
+    TakeOut(TakeOut),
+    BringBack(BringBack),
+    Status(Status),
+    Log(Log),
+    Replicas(Replicas),
+    Instances(Instances),
+    Accounts(Accounts),
+    Entries(Entries),
+    Histograms(Histograms),
+    Token(Token),
 }
 
 /// Runs the command line and returns how it ended.
 ///
 /// Output goes to standard output, errors to standard error.
 pub fn run(arguments: &[String]) -> Exit {
+    run_to(arguments, &mut stdout(), &mut stderr())
+}
+
+/// Runs the command line with the output of operators' commands going to `out`
+/// and errors to `err`, and returns how it ended.
+///
+/// Must not be called inside an asynchronous task, since it blocks.
+pub fn run_to(arguments: &[String], out: &mut dyn Write, err: &mut dyn Write) -> Exit {
     let words: Vec<&str> = arguments.iter().map(String::as_str).collect();
     let (program, rest) = words
         .split_first()
         .map_or(("arbutusford", &[][..]), |(p, r)| (*p, r));
-    let parsed = match Arguments::from_args(&[program], rest) {
-        Ok(parsed) => parsed,
-        Err(early) => return early_exit(&early),
-    };
-    let outcome = match parsed.command {
-        Command::Demo(command) => command.run(),
-        Command::Entry(command) => command.run(),
-        Command::Standin(command) => command.run(),
+    let ended = match Arguments::from_args(&[program], rest) {
+        Ok(parsed) => parsed.command.run(out),
+        Err(early) => return early_exit(&early, out, err),
     };
-    match outcome {
+    match ended {
         Ok(()) => Exit::Done,
         Err(failure) => {
-            eprintln!("error: {failure}");
+            // There is nowhere to report that errors cannot be written.
+            let _ = writeln!(err, "error: {failure}");
             failure.exit()
         }
     }
 }
 
+impl Command {
+    /// Runs the command.
+    fn run(self, out: &mut dyn Write) -> Result<(), crate::Failure> {
+        match self {
+            Self::Demo(command) => command.run(),
+            Self::Entry(command) => command.run(),
+            Self::Standin(command) => command.run(),
+            Self::Config(command) => command.run(out),
+            Self::TakeOut(command) => command.run(out),
+            Self::BringBack(command) => command.run(out),
+            Self::Status(command) => command.run(out),
+            Self::Log(command) => command.run(out),
+            Self::Replicas(command) => command.run(out),
+            Self::Instances(command) => command.run(out),
+            Self::Accounts(command) => command.run(out),
+            Self::Entries(command) => command.run(out),
+            Self::Histograms(command) => command.run(out),
+            Self::Token(command) => command.run(out),
+        }
+    }
+}
+
 /// Prints help or the fault in the arguments.
-fn early_exit(early: &EarlyExit) -> Exit {
+fn early_exit(early: &EarlyExit, out: &mut dyn Write, err: &mut dyn Write) -> Exit {
+    let text = early.output.trim_end();
+    // There is nowhere to report that neither can be written.
     if early.status.is_ok() {
-        println!("{}", early.output);
+        let _ = writeln!(out, "{text}");
         Exit::Done
     } else {
-        eprintln!("{}", early.output.trim_end());
+        let _ = writeln!(err, "{text}");
         Exit::Usage
     }
 }
