--- a/crates/proof/src/node.rs
+++ b/crates/proof/src/node.rs
@@ -185,6 +185,8 @@
             warm: all.iter().all(|b| b.warm),
             warm_limit: WARM_LIMIT,
             cold_limit: COLD_LIMIT,
+            // The harness keeps no load; slots rest for their whole time.
+            idle: false,
             at: all.iter().map(|b| b.taken).min()?,
         })
     }
