--- a/crates/entry/src/driver/control.rs
+++ b/crates/entry/src/driver/control.rs
@@ -1,6 +1,9 @@
 //! Follows the control stream, from the log or from peers, and publishes it.
 
-use crate::{driver::millis, node::Node};
+use crate::{
+    driver::{millis, writer::Decided},
+    node::Node,
+};
 use admit::slot::Ownership;
 use log::{Backoff, Read, Store, Tail, follow};
 use name::{Node as NodeName, Offset};
@@ -96,8 +99,11 @@
             outcome,
         } => {
             if let (true, Some(record)) = (*is_own, record) {
-                node.writer
-                    .decided(record.sequence, *offset, outcome.clone());
+                let decided = Decided {
+                    offset: *offset,
+                    outcome: outcome.clone(),
+                };
+                node.outbox.decide(record.sequence, decided);
             }
             if let Outcome::Rejected(rejection) = outcome {
                 debug!(node.log, "record rejected"; "offset" => offset.0, "reason" => %rejection);
@@ -106,7 +112,7 @@
         Event::Adopted { offset, own } => {
             info!(node.log, "snapshot adopted"; "offset" => offset.0);
             if let Some(sequence) = own {
-                node.writer.passed(*sequence);
+                node.outbox.pass(*sequence);
             }
         }
     }
--- a/crates/entry/src/driver/writer.rs
+++ b/crates/entry/src/driver/writer.rs
@@ -1,27 +1,15 @@
 //! Appends this node's own records and tells what the fold made of each.
 
 use crate::node::Node;
-use log::{Backoff, Full, Limits, Store, Writer};
-use name::{Offset, Sequence};
-use slog::debug;
+use log::{Backoff, Decision, Full, Limits, Outbox, Store, Submitted, Writer};
+use name::Offset;
 use state::{Change, Outcome, Record};
-use std::{
-    collections::HashMap,
-    fmt,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
-    time::Duration,
-};
-use tokio::{
-    sync::{Notify, oneshot},
-    time::{sleep, timeout},
-};
+use std::{fmt, sync::Arc, time::Duration};
+use tokio::time::timeout;
 
 /// The shortest and longest pause after a failed append.
 const PAUSES: (Duration, Duration) = (Duration::from_millis(50), Duration::from_secs(2));
 
-/// The pause of the appender when nothing is due; a new record ends it.
-const IDLE: Duration = Duration::from_secs(1);
-
 /// How a change was decided.
 #[derive(Debug, Clone, PartialEq)]
 pub(crate) struct Decided {
@@ -60,99 +48,25 @@
     }
 }
 
-#[derive(Debug)]
-struct Inner {
-    writer: Writer,
-    waiting: HashMap<Sequence, oneshot::Sender<Option<Decided>>>,
+/// Returns an outbox without records; `seed` spreads the pauses.
+pub(crate) fn outbox(seed: u64) -> Outbox<Decided> {
+    let backoff = Backoff::new(PAUSES.0, PAUSES.1, seed);
+    Outbox::new(Writer::new(Limits::default(), backoff))
 }
 
-/// This node's records that are not decided yet.
-///
-/// Its lock is a leaf: no other lock is taken while it is held.
-#[derive(Debug)]
-pub(crate) struct Appender {
-    inner: Mutex<Inner>,
-    wake: Notify,
-}
-
-impl Appender {
-    /// Returns an appender without records; `seed` spreads the pauses.
-    pub(crate) fn new(seed: u64) -> Self {
-        let backoff = Backoff::new(PAUSES.0, PAUSES.1, seed);
-        let inner = Inner {
-            writer: Writer::new(Limits::default(), backoff),
-            waiting: HashMap::new(),
-        };
-        Self {
-            inner: Mutex::new(inner),
-            wake: Notify::new(),
-        }
-    }
-
-    fn lock(&self) -> MutexGuard<'_, Inner> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
-    }
-
-    /// Settles a record that was read back.
-    pub(crate) fn decided(&self, sequence: Sequence, offset: Offset, outcome: Outcome) {
-        let mut inner = self.lock();
-        inner.writer.decided(sequence);
-        if let Some(waiting) = inner.waiting.remove(&sequence) {
-            let _ = waiting.send(Some(Decided { offset, outcome }));
-        }
-    }
-
-    /// Settles the records up to `through`, whose outcomes stay unknown.
-    pub(crate) fn passed(&self, through: Sequence) {
-        let mut inner = self.lock();
-        for sequence in inner.writer.passed(through) {
-            if let Some(waiting) = inner.waiting.remove(&sequence) {
-                let _ = waiting.send(None);
-            }
-        }
-    }
-
-    /// Returns the number of changes that callers wait for.
-    pub(crate) fn undecided(&self) -> usize {
-        self.lock().waiting.len()
-    }
-
-    /// Withdraws a record that is no longer wanted, if it was never sent.
-    fn withdraw(&self, sequence: Sequence) -> Undecided {
-        let mut inner = self.lock();
-        inner.waiting.remove(&sequence);
-        match inner.writer.withdraw(sequence) {
-            true => Undecided::NotTaken,
-            false => Undecided::Unknown,
-        }
-    }
-
-    /// Queues a change.
-    fn submit(
-        &self,
-        node: &Node,
-        change: Change,
-    ) -> Result<(Sequence, oneshot::Receiver<Option<Decided>>), Undecided> {
-        let mut inner = self.lock();
-        let writer = node.identity.writer();
-        let encode = |sequence| {
-            let record = Record {
-                writer,
-                sequence,
-                change,
-            };
-            state::encode(&record).map_err(|_| NotQueued)
+/// Queues a change.
+fn submit(node: &Node, change: Change) -> Result<Submitted<Decided>, Undecided> {
+    let writer = node.identity.writer();
+    let encode = |sequence| {
+        let record = Record {
+            writer,
+            sequence,
+            change,
         };
-        let sequence = inner
-            .writer
-            .submit(encode)
-            .map_err(|NotQueued| Undecided::NotTaken)?;
-        let (decided, receiver) = oneshot::channel();
-        inner.waiting.insert(sequence, decided);
-        drop(inner);
-        self.wake.notify_one();
-        Ok((sequence, receiver))
-    }
+        state::encode(&record).map_err(|_| NotQueued)
+    };
+    let submitted = node.outbox.submit(encode);
+    submitted.map_err(|NotQueued| Undecided::NotTaken)
 }
 
 /// Appends a change and waits until it is read back.
@@ -166,38 +80,19 @@
     change: Change,
     patience: Duration,
 ) -> Result<Decided, Undecided> {
-    let (sequence, decided) = node.writer.submit(node, change)?;
-    match timeout(patience, decided).await {
-        Ok(Ok(Some(decided))) => Ok(decided),
-        Ok(_) => Err(Undecided::Unknown),
-        Err(_) => Err(node.writer.withdraw(sequence)),
+    let submitted = submit(node, change)?;
+    match timeout(patience, submitted.decision).await {
+        Ok(Ok(Decision::Read(decided))) => Ok(decided),
+        Ok(Ok(Decision::Passed) | Err(_)) => Err(Undecided::Unknown),
+        Err(_) if node.outbox.withdraw(submitted.sequence) => Err(Undecided::NotTaken),
+        Err(_) => Err(Undecided::Unknown),
     }
 }
 
 /// Appends batches until the node ends.
 pub(crate) async fn run(node: Arc<Node>, store: Store) {
-    loop {
-        let now = node.clock.now();
-        let (batch, wake) = {
-            let mut inner = node.writer.lock();
-            (inner.writer.batch(now), inner.writer.wake())
-        };
-        let Some(batch) = batch else {
-            let pause = wake.map_or(IDLE, |at| now.until(at).max(Duration::from_millis(1)));
-            tokio::select! {
-                () = sleep(pause) => {}
-                () = node.writer.wake.notified() => {}
-                () = node.ended.cancelled() => return,
-            }
-            continue;
-        };
-        let result = store.append(&batch).await;
-        if let Err(error) = &result {
-            debug!(node.log, "append failed"; "error" => %error, "records" => batch.len());
-        }
-        node.writer
-            .lock()
-            .writer
-            .answered(&result, node.clock.now());
+    tokio::select! {
+        () = node.outbox.run(&store, &node.clock) => {}
+        () = node.ended.cancelled() => {}
     }
 }
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -5,7 +5,7 @@
 //! and recovers from poisoning, since a panic ends the process anyway.
 
 use crate::{
-    driver::{watch::Watched, writer::Appender},
+    driver::{watch::Watched, writer::Decided},
     identity::Identity,
     known::Known,
     metrics::Metrics,
@@ -15,6 +15,7 @@
 use admit::stats::Stats;
 use backend::Pool;
 use clock::{Clock, Moment};
+use log::Outbox;
 use member::{Freshness, Sight, Status, Table};
 use name::{Account, Offset};
 use once::Tickets;
@@ -66,7 +67,7 @@
     /// Connections to the other entry nodes.
     pub(crate) peers: Peers,
     /// This node's records that are not decided yet.
-    pub(crate) writer: Appender,
+    pub(crate) outbox: Outbox<Decided>,
     /// What reports say beyond the views.
     pub(crate) known: Known,
     /// Wakes tasks that wait for the state to change; holds the folded offset.
@@ -138,7 +139,7 @@
     pub(crate) metrics: Metrics,
     pub(crate) pool: Pool,
     pub(crate) peers: Peers,
-    pub(crate) writer: Appender,
+    pub(crate) outbox: Outbox<Decided>,
 }
 
 /// Takes a lock, also after a panic elsewhere.
@@ -158,7 +159,7 @@
             metrics: parts.metrics,
             pool: parts.pool,
             peers: parts.peers,
-            writer: parts.writer,
+            outbox: parts.outbox,
             known: Known::default(),
             folded: watch::Sender::new(Offset::ZERO),
             surveyed: watch::Sender::new(0),
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -7,7 +7,7 @@
         replicas::{self, Former},
         survey,
         watch::{self, Watched},
-        writer::{self, Appender},
+        writer,
     },
     http::{self, listen},
     identity::Identity,
@@ -298,7 +298,7 @@
     let parts = Parts {
         secret: secret.clone(),
         peers: Peers::new(Proof::new(&secret, clock.clone())),
-        writer: Appender::new(identity.incarnation.0.as_u64_pair().0),
+        outbox: writer::outbox(identity.incarnation.0.as_u64_pair().0),
         pool: Pool::new(bounds),
         metrics,
         identity,
