Test the administration API, the command line and strangers on real nodes

config publish takes its base from the first line that config show printed, so that an edited file cannot overwrite lists published in between; on trial it had taken whatever was in force.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -402,6 +402,11 @@
         self.addresses.iter().map(|a| a.admin).collect()
     }
 
+    /// Returns the addresses at which the nodes call each other.
+    pub fn peers(&self) -> Vec<SocketAddr> {
+        self.addresses.iter().map(|a| a.peer).collect()
+    }
+
     /// Returns the client that the deployment uses.
     pub fn client(&self) -> &Client {
         &self.client
--- a/src/commands/admin/config.rs
+++ b/src/commands/admin/config.rs
@@ -19,6 +19,12 @@
 /// The route of the lists.
 const LISTS: &str = "/admin/v1/lists";
 
+/// What stands before the revision in the first line that `config show` prints.
+///
+/// `config publish` takes the revision from there, so that an edited file cannot
+/// overwrite lists that were published after it was shown.
+const REVISION_MARK: &str = "# revision ";
+
 /// Checks, compares, publishes and shows the lists.
 #[derive(Debug, FromArgs)]
 #[argh(subcommand, name = "config")]
@@ -61,7 +67,8 @@
         #[argh(positional)]
         file: std::path::PathBuf,
 
-        /// the revision that the file replaces (default: the one in force)
+        /// the revision that the file replaces (default: the one in its
+        /// first line, as `config show` prints it; otherwise the one in force)
         #[argh(option)]
         base: Option<u64>,
     }
@@ -87,8 +94,33 @@
     }
 }
 
+/// Lists in a file.
+struct Edited {
+    /// The revision in the first line, as `config show` prints it.
+    base: Option<u64>,
+    /// The lists without that line.
+    text: String,
+}
+
+impl Edited {
+    /// Returns the lists in the text of a file.
+    fn new(text: String) -> Self {
+        let marked = text
+            .strip_prefix(REVISION_MARK)
+            .and_then(|rest| rest.split_once('\n'))
+            .and_then(|(revision, rest)| Some((revision.trim().parse().ok()?, rest.to_owned())));
+        match marked {
+            Some((base, text)) => Self {
+                base: Some(base),
+                text,
+            },
+            None => Self { base: None, text },
+        }
+    }
+}
+
 /// Reads lists from a file and checks them.
-fn checked(file: &Path) -> Result<String, Failure> {
+fn checked(file: &Path) -> Result<Edited, Failure> {
     let usage = |fault: String| {
         let file = file.display();
         let message = format!("{file}: {fault}\nNothing was changed. Mend the file.");
@@ -96,8 +128,8 @@
     };
     let text = fs::read_to_string(file).map_err(|error| usage(error.to_string()))?;
     match plan::parse(&text) {
-        Ok(_) => Ok(text),
-        Err(faults) => Err(usage(faults.to_string())),
+        Ok(_) => Ok(Edited::new(text)),
+        Err(faults) => Err(usage(format!("the lists have faults\n{faults}"))),
     }
 }
 
@@ -125,7 +157,7 @@
         let lists = Operator::new(&access)?.get(LISTS).await?;
         report::print(out, access.json, &lists, |lists| {
             let text = lists["text"].as_str().unwrap_or_default();
-            format!("# revision {}\n{text}", lists["revision"])
+            format!("{REVISION_MARK}{}\n{text}", lists["revision"])
         })
     }
 }
@@ -139,7 +171,7 @@
 impl Diff {
     /// Prints what differs.
     async fn run(self, out: &mut dyn Write) -> Result<(), Failure> {
-        let text = checked(&self.file)?;
+        let Edited { text, .. } = checked(&self.file)?;
         let access = self.access();
         let in_force = InForce::ask(&Operator::new(&access)?).await?;
         let difference = difference(&in_force.text, &text);
@@ -156,7 +188,7 @@
             count => Err(Failure::new(
                 Exit::Failed,
                 format!(
-                    "{count} keys differ from revision {}. Nothing was changed.",
+                    "keys that differ from revision {}: {count}. Nothing was changed.",
                     in_force.revision
                 ),
             )),
@@ -167,14 +199,14 @@
 impl Publish {
     /// Publishes the lists.
     async fn run(self, out: &mut dyn Write) -> Result<(), Failure> {
-        let text = checked(&self.file)?;
+        let edited = checked(&self.file)?;
         let access = self.access();
         let operator = Operator::new(&access)?;
-        let base = match self.base {
+        let base = match self.base.or(edited.base) {
             Some(base) => base,
             None => InForce::ask(&operator).await?.revision,
         };
-        let body = json!({"base": base, "text": text});
+        let body = json!({"base": base, "text": edited.text});
         let answer = operator.send(Method::PUT, LISTS, &body).await?;
         published(&access, &answer, base, out)
     }
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,8 +6,11 @@
 
 #![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
 
+mod admin;
+mod cli;
 mod control;
 mod drafts;
 mod fixture;
 mod keyed;
+mod security;
 mod stops;
