--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -8,6 +8,8 @@
 mod reply;
 mod services;
 mod stream_id;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use caller::bearer;
 pub(crate) use reply::Failure;
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -4,6 +4,8 @@
 mod proof;
 mod room;
 pub(crate) mod server;
+#[cfg(test)]
+mod tests;
 
 pub(crate) use beat::{
     Bearing, Observed, Question, Sighted, answer_of, beat_of, beat_reply, beat_request, free_slots,
--- a/crates/entry/src/peer/proof.rs
+++ b/crates/entry/src/peer/proof.rs
@@ -34,7 +34,7 @@
     }
 
     /// Returns the proof for a call at `wall`.
-    fn text(&self, wall: Wall) -> String {
+    pub(super) fn text(&self, wall: Wall) -> String {
         format!("{}.{}", wall.0, hex::encode(self.hash(wall)))
     }
 
@@ -52,7 +52,7 @@
     }
 
     /// Returns whether `text` is a proof for about now.
-    fn is_valid(&self, text: &str) -> bool {
+    pub(super) fn is_valid(&self, text: &str) -> bool {
         let Some((millis, hash)) = text.split_once('.') else {
             return false;
         };
--- /dev/null
+++ b/crates/entry/src/peer/tests.rs
@@ -0,0 +1,121 @@
+//! Messages of peers under arbitrary bytes, and proofs under tampering.
+
+#![expect(clippy::unwrap_used, reason = "a test fails by panicking")]
+
+use super::{Observed, Proof, Question, answer_of, beat_of};
+use clock::{Clock, Wall};
+use name::{Domain, Node, Offset};
+use proptest::prelude::*;
+use settings::Secret;
+use std::collections::BTreeMap;
+use wire::{BeatReply, BeatRequest, FreeSlots, InProgress, ObserveReply, ObserveRequest};
+
+/// Returns bytes that are sometimes JSON.
+fn bytes() -> impl Strategy<Value = Vec<u8>> {
+    let json = prop_oneof![
+        Just("[]".to_owned()),
+        Just("{}".to_owned()),
+        Just("null".to_owned()),
+        "[\\[{\":a-z0-9,}\\]]{0,60}",
+        Just("[".repeat(2_000)),
+    ];
+    prop_oneof![
+        prop::collection::vec(any::<u8>(), 0..200),
+        json.prop_map(String::into_bytes),
+    ]
+}
+
+proptest! {
+    #[test]
+    fn arbitrary_messages_convert_or_are_refused(
+        node in ".{0,40}",
+        first in bytes(),
+        second in bytes(),
+        third in bytes(),
+        offset in any::<u64>(),
+        count in any::<u32>(),
+    ) {
+        let beat = BeatRequest { node: node.clone(), incarnation: first.clone(), member: second.clone() };
+        prop_assert!(beat_of(&beat).is_err());
+        let answer = BeatReply { member: first.clone() };
+        prop_assert!(answer_of(&answer).is_err());
+        let asked = ObserveRequest { node: node.clone(), demands: first.clone() };
+        if let Ok(question) = Question::try_from(asked) {
+            prop_assert_eq!(question.node.as_str(), node.as_str());
+        }
+        let reply = ObserveReply {
+            node: node.clone(),
+            reports: first,
+            votes: second,
+            free: vec![FreeSlots { target: node.clone(), count }],
+            control_offset: offset,
+            grants: third,
+            in_progress: vec![InProgress { domain: node.clone(), count }],
+        };
+        if let Ok(observed) = Observed::try_from(reply) {
+            prop_assert_eq!(observed.control_offset, Offset(offset));
+        }
+    }
+
+    #[test]
+    fn what_is_sent_is_what_arrives(offset in any::<u64>(), count in any::<u32>()) {
+        let observed = Observed {
+            node: Node::try_from("entry-1").unwrap(),
+            sighted: Vec::new(),
+            votes: Vec::new(),
+            free: vec![FreeSlots { target: "replica".into(), count }],
+            control_offset: Offset(offset),
+            in_progress: BTreeMap::from([(Domain::try_from("teifi").unwrap(), count)]),
+            grants: Vec::new(),
+        };
+        let message = ObserveReply::from(observed.clone());
+        prop_assert_eq!(Observed::try_from(message), Ok(observed));
+    }
+
+    #[test]
+    fn arbitrary_proofs_are_refused(text in ".{0,120}", millis in any::<u64>()) {
+        let proof = Proof::new(&secret("00"), Clock::system());
+        prop_assert!(!proof.is_valid(&text));
+        let timed = format!("{millis}.{text}");
+        prop_assert!(!proof.is_valid(&timed));
+    }
+}
+
+/// Returns the secret of 16 equal bytes.
+fn secret(byte: &str) -> Secret {
+    Secret::try_from(byte.repeat(16)).unwrap()
+}
+
+#[test]
+fn a_proof_holds_for_its_secret_and_about_its_time() {
+    let clock = Clock::system();
+    let own = Proof::new(&secret("01"), clock.clone());
+    let other = Proof::new(&secret("02"), clock.clone());
+    let now = clock.wall().0;
+    let cases = [
+        ("now", now, &own, true),
+        ("a little earlier", now - 30_000, &own, true),
+        ("a little later", now + 30_000, &own, true),
+        ("long ago", now - 120_000, &own, false),
+        ("much later", now + 120_000, &own, false),
+        ("the beginning", 0, &own, false),
+        ("the end", u64::MAX, &own, false),
+        ("another secret", now, &other, false),
+    ];
+    for (name, millis, maker, is_valid) in cases {
+        let text = maker.text(Wall(millis));
+        assert_eq!(own.is_valid(&text), is_valid, "{name}");
+        let mut cut = text.clone();
+        cut.pop();
+        assert!(!own.is_valid(&cut), "{name}, cut");
+        assert!(!own.is_valid(&format!("{text}00")), "{name}, longer");
+    }
+}
+
+#[test]
+fn secrets_do_not_show() {
+    let proof = Proof::new(&secret("a7"), Clock::system());
+    let shown = format!("{proof:?}");
+    assert!(shown.contains("redacted"), "{shown}");
+    assert!(!shown.contains("a7a7") && !shown.contains("167"), "{shown}");
+}
