--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -1,8 +1,10 @@
 //! The subcommands, one a file.
 
 mod admin;
+mod bench;
 mod demo;
 mod entry;
+mod matrix;
 mod standin;
 
 use crate::Exit;
@@ -29,8 +31,10 @@
 #[derive(Debug, FromArgs)]
 #[argh(subcommand)]
 enum Command {
+    Bench(bench::Bench),
     Demo(demo::Demo),
     Entry(entry::Entry),
+    Matrix(matrix::Matrix),
     Standin(standin::Standin),
     Config(Config),
     TakeOut(TakeOut),
@@ -79,7 +83,9 @@
     /// Runs the command.
     fn run(self, out: &mut dyn Write) -> Result<(), crate::Failure> {
         match self {
+            Self::Bench(command) => command.run(),
             Self::Demo(command) => command.run(),
+            Self::Matrix(command) => command.run(),
             Self::Entry(command) => command.run(),
             Self::Standin(command) => command.run(),
             Self::Config(command) => command.run(out),
