--- a/src/commands/admin/operation.rs
+++ b/src/commands/admin/operation.rs
@@ -188,10 +188,11 @@
     /// Returns the message of an order that is accepted but not done in time.
     fn late(&self, progress: &Progress) -> String {
         format!(
-            "after {} s: {}. The order is accepted and stays; run the same command again \
-             to wait on, and look at `entries` for nodes that do not answer.",
+            "after {} s: {}{}. The order is accepted and stays; run the same command again \
+             to wait on.",
             self.wait.as_secs(),
-            progress.text
+            progress.text,
+            progress.silent
         )
     }
 }
@@ -200,6 +201,8 @@
 struct Progress {
     is_done: bool,
     text: String,
+    /// When the nodes that are behind were last heard.
+    silent: String,
 }
 
 impl Progress {
@@ -210,12 +213,14 @@
             return Self {
                 is_done: true,
                 text: "it was not out; nothing to do".into(),
+                silent: String::new(),
             };
         }
         if held["revision"].as_u64() < Some(revision) {
             return Self {
                 is_done: false,
                 text: "the asked node does not have it in force yet".into(),
+                silent: String::new(),
             };
         }
         let behind = super::table::cell(&held["not_yet_in_force_at"]);
@@ -232,6 +237,21 @@
         Self {
             is_done: behind == "-" && (!is_leaving || in_progress.unwrap_or(0) == 0),
             text: format!("{force}{work}"),
+            silent: silent(&held["nodes"]),
         }
     }
 }
+
+/// Returns when each node that does not have an order in force was last heard.
+fn silent(nodes: &Value) -> String {
+    let nodes = nodes.as_array().map_or(&[][..], Vec::as_slice);
+    let behind = nodes.iter().filter(|node| node["in_force"] == false);
+    let texts = behind.map(|node| {
+        let name = super::table::cell(&node["node"]);
+        match node["said_ms_ago"].as_u64() {
+            Some(millis) => format!("; {name} was last heard {} s ago", millis / 1_000),
+            None => format!("; {name} was never heard"),
+        }
+    });
+    texts.collect()
+}
