--- a/crates/proof/src/lib.rs
+++ b/crates/proof/src/lib.rs
@@ -21,7 +21,7 @@
 mod world;
 
 pub use check::{Promise, Violation};
-pub use journal::Trace;
+pub use journal::{Told, Trace};
 pub use matrix::{Cell, Report, pair, run_cells, run_pairs};
 pub use step::{Broken, Fault, Step, Strike, Victim, Work, excluded};
 pub use world::{Plan, World};
--- a/crates/proof/src/request.rs
+++ b/crates/proof/src/request.rs
@@ -133,7 +133,10 @@
         }
         let server = job.and_then(|j| j.place.as_ref()).map(|p| p.server);
         if !self.hook(work, step, node, server, Some(request)) {
-            // The node stands still or has ended; what is left comes later.
+            if !self.nodes[node].is_up {
+                return self.tell(request, Told::Cut);
+            }
+            // The node stands still; what is left comes later.
             return self.next(node, request, step);
         }
         match step {
@@ -156,7 +159,8 @@
     fn accept(&mut self, node: usize, request: usize, work: Work) {
         let now = self.now;
         if !self.nodes[node].drain.begin(now) {
-            return self.tell(request, Told::Failed(Verdict::NotRun));
+            let verdict = self.refusal(work);
+            return self.tell(request, Told::Failed(verdict));
         }
         self.nodes[node].budget.request();
         let job = Job {
@@ -180,12 +184,23 @@
 
     fn authenticate(&mut self, node: usize, request: usize) {
         let state = self.nodes[node].state();
+        let verdict = self.refusal(self.trace.requests[request].work);
         match state.lists().accounts.is_empty() {
-            true => self.reply(node, request, Told::Failed(Verdict::NotRun)),
+            true => self.reply(node, request, Told::Failed(verdict)),
             false => self.next(node, request, Step::ReadConfiguration),
         }
     }
 
+    /// Returns what is said of a request that is refused unseen.
+    ///
+    /// Another call with the same key may have run.
+    fn refusal(&self, work: Work) -> Verdict {
+        match work {
+            Work::Booking if !self.is_broken(Broken::KeyUnseen) => Verdict::MayHaveRun,
+            _ => Verdict::NotRun,
+        }
+    }
+
     fn read_configuration(&mut self, node: usize, request: usize, work: Work) {
         let is_ready = self.nodes[node].is_ready(self.now, self.plan.broken);
         match (is_ready, work) {
@@ -618,6 +633,15 @@
         }
     }
 
+    /// Closes the connection of an attempt, which ends its run.
+    fn close(&mut self, node: usize, request: usize) {
+        let job = self.nodes[node].jobs.get(&request);
+        let place = job.and_then(|j| j.place.as_ref()).filter(|p| p.is_sent);
+        if let Some((server, attempt)) = place.map(|p| (p.server, p.attempt)) {
+            self.send_server(node, server, ServerMessage::Close(attempt));
+        }
+    }
+
     /// Ends an attempt that failed, and decides on another.
     fn fail(&mut self, node: usize, request: usize, error: Error, ending: Ending) {
         let now = self.now;
@@ -629,6 +653,7 @@
             ending,
             first_token: None,
         };
+        self.close(node, request);
         self.release(node, request, completion);
         let broken = self.plan.broken;
         let held = &mut self.nodes[node];
--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -132,6 +132,8 @@
     Poll { asked: Moment },
     Connect { request: usize, attempt: Attempt },
     Work(Box<Run>),
+    /// The node closed the connection of an attempt.
+    Close(Attempt),
     Order(Command),
 }
 
@@ -481,6 +483,9 @@
                 warm: held.is_warm(now),
                 asked,
             },
+            ServerMessage::Close(attempt) => {
+                return self.servers[server].runs.retain(|run| run.attempt != attempt);
+            }
             ServerMessage::Work(run) => return self.begin_run(server, *run),
             ServerMessage::Order(command) => return self.take_order(server, &command),
         };
