--- a/crates/proof/src/backend.rs
+++ b/crates/proof/src/backend.rs
@@ -1,6 +1,7 @@
 //! Fakes of the backend servers.
 
 use crate::world::{End, Message, NodeMessage, World, expected_part, instance};
+use admit::slot::Permit;
 use clock::Moment;
 use name::{Attempt, Domain, Generation, Instance, Replica};
 use replica::{Command, Listed, Phase, Report};
@@ -46,6 +47,28 @@
     pub(crate) generation: Generation,
     pub(crate) index: u32,
     pub(crate) total: u32,
+    /// The life of the server to which the connection was made.
+    pub(crate) connected: Uuid,
+    /// The slot on which it was sent.
+    pub(crate) granted: Option<Grant>,
+}
+
+/// The slot of a request, which the server itself is not told.
+#[derive(Debug, Clone)]
+pub(crate) struct Grant {
+    slot: u32,
+    boot: Uuid,
+    is_cold: bool,
+}
+
+impl From<&Permit> for Grant {
+    fn from(permit: &Permit) -> Self {
+        Self {
+            slot: permit.slot(),
+            boot: permit.boot(),
+            is_cold: permit.is_cold(),
+        }
+    }
 }
 
 /// A backend server: a model engine or a plain service.
@@ -169,9 +192,13 @@
     /// Takes a request, which begins to run unless the server refuses it.
     pub(crate) fn begin_run(&mut self, server: usize, run: Run) {
         let now = self.now;
+        if run.connected != self.servers[server].life() {
+            return self.answer_run(server, &run, None, Some(true));
+        }
         if !self.is_whole(server) {
             return self.answer_run(server, &run, None, Some(false));
         }
+        self.inspect_slot(server, &run);
         self.trace.requests[run.request].begun += 1;
         let held = &mut self.servers[server];
         let attempt = run.attempt;
@@ -192,6 +219,27 @@
         self.push(FRAME_EACH, next);
     }
 
+    /// Checks that the slot of a request is of this life, and not in use twice.
+    fn inspect_slot(&mut self, server: usize, run: &Run) {
+        let Some(grant) = &run.granted else {
+            return;
+        };
+        let held = &self.servers[server];
+        let is_same = |other: &&Run| {
+            other.node != run.node && other.granted.as_ref().is_some_and(|g| g.slot == grant.slot)
+        };
+        let is_twice = held.runs.iter().any(|other| is_same(&other));
+        let is_stale = !grant.is_cold && grant.boot != held.life();
+        if is_twice {
+            let text = format!("slot {} of {} is used by two nodes", grant.slot, held.name);
+            self.note(crate::Promise::ColdLimit, text);
+        }
+        if is_stale {
+            let text = format!("slot {} is of an earlier life", grant.slot);
+            self.note(crate::Promise::ColdLimit, text);
+        }
+    }
+
     /// Sends the next frame of a run.
     pub(crate) fn advance_run(&mut self, server: usize, boot: u128, attempt: Attempt) {
         if self.servers[server].boot != boot || !self.servers[server].is_up {
--- a/crates/proof/src/request.rs
+++ b/crates/proof/src/request.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Promise,
-    backend::Run,
+    backend::{Grant, Run},
     journal::Told,
     node::{HEARD_FOR, PATIENCE},
     step::{Broken, Step, Work},
@@ -490,7 +490,9 @@
             node: (node, life),
             generation: place.generation,
             index: job.progress.resume_point().tokens,
-            total: length(job.work),
+            total: length(job.work, request),
+            connected: place.connected.unwrap_or_default(),
+            granted: place.permit.as_ref().map(Grant::from),
         };
         let (server, replica) = (place.server, place.replica.clone());
         let is_late = job.work == Work::Booking && now >= job.before;
