--- a/crates/proof/src/backend.rs
+++ b/crates/proof/src/backend.rs
@@ -6,7 +6,7 @@
 use name::{Attempt, Domain, Generation, Instance, Replica};
 use replica::{Command, Listed, Phase, Report};
 use route::answer::{End as Finish, Frame};
-use std::time::Duration;
+use std::{collections::BTreeSet, time::Duration};
 use uuid::Uuid;
 
 /// Requests in progress that a server bears when cold.
@@ -88,6 +88,8 @@
     pub(crate) cold_at: (Moment, bool),
     pub(crate) leaving: Option<Moment>,
     pub(crate) runs: Vec<Run>,
+    /// Attempts whose connection was closed before their request arrived.
+    pub(crate) closed: BTreeSet<Attempt>,
 }
 
 impl Server {
@@ -105,6 +107,7 @@
             cold_at: (Moment::START, true),
             leaving: None,
             runs: Vec::new(),
+            closed: BTreeSet::new(),
         }
     }
 
@@ -189,9 +192,23 @@
         self.servers.iter().filter(is_member).count() == place.size
     }
 
+    /// Ends the run of a connection that its node closed.
+    pub(crate) fn close_run(&mut self, server: usize, attempt: Attempt) {
+        let held = &mut self.servers[server];
+        let before = held.runs.len();
+        held.runs.retain(|run| run.attempt != attempt);
+        // A connection is closed after what was written on it before.
+        if held.runs.len() == before {
+            held.closed.insert(attempt);
+        }
+    }
+
     /// Takes a request, which begins to run unless the server refuses it.
     pub(crate) fn begin_run(&mut self, server: usize, run: Run) {
         let now = self.now;
+        if self.servers[server].closed.remove(&run.attempt) {
+            return;
+        }
         if run.connected != self.servers[server].life() {
             return self.answer_run(server, &run, None, Some(true));
         }
--- a/crates/proof/src/fault.rs
+++ b/crates/proof/src/fault.rs
@@ -4,6 +4,7 @@
     step::{Fault, Step, Strike, Victim, Work},
     world::{Disturbance, ENGINES, End, Message, NODES, NodeMessage, ServerMessage, World},
 };
+use clock::Moment;
 use name::{Domain, Generation, Sequence};
 use replica::Command;
 use state::{Change, Record, Writer};
@@ -103,6 +104,8 @@
             Fault::LogDown => self.log.down_until = now + OUTAGE,
             Fault::LogSlow => self.log.slow_until = now + OUTAGE,
             Fault::Expired => self.expire(),
+            // The platform bounds the lag: two faults do not add up.
+            Fault::ListLag if self.list_frozen_until > Moment::START => {}
             Fault::ListLag => self.list_frozen_until = now + LAG,
             Fault::Unfenced => self.send_stale_order(server),
         }
