Keep which instances a node watches until the epoch changes

Each poll ranked all entry nodes for each instance: 26.8 ms for 1,600 engines and 340 nodes, four times a second, is 10.7% of a core against the bound of 3% (example `capacity`, release build; at 85/400 1.5 ms, so nodes times engines). The answers are now kept for an epoch and an instance's domain; what is left is a look-up in a hash table for each instance. The test compares the kept answers with `replica::watchers` over epochs and moves.

The example measures the other pure decisions at four sizes as well.

--- /dev/null
+++ b/crates/bench/examples/capacity/main.rs
@@ -0,0 +1,373 @@
+//! Measures what the pure decisions cost at growing sizes.
+//!
+//! `cargo run --release -p arbutusford-bench --example capacity` prints one line
+//! for each decision: its time or size at an eighth, a quarter, a half and the
+//! whole of the target, and the load of one node at the target. The page
+//! `docs/CAPACITY.md` draws its conclusions from them.
+
+#![expect(clippy::unwrap_used, reason = "fixed inputs; a failure ends the tool")]
+
+mod fixture;
+mod memory;
+
+use admit::slot::Ownership;
+use clock::Wall;
+use fixture::{Size, name};
+use member::{Report as Sight, Table};
+use name::{Account, Incarnation, Offset};
+use once::{Bounds, Claim, Digest, Key, Record, Window};
+use rand::{SeedableRng, rngs::StdRng};
+use replica::{Ledger, Pacer, Policy, Settings, View, orders, propose, servable, watchers};
+use std::{
+    collections::BTreeMap,
+    hint::black_box,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use uuid::Uuid;
+
+/// The sizes: an eighth, a quarter, a half and the whole of the target.
+const SIZES: [Size; 4] = [Size::of(8), Size::of(4), Size::of(2), Size::of(1)];
+
+/// The time over which each decision is repeated.
+const SPAN: Duration = Duration::from_millis(150);
+
+/// Reports and questions by a node in a second, as the settings leave them.
+const POLLS_PER_S: f64 = 4.0;
+
+/// Surveys by a node in a second.
+const SURVEYS_PER_S: f64 = 10.0;
+
+/// Requests a second that reach one of 340 nodes.
+const REQUESTS_PER_S: f64 = 1_100.0 / 340.0;
+
+/// Changes of configuration in a second, all of them; bursts come faster.
+const CHANGES_PER_S: f64 = 5_900.0 / 86_400.0;
+
+/// Calls that may not be repeated, in a second over all nodes, at a tenth of all.
+const KEYED_PER_S: f64 = 110.0;
+
+/// The time between two heartbeats to a partner, as the settings leave it.
+const BEAT: Duration = Duration::from_millis(500);
+
+/// Heartbeats until every word was told.
+const ROUNDS: u32 = 40;
+
+/// The watchers of an instance.
+const WATCHERS: usize = 3;
+
+/// Returns the time that one run of `work` takes, in microseconds.
+fn micros<T>(mut work: impl FnMut() -> T) -> f64 {
+    let start = Instant::now();
+    let mut runs = 0_u32;
+    while start.elapsed() < SPAN || runs < 3 {
+        black_box(work());
+        runs += 1;
+    }
+    start.elapsed().as_secs_f64() * 1e6 / f64::from(runs)
+}
+
+/// Prints one line: values by size, and what they make of one node.
+fn line(what: &str, unit: &str, values: [f64; 4], per_s: f64, of: &str) {
+    let cells: String = values.iter().map(|v| format!("{v:>12.1}")).collect();
+    println!(
+        "{what:<44}{unit:>6}{cells}   {:>12.4} {of}",
+        values[3] * per_s
+    );
+}
+
+/// Prints a time by size and the part of a core that `per_s` of them take.
+fn time(what: &str, per_s: f64, measure: impl Fn(Size) -> f64) {
+    line(what, "us", SIZES.map(measure), per_s / 1e4, "% of a core");
+}
+
+fn main() {
+    let head: String = SIZES
+        .iter()
+        .map(|s| format!("{:>12}", format!("{}/{}", s.nodes, s.engines)))
+        .collect();
+    println!("{:<50}{head}   one node at the target", "nodes/engines");
+    memory();
+    decisions();
+    watching();
+    choices();
+    heartbeats();
+    observations();
+    state();
+}
+
+/// The memory of the tables, measured first, before anything is freed.
+fn memory() {
+    let held = SIZES.map(|size| memory::each(64, || fixture::state(size)));
+    line("the state in memory", "bytes", held, 1e-6, "MB");
+    let view = SIZES.map(|size| memory::each(64, || fixture::view(size)));
+    line("the view of engines in memory", "bytes", view, 1e-6, "MB");
+    const KEYS: [u32; 4] = [25_000, 50_000, 100_000, 200_000];
+    println!("keys remembered: 25000, 50000, 100000, 200000");
+    let held = KEYS.map(|keys| memory::each(1, || claims(keys)));
+    // A window of an hour holds every key of the last hour, at every node.
+    let per_hour = KEYED_PER_S * 3_600.0 / f64::from(KEYS[3]) / 1e6;
+    line(
+        "claims in memory",
+        "bytes",
+        held,
+        per_hour,
+        "MB for an hour's keys",
+    );
+    let folds = KEYS.map(|keys| {
+        let start = Instant::now();
+        black_box(claims(keys));
+        start.elapsed().as_secs_f64() * 1e6 / f64::from(keys)
+    });
+    line(
+        "folding one key's claim and outcome",
+        "us",
+        folds,
+        KEYED_PER_S / 1e4,
+        "% of a core",
+    );
+}
+
+/// The looks at the replicas.
+fn decisions() {
+    let now = fixture::NOW;
+    time("servable, at each survey", SURVEYS_PER_S, |size| {
+        let (state, view) = (fixture::state(size), fixture::view(size));
+        micros(|| servable(&state, &view, now))
+    });
+    time("propose, nothing to do", POLLS_PER_S, |size| {
+        let (state, view, lists) = (fixture::state(size), fixture::view(size), fixture::lists());
+        let mut pacer = Pacer::new(Settings::default());
+        let policy = Policy::default();
+        micros(|| propose(&state, &lists, &view, &policy, 0, now, &mut pacer))
+    });
+    time("orders, nothing to do", POLLS_PER_S, |size| {
+        let (state, view, lists) = (fixture::state(size), fixture::view(size), fixture::lists());
+        let mut ledger = Ledger::new(name("entry-0"), Settings::default());
+        micros(|| orders(&state, &lists, &view, true, now, &mut ledger))
+    });
+}
+
+/// The assignment of engines to the nodes that watch them, and their reports.
+fn watching() {
+    time(
+        "watchers of all engines, at each poll",
+        POLLS_PER_S,
+        |size| {
+            let epoch = fixture::epoch(size);
+            let listed = fixture::listed(size);
+            micros(|| {
+                listed
+                    .iter()
+                    .filter(|l| {
+                        watchers(&l.instance, &l.domain, &epoch, WATCHERS).len() == WATCHERS
+                    })
+                    .count()
+            })
+        },
+    );
+    time(
+        "watchers of one engine, if kept until changed",
+        0.0,
+        |size| {
+            let epoch = fixture::epoch(size);
+            let listed = fixture::listed(size);
+            micros(|| watchers(&listed[0].instance, &listed[0].domain, &epoch, WATCHERS))
+        },
+    );
+    let all = |size: Size| {
+        let mut view: View = fixture::view(size);
+        let reports: Vec<_> = (0..size.engines).map(fixture::report).collect();
+        micros(|| {
+            for report in &reports {
+                view.report(report.clone(), fixture::NOW, fixture::NOW);
+            }
+        })
+    };
+    time(
+        "entering three reports of each engine",
+        POLLS_PER_S,
+        |size| all(size) * WATCHERS as f64,
+    );
+}
+
+/// The choice of a replica, and the division of slots.
+fn choices() {
+    time(
+        "choose among all replicas, for each request",
+        REQUESTS_PER_S,
+        |size| {
+            let candidates = fixture::candidates(size);
+            let (domain, region) = (name("d0"), name("r0"));
+            let request = route::Request {
+                domain: &domain,
+                region: &region,
+                prefix: &[1, 2, 3],
+                avoid: &[],
+                turn: 0,
+            };
+            let mut rng = StdRng::seed_from_u64(1);
+            let empty = route::prefix::Match::default();
+            let policy = route::Policy::default();
+            micros(|| route::choose(&candidates, &request, &empty, policy, &mut rng))
+        },
+    );
+    time("slots of all replicas, at each epoch", 1.0 / 60.0, |size| {
+        let ownership = Ownership::from(&fixture::epoch(size));
+        let me = (name("entry-0"), Incarnation(Uuid::from_u128(0)));
+        let replicas = size.engines / fixture::MEMBERS;
+        micros(|| {
+            (0..replicas)
+                .map(|r| ownership.owned(&format!("r{r}"), &me.0, me.1, 16).len())
+                .sum::<usize>()
+        })
+    });
+}
+
+/// Returns the heartbeats that a node sends in an interval once all is told.
+fn beats(size: Size) -> Vec<member::Call> {
+    let table = |number: usize| {
+        let settings = member::Settings::default();
+        let mut table = Table::new(fixture::peer(number), 1, Vec::new(), settings, fixture::NOW);
+        table.adopt(&fixture::epoch(size), fixture::NOW);
+        table
+    };
+    let sight = Sight {
+        reads_log: true,
+        voucher: None,
+    };
+    let mut own = table(0);
+    let mut partners: BTreeMap<name::Node, Table> = (1..size.nodes)
+        .map(|number| (fixture::peer(number).node, table(number)))
+        .collect();
+    let mut last = Vec::new();
+    for round in 1..=ROUNDS {
+        let now = fixture::NOW + BEAT * round;
+        last = own.calls(&sight, now);
+        for call in &last {
+            let partner = call.node.as_ref().and_then(|node| partners.get_mut(node));
+            if let Some(partner) = partner {
+                let reply = partner.answer(&call.beat, &sight, now);
+                own.answered(&reply, now);
+            }
+        }
+    }
+    last
+}
+
+/// The heartbeats of one node in one interval.
+fn heartbeats() {
+    let calls = SIZES.map(|size| beats(size).len() as f64);
+    let per_s = 1.0 / BEAT.as_secs_f64();
+    line(
+        "partners called in an interval",
+        "count",
+        calls,
+        per_s,
+        "calls/s",
+    );
+    let bytes = SIZES.map(|size| {
+        let beats = beats(size);
+        let sizes = beats
+            .iter()
+            .map(|c| serde_json::to_vec(&c.beat).unwrap().len());
+        sizes.sum::<usize>() as f64
+    });
+    line(
+        "heartbeats sent in an interval",
+        "bytes",
+        bytes,
+        per_s / 1e3,
+        "KB/s, and as much in answers",
+    );
+}
+
+/// What one node asks of all others about backend servers.
+fn observations() {
+    let report = serde_json::to_vec(&fixture::report(1)).unwrap().len() as f64;
+    println!("one report as passed on: {report} bytes of JSON without its warmth and age");
+    let sent = SIZES.map(|size| {
+        let watched = size.engines as f64 * WATCHERS as f64 / size.nodes as f64;
+        watched * report * (size.nodes - 1) as f64
+    });
+    line(
+        "reports sent to all peers, at each question",
+        "bytes",
+        sent,
+        POLLS_PER_S / 1e3,
+        "KB/s",
+    );
+    let questions = SIZES.map(|size| (size.nodes - 1) as f64);
+    line(
+        "peers asked, at each question",
+        "count",
+        questions,
+        POLLS_PER_S,
+        "calls/s",
+    );
+    let text = serde_json::to_vec(&fixture::report(1)).unwrap();
+    time(
+        "reading three reports of each engine",
+        POLLS_PER_S,
+        |size| {
+            let one = micros(|| serde_json::from_slice::<replica::Report>(&text).unwrap());
+            one * (size.engines * WATCHERS) as f64
+        },
+    );
+}
+
+/// The control state: its fold, its records and its memory.
+fn state() {
+    time(
+        "fold of an assignment, for each change",
+        CHANGES_PER_S,
+        |size| {
+            let mut follower = fixture::follower(size);
+            let mut number = 0;
+            micros(|| {
+                // Drivers hold the state that was in force, so that a fold copies it.
+                let held = Arc::clone(follower.state());
+                number += 1;
+                let events = follower.offer(fixture::reassign(&held, number));
+                assert!(fixture::is_accepted(&events), "{events:?}");
+                held
+            })
+        },
+    );
+    let snapshot = SIZES.map(|size| {
+        let snapshot = fixture::follower(size).snapshot();
+        serde_json::to_vec(&snapshot).unwrap().len() as f64
+    });
+    line("a snapshot", "bytes", snapshot, 0.0, "");
+}
+
+/// Returns a table that holds so many keys with their outcomes.
+fn claims(keys: u32) -> once::Table {
+    let account: Account = name("account-with-a-name");
+    let bounds = Bounds {
+        keys: 400_000,
+        ..Bounds::default()
+    };
+    let mut table = once::Table::new(Window::default(), bounds);
+    let mut offset = 0;
+    for number in 0..u128::from(keys) {
+        let id = Uuid::from_u128((10_000_000 << 80) | (7 << 76) | (2 << 62) | number);
+        let key = Key::parse(&account, Some(&id.to_string())).unwrap();
+        let claim = Claim(Uuid::from_u128(number));
+        let answer = once::Answer::ran(200, "application/json", &[b'x'; 48]);
+        let records = [
+            Record::Claim {
+                key: key.clone(),
+                body: Digest::new("POST /entry", b"body"),
+                by: Incarnation(Uuid::from_u128(1)),
+                claim,
+            },
+            Record::Outcome { key, claim, answer },
+        ];
+        for record in records {
+            offset += 1;
+            table.fold(Offset(offset), Some(&record), Wall(10_000_000));
+        }
+    }
+    table
+}
--- a/crates/entry/src/driver/watch.rs
+++ b/crates/entry/src/driver/watch.rs
@@ -11,10 +11,15 @@
 use backend::{engine, proto};
 use clock::Moment;
 use futures_util::{StreamExt, stream};
-use name::{Domain, Instance};
+use name::{Domain, Instance, Node as Name, Offset};
 use replica::{Judgement, Phase, Report, View, Vote, Watch, watchers};
 use state::Epoch;
-use std::{collections::BTreeSet, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    collections::{BTreeSet, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
 
 /// The number of entry nodes that watch an instance.
 const WATCHERS: usize = 3;
@@ -28,6 +33,49 @@
     engines: Watch,
     services: Watch,
     votes: Vec<Vote>,
+    duty: Duty,
+}
+
+/// Which instances this node watches in one epoch.
+///
+/// Finding an instance's watchers takes a hash for each entry node, so that the
+/// answers are kept until the epoch changes.
+#[derive(Debug, Default)]
+struct Duty {
+    epoch: Offset,
+    own: HashMap<Instance, (Domain, bool)>,
+}
+
+impl Duty {
+    /// Forgets the answers for another epoch.
+    fn turn_to(&mut self, epoch: &Epoch) {
+        if self.epoch != epoch.revision {
+            self.epoch = epoch.revision;
+            self.own.clear();
+        }
+    }
+
+    /// Returns whether `node` watches the instance.
+    ///
+    /// Before the first epoch every node watches all, since nobody else is known to.
+    fn is_own(&mut self, node: &Name, instance: &Instance, domain: &Domain, epoch: &Epoch) -> bool {
+        if epoch.peers.is_empty() {
+            return true;
+        }
+        if let Some((known, is_own)) = self.own.get(instance)
+            && known == domain
+        {
+            return *is_own;
+        }
+        let is_own = watchers(instance, domain, epoch, WATCHERS).contains(node);
+        self.own.insert(instance.clone(), (domain.clone(), is_own));
+        is_own
+    }
+
+    /// Forgets the instances that are no longer listed.
+    fn retain(&mut self, is_listed: impl Fn(&Instance) -> bool) {
+        self.own.retain(|instance, _| is_listed(instance));
+    }
 }
 
 impl Watched {
@@ -37,6 +85,7 @@
             engines,
             services,
             votes: Vec::new(),
+            duty: Duty::default(),
         }
     }
 
@@ -83,27 +132,36 @@
 fn assign(node: &Node) -> Vec<Poll> {
     let now = node.clock.now();
     let epoch = &node.control().state.epoch;
-    let mut polls = own_part(node, &node.engines(), epoch, false);
-    let engines: Vec<Instance> = polls.iter().map(|poll| poll.instance.clone()).collect();
-    let services = own_part(node, &node.services(), epoch, true);
-    let service_instances: Vec<Instance> = services.iter().map(|p| p.instance.clone()).collect();
-    polls.extend(services);
+    let (engines, services) = (node.engines(), node.services());
     let mut watched = node.watched();
+    let duty = &mut watched.duty;
+    duty.turn_to(epoch);
+    if duty.own.len() > engines.iter().count() + services.iter().count() {
+        duty.retain(|instance| engines.get(instance).is_some() || services.get(instance).is_some());
+    }
+    let mut polls = own_part(node, &engines, epoch, duty, false);
+    let service_polls = own_part(node, &services, epoch, duty, true);
+    drop((engines, services));
+    let names = |polls: &[Poll]| polls.iter().map(|poll| poll.instance.clone()).collect();
+    let (engines, services): (Vec<Instance>, Vec<Instance>) =
+        (names(&polls), names(&service_polls));
+    polls.extend(service_polls);
     watched.engines.assign(engines, now);
-    watched.services.assign(service_instances, now);
+    watched.services.assign(services, now);
     polls
 }
 
 /// Returns the instances of a view that this node watches.
-///
-/// Before the first epoch every node watches all, since nobody else is known to.
-fn own_part(node: &Node, view: &View, epoch: &Epoch, is_service: bool) -> Vec<Poll> {
-    let is_own = |instance: &Instance, domain: &Domain| {
-        epoch.peers.is_empty()
-            || watchers(instance, domain, epoch, WATCHERS).contains(&node.identity.node)
-    };
+fn own_part(
+    node: &Node,
+    view: &View,
+    epoch: &Epoch,
+    duty: &mut Duty,
+    is_service: bool,
+) -> Vec<Poll> {
+    let own = &node.identity.node;
     view.iter()
-        .filter(|(instance, seen)| is_own(instance, &seen.domain))
+        .filter(|(instance, seen)| duty.is_own(own, instance, &seen.domain, epoch))
         .map(|(instance, seen)| Poll {
             instance: instance.clone(),
             address: seen.address,
@@ -230,3 +288,6 @@
         proto::Phase::Leaving => Phase::Leaving,
     }
 }
+
+#[cfg(test)]
+mod tests;
