--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -46,6 +46,9 @@
 /// The time for permits to be written, beyond which they are void.
 const SEND_WITHIN: Duration = Duration::from_millis(250);
 
+/// The most by which the load in reports lags.
+const LOAD_LAG: Duration = Duration::from_secs(2);
+
 /// Tokens for each unit of weight that an account below its share may take ahead.
 const IDLE_CREDIT: u64 = 800;
 
@@ -196,28 +199,18 @@
             }
             sleep(STOP_STEP).await;
         }
-        self.end(true).await;
-    }
-
-    /// Ends the node at once, as if its process were killed.
-    pub async fn kill(self) {
-        self.end(false).await;
+        self.end().await;
     }
 
-    /// Ends every task; a planned end tells the peers.
-    async fn end(mut self, is_planned: bool) {
+    /// Tells the peers, and ends every task.
+    async fn end(mut self) {
         let node = Arc::clone(&self.node);
-        if is_planned {
-            let now = node.clock.now();
-            node.members().say_goodbye(now);
-            beats::run(Arc::clone(&node)).await;
-            info!(node.log, "entry node stopped");
-        }
+        let now = node.clock.now();
+        node.members().say_goodbye(now);
+        beats::run(Arc::clone(&node)).await;
+        info!(node.log, "entry node stopped");
         node.stopped.cancel();
         node.ended.cancel();
-        if !is_planned {
-            self.tasks.abort_all();
-        }
         while self.tasks.join_next().await.is_some() {}
     }
 }
@@ -335,6 +328,7 @@
     let timing = Timing {
         lease: WARM_FOR,
         send: SEND_WITHIN,
+        settle: millis(timings.voucher_bound_ms) + SEND_WITHIN + LOAD_LAG,
         rest: millis(timings.voucher_bound_ms) + SEND_WITHIN + millis(limits.request_timeout_ms),
     };
     let beat = millis(timings.heartbeat_ms);
