--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -134,7 +134,11 @@
     let (Some(least), Some(largest)) = (values.first(), values.last()) else {
         return "-".into();
     };
-    let median = values[values.len() / 2];
+    let middle = values.len() / 2;
+    let median = match values.len() % 2 {
+        0 => f64::midpoint(values[middle - 1], values[middle]),
+        _ => values[middle],
+    };
     match (largest - least).abs() < f64::EPSILON {
         true => number(median),
         false => format!(
