--- a/crates/admit/src/limit/bucket.rs
+++ b/crates/admit/src/limit/bucket.rs
@@ -6,7 +6,10 @@
 use verdict::{Error, Kind};
 
 /// The span whose whole rate may be used at once.
-const BURST: Duration = Duration::from_secs(1);
+///
+/// A node's part of a rate is small beside a single draft: with less, requests
+/// far below the account's limit would wait for the part to accrue.
+const BURST: Duration = Duration::from_secs(4);
 
 /// The retry time given when the concurrency limit is reached.
 const RETRY_CONCURRENCY: Duration = Duration::from_millis(250);
