--- a/crates/bench/src/report.rs
+++ b/crates/bench/src/report.rs
@@ -7,6 +7,8 @@
 pub struct Run {
     /// The deployment.
     pub deployment: String,
+    /// The number of entry nodes.
+    pub nodes: usize,
     /// The scenario.
     pub scenario: String,
     /// The policy, by name.
@@ -70,7 +72,7 @@
 type Column = (&'static str, fn(&Run) -> Option<f64>);
 
 /// The columns of the table.
-const COLUMNS: [Column; 15] = [
+const COLUMNS: [Column; 17] = [
     ("down s", |run| run.group_downtime_s),
     ("strand s", |run| run.stranded_accelerator_s),
     ("service", |run| run.service_ratio),
@@ -86,6 +88,10 @@
     ("wrong", |run| run.wrong_answers.map(as_f64)),
     ("false nr", |run| run.false_not_run.map(as_f64)),
     ("attempts", |run| run.attempts_per_request),
+    ("cpu/node", |run| run.control_cpu_ratio),
+    ("MB/node", |run| {
+        run.resident_bytes.map(|bytes| bytes as f64 / 1e6)
+    }),
 ];
 
 /// Returns a count as a number of the table.
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -18,9 +18,6 @@
 };
 use uuid::Uuid;
 
-/// The number of entry nodes.
-const NODES: usize = 9;
-
 /// The size of the model's weights, in MiB, small so that runs are short.
 const MODEL_MIB: u32 = 512;
 
@@ -41,6 +38,8 @@
 pub struct Setup {
     /// The deployment.
     pub kind: Kind,
+    /// The number of entry nodes.
+    pub nodes: usize,
     /// What happens.
     pub scenario: Scenario,
     /// The policy, by name.
@@ -86,16 +85,16 @@
     let options = Options {
         kind: setup.kind,
         shape,
-        nodes: NODES,
+        nodes: setup.nodes,
         seed: setup.seed,
         settings: format!("{SETTINGS}{}", policy::settings(setup.policy)),
     };
     let mut deployment = Deployment::start(options, log).await?;
     deployment.ready(replicas(setup.policy), PATIENCE).await?;
     warm(deployment.world());
-    let idle = idle().await;
+    let idle = idle(setup.nodes).await;
     let gathered = measure(setup, &mut deployment, idle).await;
-    for number in 0..NODES {
+    for number in 0..setup.nodes {
         deployment.end_entry(number, false).await;
     }
     Ok(report(setup, gathered?))
@@ -122,15 +121,14 @@
 }
 
 /// Measures the process without load.
-async fn idle() -> Idle {
+async fn idle(nodes: usize) -> Idle {
     let (before, started) = (sample::processor(), Instant::now());
     sleep(IDLE).await;
     let passed = started.elapsed().as_secs_f64();
     let used = sample::processor().zip(before);
-    let nodes = NODES as f64;
     Idle {
-        cpu: used.map(|(after, before)| (after - before).as_secs_f64() / passed / nodes),
-        resident: sample::resident().map(|bytes| bytes / NODES as u64),
+        cpu: used.map(|(after, before)| (after - before).as_secs_f64() / passed / nodes as f64),
+        resident: sample::resident().map(|bytes| bytes / nodes as u64),
     }
 }
 
@@ -250,6 +248,7 @@
     let runs = &counters.runs_per_key;
     let ran = |key: &Uuid| runs.contains_key(&key.to_string());
     Run {
+        nodes: setup.nodes,
         deployment: match setup.kind {
             Kind::HafodTegid => "hafod-tegid".into(),
             Kind::Lena => "lena".into(),
--- a/src/commands/bench.rs
+++ b/src/commands/bench.rs
@@ -9,6 +9,9 @@
     time::{Duration, Instant},
 };
 
+/// The entry nodes of a deployment.
+const NODES: usize = 9;
+
 /// The time under load of a short run.
 const QUICK: Duration = Duration::from_secs(10);
 
@@ -23,6 +26,10 @@
     #[argh(option, default = "Kind::HafodTegid", from_str_fn(kind))]
     deployment: Kind,
 
+    /// the number of entry nodes (default 9)
+    #[argh(option, default = "NODES")]
+    nodes: usize,
+
     /// the first seed (default 1)
     #[argh(option, default = "1")]
     seed: u64,
@@ -128,6 +135,7 @@
                 for policy in &self.policy.0 {
                     setups.push(Setup {
                         kind: self.deployment,
+                        nodes: self.nodes,
                         scenario: *scenario,
                         policy,
                         seed,
