--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -331,9 +331,24 @@
             return false;
         }
         let status = self.query(number, "/admin/v1/status").await;
-        status.is_ok_and(|status| {
+        let serves = status.is_ok_and(|status| {
             status["replicas"]["servable"].as_u64() >= Some(replicas)
                 && status["epoch"]["nodes"].as_u64() == Some(self.entries.len() as u64)
+        });
+        serves && self.lists_all(number).await
+    }
+
+    /// Returns whether a node's directory lists every node.
+    async fn lists_all(&self, number: usize) -> bool {
+        let caller = self.addresses[number].caller;
+        let nothing = serde_json::Value::Null;
+        let listed = self
+            .client
+            .call(Method::GET, caller, "/v1/entries", "", &[], &nothing)
+            .await;
+        listed.is_ok_and(|answer| {
+            let entries = answer.body["entries"].as_array().map(Vec::len);
+            entries == Some(self.entries.len())
         })
     }
 
--- a/crates/entry/src/driver/beats.rs
+++ b/crates/entry/src/driver/beats.rs
@@ -38,6 +38,7 @@
     let role = match (is_serving, node.status(now)) {
         (false, _) => Role::Leaving,
         (true, Status::Isolated | Status::Behind) => Role::Isolated,
+        (true, Status::Fresh | Status::Outage) if !node.accounts().has_parts(now) => Role::Isolated,
         (true, Status::Fresh | Status::Outage) => Role::Open,
     };
     node.members().set_role(role, now);
--- a/crates/entry/src/http/health.rs
+++ b/crates/entry/src/http/health.rs
@@ -66,7 +66,7 @@
     let now = node.clock.now();
     let is_whole = node.follower().is_ready();
     let status = node.status(now);
-    let is_ready = is_whole && status.takes_work();
+    let is_ready = node.is_ready(now);
     let code = if is_ready {
         StatusCode::OK
     } else {
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -278,6 +278,8 @@
 
     /// Returns whether the state is whole, and young enough to take work.
     pub(crate) fn is_ready(&self, now: Moment) -> bool {
-        self.follower().is_ready() && self.status(now).takes_work()
+        self.follower().is_ready()
+            && self.status(now).takes_work()
+            && self.accounts().has_parts(now)
     }
 }
--- a/crates/entry/src/serve/accounts.rs
+++ b/crates/entry/src/serve/accounts.rs
@@ -26,6 +26,14 @@
 /// Requests in progress that a node asks for beyond its recent use.
 const SPARE_REQUESTS: u32 = 4;
 
+/// The time after which a first demand has been granted.
+const GRANT_AFTER: Duration = Duration::from_millis(300);
+
+/// Returns whether a request can be started under a limit.
+fn is_usable(limit: Limit) -> bool {
+    limit.tokens_per_s > 0 && limit.requests_per_s > 0 && limit.concurrency > 0
+}
+
 /// Use that was counted in one window.
 #[derive(Debug, Default, Clone, Copy)]
 struct Count {
@@ -201,7 +209,12 @@
             .get_mut(account)
             .ok_or_else(|| Error::not_run(Kind::Forbidden, "the client account has no plan"))?;
         held.note(estimated, now);
-        held.usage.set(held.portion.current(now), now);
+        let part = held.portion.current(now);
+        held.usage.set(part, now);
+        if !is_usable(part) {
+            let error = Error::not_run(Kind::Limited, "this node has no part of the limit yet");
+            return Err(error.with_retry_after(GRANT_AFTER));
+        }
         held.usage.start(estimated, now)?;
         held.budget.request();
         Ok(())
@@ -214,6 +227,14 @@
         }
     }
 
+    /// Returns whether this node may start requests of any account.
+    ///
+    /// A node that has just joined waits until the others' parts have shrunk.
+    pub(crate) fn has_parts(&self, now: Moment) -> bool {
+        let mut accounts = self.accounts.values();
+        self.accounts.is_empty() || accounts.any(|held| is_usable(held.portion.current(now)))
+    }
+
     /// Returns the credit for retries of an account.
     pub(crate) fn budget(&mut self, account: &Account) -> Option<&mut Budget> {
         self.accounts.get_mut(account).map(|held| &mut held.budget)
--- a/crates/proof/src/matrix.rs
+++ b/crates/proof/src/matrix.rs
@@ -109,7 +109,7 @@
     let possible: Vec<Strike> = all()
         .filter(|s| excluded(s.work, s.step, s.fault, s.victim).is_none())
         .collect();
-    let mut strikes: Vec<Strike> = possible.choose_multiple(&mut rng, 2).cloned().collect();
+    let mut strikes: Vec<Strike> = possible.choose_multiple(&mut rng, 2).copied().collect();
     for strike in &mut strikes {
         // Control steps are rarer than those of requests.
         let is_rare = strike.step.is_control() && strike.step != Step::Report;
