Close connections of peers that never begin

The transport waits without end for the first bytes of a connection between nodes, so that anyone could use up a node's files by connecting and staying silent: a test found such a connection open after 20 s. Each must now begin as HTTP/2 does within limits.header_timeout_ms. The log query tells that the log lost records.

--- a/crates/entry/src/admin/queries.rs
+++ b/crates/entry/src/admin/queries.rs
@@ -104,6 +104,7 @@
         "tail_offset": voucher.map(|voucher| voucher.offset),
         "tail_age_ms": age.and_then(|age| u64::try_from(age).ok()),
         "control_offset": node.control().state.offset,
+        "lost_records": node.follower().is_ahead_of_log(),
         "undecided_changes": node.writer.undecided(),
         "undecided_claims": node.claims().waiting(),
         "peers": {
--- a/crates/entry/src/peer/mod.rs
+++ b/crates/entry/src/peer/mod.rs
@@ -1,5 +1,6 @@
 //! The other entry nodes: connections to them, and the service that they call.
 
+mod accept;
 mod beat;
 mod proof;
 mod room;
--- a/crates/entry/src/peer/server.rs
+++ b/crates/entry/src/peer/server.rs
@@ -2,8 +2,9 @@
 
 use crate::{
     driver::{beats, control, observe},
+    http::listen::Bounds,
     node::Node,
-    peer::{Proof, Question, beat_of, beat_reply},
+    peer::{Proof, Question, accept, beat_of, beat_reply},
     serve::{
         call, draft,
         job::{Call, Draft, Event},
@@ -15,7 +16,6 @@
 use route::answer::Resume;
 use std::{pin::Pin, sync::Arc, time::Duration};
 use tokio::net::TcpListener;
-use tokio_stream::wrappers::TcpListenerStream;
 use tokio_util::sync::CancellationToken;
 use tonic::{Request, Response, Status, transport::Server};
 use verdict::Error;
@@ -49,17 +49,18 @@
     node: Arc<Node>,
     proof: Proof,
     listener: TcpListener,
+    bounds: Bounds,
     stop: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
+    let connections = accept::connections(listener, bounds, node.log.clone());
     let callee = Callee { node, proof };
     let service = PeerServer::new(callee)
         .max_decoding_message_size(MAX_MESSAGE_BYTES)
         .max_encoding_message_size(MAX_MESSAGE_BYTES);
     Server::builder()
-        .tcp_nodelay(true)
         .http2_keepalive_interval(Some(Duration::from_secs(5)))
         .add_service(service)
-        .serve_with_incoming_shutdown(TcpListenerStream::new(listener), stop.cancelled_owned())
+        .serve_with_incoming_shutdown(connections, stop.cancelled_owned())
         .await
 }
 
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -478,14 +478,19 @@
         ended.clone(),
         node.log.clone(),
     ));
-    tasks.spawn(serve_peers(Arc::clone(node), listeners.peer, ended));
+    tasks.spawn(serve_peers(Arc::clone(node), listeners.peer, bounds, ended));
 }
 
 /// Serves the peers until the node ends.
-async fn serve_peers(node: Arc<Node>, listener: TcpListener, ended: CancellationToken) {
+async fn serve_peers(
+    node: Arc<Node>,
+    listener: TcpListener,
+    bounds: listen::Bounds,
+    ended: CancellationToken,
+) {
     let proof = Proof::new(&node.secret, node.clock.clone());
     let log = node.log.clone();
-    if let Err(error) = peer::server::serve(node, proof, listener, ended).await {
+    if let Err(error) = peer::server::serve(node, proof, listener, bounds, ended).await {
         warn!(log, "the service for peers ended"; "error" => %error);
     }
 }
--- a/src/commands/admin/report.rs
+++ b/src/commands/admin/report.rs
@@ -109,6 +109,7 @@
         ("tail offset", "/tail_offset"),
         ("tail age (ms)", "/tail_age_ms"),
         ("control offset", "/control_offset"),
+        ("lost records", "/lost_records"),
         ("undecided changes", "/undecided_changes"),
         ("undecided claims", "/undecided_claims"),
         ("peers known", "/peers/known"),
--- a/tests/all/cli.rs
+++ b/tests/all/cli.rs
@@ -246,6 +246,32 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn taking_out_tells_which_node_does_not_answer() {
+    let mut deployment = deployment("").await;
+    let folder = Folder::new();
+    let token = folder.file("token", OPERATOR_TOKEN);
+    deployment.end_entry(2, false).await;
+    // The next server is tried, since the first is gone.
+    let admins = deployment.admins();
+    let servers = [admins[2], admins[0]];
+    let cases = [
+        ("1", Exit::Failed, "entry-2 was last heard"),
+        ("0", Exit::Done, ""),
+    ];
+    for (wait, exit, told) in cases {
+        let line = ["take-out", "domain", "tywi", "--wait", wait];
+        let ended = run(words(&line, &servers, &token)).await;
+        assert_eq!(ended.exit, exit, "{wait}: {} {}", ended.out, ended.err);
+        assert!(ended.err.contains(told), "{wait}: {}", ended.err);
+        assert!(
+            ended.out.contains("not yet in force at"),
+            "{wait}: {}",
+            ended.out
+        );
+    }
+}
+
 #[test]
 fn commands_without_a_server_end_as_help_says() {
     let cases: [(&[&str], Exit, &str); 5] = [
--- a/tests/all/security.rs
+++ b/tests/all/security.rs
@@ -22,6 +22,9 @@
 /// Short bounds, so that half-sent requests end within the test.
 const BOUNDS: &str = "limits = { header_timeout_ms = 500, body_timeout_ms = 500 }\n";
 
+/// The secret of the deployment's entry nodes.
+const PEERS_SECRET: &str = "00112233445566778899aabbccddeeff00112233445566778899aabbccddeeff";
+
 /// The longest time for a bounded request to end.
 const ENDS: Duration = Duration::from_secs(20);
 
@@ -72,6 +75,11 @@
             Audience::Operators,
             "demo",
         ),
+        stranger(
+            "the peers' secret after the first lists",
+            Audience::Operators,
+            PEERS_SECRET,
+        ),
         stranger(
             "a caller at the operators' port",
             Audience::Operators,
@@ -255,6 +263,34 @@
     }
 }
 
+#[tokio::test(flavor = "multi_thread")]
+async fn silent_and_half_open_connections_are_closed_on_every_port() {
+    let deployment = deployment(BOUNDS).await;
+    let cases: [(&str, &[u8]); 4] = [
+        ("nothing", b""),
+        ("half an HTTP/2 preface", b"PRI * HTTP"),
+        ("half a head", b"GET /healthz HTTP/1.1\r\nhost"),
+        ("no protocol", b"\x16\x03\x01\x02\x00\x01"),
+    ];
+    for (name, bytes) in cases {
+        for (number, port) in [
+            deployment.callers()[0],
+            deployment.admins()[0],
+            deployment.peers()[0],
+        ]
+        .iter()
+        .enumerate()
+        {
+            let mut stream = TcpStream::connect(port).await.unwrap();
+            stream.write_all(bytes).await.unwrap();
+            let mut rest = Vec::new();
+            let read = timeout(ENDS, stream.read_to_end(&mut rest)).await;
+            assert!(read.is_ok(), "port {number}: {name}: still open");
+        }
+    }
+    check_serves(&deployment, "silent connections").await;
+}
+
 /// A request that must be refused with a status.
 struct Refused {
     name: &'static str,
