--- a/crates/proof/src/node.rs
+++ b/crates/proof/src/node.rs
@@ -41,8 +41,8 @@
 const READ_WITHIN: Duration = Duration::from_secs(1);
 
 /// Ticks between two beats, two lists and two rounds of control.
-const BEAT_TICKS: u64 = 10;
-const CONTROL_TICKS: u64 = 5;
+const BEAT_TICKS: u64 = 5;
+const CONTROL_TICKS: u64 = 3;
 const POLL_TICKS: u64 = 2;
 
 /// What a node last heard from a peer.
@@ -232,7 +232,7 @@
                 report,
                 warm,
                 asked,
-            } => self.reported(node, server, report, warm, asked),
+            } => self.reported(node, server, *report, warm, asked),
             NodeMessage::Connected {
                 request,
                 attempt,
