--- a/src/commands/entry.rs
+++ b/src/commands/entry.rs
@@ -26,6 +26,7 @@
     /// Runs the command.
     pub(crate) fn run(self) -> Result<(), Failure> {
         let settings: settings::Entry = read(&self.settings)?;
+        check_secret(&settings)?;
         if self.check {
             println!("{}: no faults", self.settings.display());
             return Ok(());
@@ -51,6 +52,21 @@
     settings::load(path).map_err(|faults| Failure::new(Exit::Usage, faults))
 }
 
+/// Checks that the secret that entry nodes share can be read.
+fn check_secret(settings: &settings::Entry) -> Result<(), Failure> {
+    match settings.peers.secret() {
+        Ok(Some(_)) => Ok(()),
+        Ok(None) => Err(Failure::new(
+            Exit::Usage,
+            "peers: no secret; set secret_file or secret_hex",
+        )),
+        Err(error) => Err(Failure::new(
+            Exit::Usage,
+            format!("peers.secret_file: {error}"),
+        )),
+    }
+}
+
 /// Completes at SIGTERM or Ctrl-C.
 pub(crate) async fn stop_signal() -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
--- a/tests/all/cli.rs
+++ b/tests/all/cli.rs
@@ -298,6 +298,44 @@
     }
 }
 
+#[test]
+fn settings_without_a_readable_secret_are_found_before_the_start() {
+    let good = include_str!("../../examples/settings/hafod-tegid/entry-1.toml");
+    let folder = Folder::new();
+    let secret = folder.file("secret", "000102030405060708090a0b0c0d0e0f\n");
+    let short = folder.file("short", "0001\n");
+    let cases = [
+        ("in the settings", good.to_owned(), Exit::Done),
+        ("in a file", with_secret(good, Some(&secret)), Exit::Done),
+        ("none", with_secret(good, None), Exit::Usage),
+        (
+            "no such file",
+            with_secret(good, Some("/no/such/file")),
+            Exit::Usage,
+        ),
+        ("too short", with_secret(good, Some(&short)), Exit::Usage),
+    ];
+    for (name, text, exit) in cases {
+        let file = folder.file("entry.toml", &text);
+        let words = ["arbutusford", "entry", "--settings", &file, "--check"].map(String::from);
+        let (mut out, mut err) = (Vec::new(), Vec::new());
+        let ended = commands::run_to(&words, &mut out, &mut err);
+        assert_eq!(ended, exit, "{name}: {}", String::from_utf8_lossy(&err));
+    }
+}
+
+/// Returns settings with the secret in `file`, or without one.
+fn with_secret(settings: &str, file: Option<&str>) -> String {
+    let lines = settings
+        .lines()
+        .map(|line| match (line.starts_with("secret_hex"), file) {
+            (true, Some(file)) => format!("secret_file = {file:?}\n"),
+            (true, None) => "\n".into(),
+            (false, _) => format!("{line}\n"),
+        });
+    lines.collect()
+}
+
 #[test]
 fn a_new_token_is_random_and_comes_with_its_hash() {
     let make = || {
