--- a/crates/bench/examples/capacity/fixture.rs
+++ b/crates/bench/examples/capacity/fixture.rs
@@ -98,6 +98,20 @@
     (0..size.engines).map(listed).collect()
 }
 
+/// Returns the engines as the platform sends its list.
+pub fn platform(size: Size) -> Vec<backend::proto::Listed> {
+    let sent = |listed: Listed| backend::proto::Listed {
+        instance: listed.instance,
+        address: listed.address,
+        domain: listed.domain,
+        fabric: listed.fabric,
+        role: backend::proto::Role::Engine,
+        service: None,
+        leaving: listed.leaving,
+    };
+    listed(size).into_iter().map(sent).collect()
+}
+
 /// Returns an engine's report.
 pub fn report(number: usize) -> Report {
     Report {
