Let an account's part accrue before its first request on a node

Buckets started empty, since a node has no part of a limit before the first epoch, and took up the new rate only at the account's next request.

What has accrued is now counted at each exchange of demands, four times a second. No burst is granted beyond the rate. The test fails without the change: "the account's requests per second are used up", retry after 1 s.

--- a/crates/entry/src/serve/accounts.rs
+++ b/crates/entry/src/serve/accounts.rs
@@ -158,7 +158,14 @@
     }
 
     /// Returns the demands to send, each with the home node to ask.
-    pub(crate) fn demands(&self, now: Moment) -> Vec<(Node, Demand)> {
+    ///
+    /// Also counts what has accrued at the part in force until now: otherwise
+    /// a part that grew would count from an account's next request only, and
+    /// its first request on a node would wait for a whole unit.
+    pub(crate) fn demands(&mut self, now: Moment) -> Vec<(Node, Demand)> {
+        for held in self.accounts.values_mut() {
+            held.usage.set(held.portion.current(now), now);
+        }
         let Some((ownership, ..)) = &self.division else {
             return Vec::new();
         };
@@ -264,3 +271,6 @@
 
 /// The shortest wait between two tries to start a request.
 const SHORTEST_WAIT: Duration = Duration::from_millis(5);
+
+#[cfg(test)]
+mod tests;
