--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -388,6 +388,11 @@
             .ok_or_else(|| Error(format!("not accepted: {answer:?}")))
     }
 
+    /// Returns the log of events.
+    pub(crate) fn log(&self) -> &Logger {
+        &self.log
+    }
+
     /// Returns the systems outside.
     pub fn world(&self) -> &Arc<World> {
         &self.world
--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -226,6 +226,7 @@
         let back = |instance: &Instance| {
             let mode = Mode::Up;
             let instance = instance.clone();
+            slog::info!(deployment.log(), "engine returns"; "instance" => %instance);
             world.apply(&Command::Mode { instance, mode });
         };
         let due: Vec<Instance> = down
@@ -239,6 +240,7 @@
         }
         let place = random.random_range(0..up.len());
         let instance = up.swap_remove(place);
+        slog::info!(deployment.log(), "engine fails"; "instance" => %instance);
         let mode = Mode::Refuse;
         world.apply(&Command::Mode {
             instance: instance.clone(),
