--- a/crates/bench/src/load.rs
+++ b/crates/bench/src/load.rs
@@ -169,3 +169,6 @@
 pub(crate) fn fresh_prompt(number: u64) -> String {
     format!("Probe {number:x}: a prompt of its own.")
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/bench/tests/report.rs
@@ -0,0 +1,74 @@
+//! The table of a report: medians, spreads, and what was not measured.
+
+use bench::{Report, Run, Scenario, policy};
+
+/// Returns a run whose downtime and service are given.
+fn run(policy: &str, seed: u64, downtime: Option<f64>) -> Run {
+    let empty = serde_json::json!({
+        "deployment": "lena", "nodes": 9, "scenario": "steady", "policy": policy, "seed": seed,
+        "quick": seed == 9, "length_s": 60.0, "faults": [],
+    });
+    let mut run: Run = serde_json::from_value(empty).expect("absent fields are not measured");
+    run.group_downtime_s = downtime;
+    run
+}
+
+#[test]
+fn a_cell_is_the_median_with_its_spread() {
+    struct Case {
+        downtimes: &'static [Option<f64>],
+        cell: &'static str,
+    }
+    let cases = [
+        Case {
+            downtimes: &[None, None],
+            cell: " - ",
+        },
+        Case {
+            downtimes: &[Some(0.0), Some(0.0)],
+            cell: " 0 ",
+        },
+        Case {
+            downtimes: &[Some(3.0), Some(1.0), Some(20.0)],
+            cell: " 3.000 [1.000 20.0] ",
+        },
+        Case {
+            downtimes: &[Some(1.0), Some(3.0)],
+            cell: " 2.000 [1.000 3.000] ",
+        },
+    ];
+    for case in cases {
+        let runs = case.downtimes.iter().zip(1..);
+        let runs = runs.map(|(downtime, seed)| run("default", seed, *downtime));
+        let table = Report {
+            runs: runs.collect(),
+        }
+        .table();
+        assert_eq!(table.lines().count(), 2, "{table}");
+        assert!(table.contains(case.cell), "{table}");
+    }
+}
+
+#[test]
+fn a_quick_run_says_so() {
+    for (seed, is_quick) in [(1, false), (9, true)] {
+        let runs = vec![run("default", seed, None)];
+        let text = Report { runs }.table();
+        assert_eq!(text.contains("quick"), is_quick, "{text}");
+    }
+}
+
+#[test]
+fn names_are_parsed_or_refused() {
+    assert_eq!(policy::parse("all").map(|all| all.len()), Some(7));
+    assert_eq!(
+        policy::parse("default,fixed"),
+        Some(vec!["default", "fixed"])
+    );
+    assert_eq!(policy::parse("default,other"), None);
+    assert_eq!(Scenario::parse("all").map(|all| all.len()), Some(7));
+    for scenario in Scenario::ALL {
+        assert_eq!(Scenario::parse(scenario.as_str()), Some(vec![scenario]));
+    }
+    assert_eq!(Scenario::parse("storm"), None);
+}
