--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,5 +12,7 @@
 mod drafts;
 mod fixture;
 mod keyed;
+mod matrix;
+mod routing;
 mod security;
 mod stops;
