Read engines' cache events; hedge slow calls; count calls of callers that left

The engines' hash of a prefix covers the first 256 bytes without the model, the route's is per model and block, so neither follows from the other: a bounded table remembers which hashes were sent under which of the engines' names. Each change of boot id or generation begins another life of a cache, which holds nothing.

A call that may be repeated and takes longer than the account's 95th percentile (from 20 calls on) goes to a second, warm server within the retry budget.

A caller that left in the middle of a call left its request counted against the account's concurrency for good; a guard ends it now.

Not yet run before real nodes.

--- a/crates/admit/src/stats/query.rs
+++ b/crates/admit/src/stats/query.rs
@@ -45,6 +45,21 @@
         .collect()
 }
 
+/// Returns the 95th percentile of one series with at least `least` times.
+///
+/// Reads one histogram whatever the number of series.
+pub fn series_p95(
+    stats: &Stats,
+    account: &Account,
+    class: &Class,
+    phase: Phase,
+    least: u64,
+) -> Option<Duration> {
+    let histogram = stats.series.get(&(account.clone(), class.clone(), phase))?;
+    let is_enough = histogram.len() >= least;
+    is_enough.then(|| Duration::from_micros(histogram.value_at_quantile(0.95)))
+}
+
 /// Returns the 95th percentile of one phase over an account's classes, if recorded.
 pub fn p95(stats: &Stats, account: &Account, phase: Phase) -> Option<Duration> {
     let series = stats.series.iter();
--- a/crates/admit/tests/stats.rs
+++ b/crates/admit/tests/stats.rs
@@ -27,4 +27,7 @@
     let p95 = query::p95(&stats, &account(1), Phase::Total).expect("recorded");
     assert!((94..=97).contains(&p95.as_millis()), "{p95:?}");
     assert_eq!(query::p95(&stats, &account(1), Phase::Queueing), None);
+    let series = |least| query::series_p95(&stats, &account(1), &class, Phase::Total, least);
+    assert_eq!(series(100), Some(p95));
+    assert_eq!(series(101), None);
 }
--- a/crates/entry/src/driver/mod.rs
+++ b/crates/entry/src/driver/mod.rs
@@ -2,6 +2,7 @@
 //! decision, and carries the result out.
 
 pub(crate) mod beats;
+pub(crate) mod cache;
 pub(crate) mod claims;
 pub(crate) mod control;
 pub(crate) mod listing;
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -1,7 +1,9 @@
 //! Calls of plain services.
 //!
 //! A call that may be repeated is tried again elsewhere within the account's
-//! budget; one that may not goes through [`super::keyed`].
+//! budget; one that may not goes through [`super::keyed`]. Where an attempt
+//! takes longer than 95 of 100 calls of the account, another server gets the
+//! call too, within the same budget, and the first whole answer counts.
 
 use crate::{
     node::Node,
@@ -15,10 +17,13 @@
         servers::Target,
     },
 };
-use admit::{slot::Ending, stats::Phase};
+use admit::{
+    slot::Ending,
+    stats::{Phase, query},
+};
 use backend::service;
 use clock::Moment;
-use name::{Attempt, Class, Node as NodeName};
+use name::{Account, Attempt, Class, Node as NodeName};
 use route::retry;
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
@@ -48,6 +53,15 @@
 /// The time that another attempt takes at least.
 const EXPECTED: Duration = Duration::from_millis(50);
 
+/// The calls of an account before their 95th percentile means something.
+const LEAST_CALLS: u64 = 20;
+
+/// The time beyond the 95th percentile at which an attempt counts as slow.
+const HEDGE_MARGIN: Duration = Duration::from_millis(1);
+
+/// The wait of a second attempt for a slot; it is of use only at once.
+const HEDGE_WAIT: Duration = Duration::from_millis(5);
+
 /// Returns the class under which calls of services are counted.
 pub(crate) fn class() -> Class {
     Class::try_from(CLASS).expect("a constant name is a name")
@@ -58,27 +72,51 @@
 /// # Errors
 ///
 /// Returns an error that says not-run if not.
-pub(crate) async fn admit(node: &Node, call: &Call) -> Result<(), Error> {
+pub(crate) async fn admit(node: &Arc<Node>, call: &Call) -> Result<Admitted, Error> {
     let now = node.clock.now();
     if !node.is_ready(now) {
         let error = Error::not_run(Kind::Unavailable, "this entry node may take no work now");
         return Err(error.with_retry_after(RETRY_AFTER));
     }
-    if call.forwarded {
-        return Ok(());
+    if !call.forwarded {
+        node.metrics.request(&call.account, &class());
+        accounts::start(node, &call.account, CALL_TOKENS, call.deadline).await?;
     }
-    node.metrics.request(&call.account, &class());
-    accounts::start(node, &call.account, CALL_TOKENS, call.deadline).await
+    Ok(Admitted {
+        node: Arc::clone(node),
+        account: (!call.forwarded).then(|| call.account.clone()),
+    })
 }
 
-/// Ends a call that [`admit`] let in.
-pub(crate) fn settle(node: &Node, call: &Call, arrived: Moment) {
-    if !call.forwarded {
-        node.accounts()
-            .finish(&call.account, CALL_TOKENS, CALL_TOKENS);
-        let total = node.clock.now().since(arrived);
-        node.stats()
-            .record(&call.account, &class(), Phase::Total, total);
+/// A call in progress, as its account's limits count it, until this is dropped.
+///
+/// A guard, since a caller that goes away drops the whole call at any await.
+#[derive(Debug)]
+pub(crate) struct Admitted {
+    node: Arc<Node>,
+    /// None for a call that a peer sent, whose limits the peer counts.
+    account: Option<Account>,
+}
+
+impl Admitted {
+    /// Ends the call, and records the time since it arrived.
+    pub(crate) fn settle(self, arrived: Moment) {
+        if let Some(account) = &self.account {
+            let total = self.node.clock.now().since(arrived);
+            self.node
+                .stats()
+                .record(account, &class(), Phase::Total, total);
+        }
+    }
+}
+
+impl Drop for Admitted {
+    fn drop(&mut self) {
+        if let Some(account) = &self.account {
+            self.node
+                .accounts()
+                .finish(account, CALL_TOKENS, CALL_TOKENS);
+        }
     }
 }
 
@@ -88,10 +126,10 @@
 ///
 /// Returns the error of the last attempt, with the verdict over all of them.
 pub(crate) async fn run(node: &Arc<Node>, mut call: Call) -> Result<Vec<u8>, Error> {
-    admit(node, &call).await?;
+    let admitted = admit(node, &call).await?;
     let arrived = node.clock.now();
     let result = attempts(node, &mut call).await;
-    settle(node, &call, arrived);
+    admitted.settle(arrived);
     result
 }
 
@@ -107,7 +145,7 @@
                 avoid.push(hold.lease().key);
                 call.attempts += 1;
                 node.metrics.attempt(&call.account);
-                attempt(node, call, None, hold).await
+                hedged(node, call, hold, &mut avoid).await
             }
             Ok(Place::Peer(peer)) => {
                 tried.push(peer.clone());
@@ -123,15 +161,116 @@
     }
 }
 
-/// Decides whether another attempt is made.
-fn decide(node: &Node, call: &Call, error: &Error) -> retry::Decision {
-    let situation = retry::Situation {
+/// Makes an attempt on `hold`, and one at another server if it is slow.
+///
+/// The first whole answer counts; the other attempt is cancelled by dropping it.
+async fn hedged(
+    node: &Arc<Node>,
+    call: &mut Call,
+    hold: Hold,
+    avoid: &mut Vec<u64>,
+) -> Result<Vec<u8>, Error> {
+    // A cancelled request may go on for a moment, which only a warm server bears.
+    let patience = match hold.lease().offer.evidence.warm {
+        true => usual(node, call).map(|usual| usual + HEDGE_MARGIN),
+        false => None,
+    };
+    let request = call.clone();
+    let sent = node.clock.now();
+    let first = attempt(node, &request, None, hold);
+    tokio::pin!(first);
+    let Some(patience) = patience else {
+        return first.await;
+    };
+    tokio::select! {
+        biased;
+        result = &mut first => return result,
+        () = sleep(patience) => {}
+    }
+    if !may_hedge(node, call, sent) {
+        return first.await;
+    }
+    let other = tokio::select! {
+        biased;
+        result = &mut first => {
+            give_back(node, call);
+            return result;
+        }
+        other = other_server(node, &request, avoid) => other,
+    };
+    let Some(other) = other else {
+        give_back(node, call);
+        return first.await;
+    };
+    avoid.push(other.lease().key);
+    call.attempts += 1;
+    node.metrics.attempt(&call.account);
+    let second = attempt(node, &request, None, other);
+    tokio::pin!(second);
+    tokio::select! {
+        result = &mut first => either(result, second).await,
+        result = &mut second => either(result, first).await,
+    }
+}
+
+/// Returns the first result if it is an answer, or else that of `rest`, with the
+/// verdict over both.
+async fn either(
+    result: Result<Vec<u8>, Error>,
+    rest: impl Future<Output = Result<Vec<u8>, Error>>,
+) -> Result<Vec<u8>, Error> {
+    let Err(error) = result else { return result };
+    rest.await.map_err(|last| last.after(error.verdict()))
+}
+
+/// Returns the 95th percentile of the time that the account's calls take.
+fn usual(node: &Node, call: &Call) -> Option<Duration> {
+    let stats = node.stats();
+    query::series_p95(&stats, &call.account, &class(), Phase::Total, LEAST_CALLS)
+}
+
+/// Decides whether a second attempt is made; if so, the budget is charged.
+fn may_hedge(node: &Node, call: &Call, sent: Moment) -> bool {
+    let usual = usual(node, call);
+    let now = node.clock.now();
+    let mut accounts = node.accounts();
+    let budget = accounts.budget(&call.account);
+    budget.is_some_and(|budget| retry::hedge(&situation(call), now.since(sent), usual, budget, now))
+}
+
+/// Gives the credit of an attempt back that was not made.
+fn give_back(node: &Node, call: &Call) {
+    if let Some(budget) = node.accounts().budget(&call.account) {
+        budget.give_back();
+    }
+}
+
+/// Returns a slot of a warm server that has not tried the call, if one is free.
+async fn other_server(node: &Arc<Node>, call: &Call, avoid: &[u64]) -> Option<Hold> {
+    let until = node.clock.now() + HEDGE_WAIT;
+    let hold = own_slot(node, call, avoid, until).await.ok()?;
+    let lease = hold.lease();
+    if avoid.contains(&lease.key) || !lease.offer.evidence.warm {
+        hold.finish(Ending::Failed, None, 0);
+        return None;
+    }
+    Some(hold)
+}
+
+/// Returns what the decision on another attempt needs to know of a call.
+fn situation(call: &Call) -> retry::Situation {
+    retry::Situation {
         attempts: call.attempts.max(1),
         is_forwarded: call.forwarded,
         is_idempotent: true,
         deadline: call.deadline,
         expected: EXPECTED,
-    };
+    }
+}
+
+/// Decides whether another attempt is made.
+fn decide(node: &Node, call: &Call, error: &Error) -> retry::Decision {
+    let situation = situation(call);
     let now = node.clock.now();
     let mut accounts = node.accounts();
     match accounts.budget(&call.account) {
--- a/crates/entry/src/serve/keyed.rs
+++ b/crates/entry/src/serve/keyed.rs
@@ -55,7 +55,7 @@
     };
     let reply = Run::start(node, call.clone(), request, admitted.is_ok()).await;
     match admitted {
-        Ok(()) => call::settle(node, &call, arrived),
+        Ok(admitted) => admitted.settle(arrived),
         // The limit is the reason that the caller can act on.
         Err(limit) => {
             return reply.map_err(|error| match error.verdict() {
@@ -277,10 +277,10 @@
         let before = call.deadline;
         let admitted = call::admit(&node, &call).await;
         let result = match admitted {
-            Ok(()) => {
+            Ok(admitted) => {
                 let arrived = node.clock.now();
                 let result = dispatch(&node, &call, number.to_string(), before).await;
-                call::settle(&node, &call, arrived);
+                admitted.settle(arrived);
                 result
             }
             Err(error) => Err(error),
--- a/crates/entry/src/serve/servers.rs
+++ b/crates/entry/src/serve/servers.rs
@@ -6,14 +6,15 @@
 //! has in progress whatever replica it leads.
 
 use admit::slot::{Completion, Ending, Evidence, Gate, Ownership, Permit, Timing};
+use backend::proto::CacheEvents;
 use clock::Moment;
 use name::{
     Domain, Generation, Incarnation, Instance, Model, Node, Offset, Region, Replica, Service,
 };
 use rand::Rng;
-use route::{Candidate, Load, Policy, Request, choose, prefix};
+use route::{Candidate, Load, Naming, Policy, Request, choose, prefix};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -29,6 +30,12 @@
 /// How long a prefix is remembered without renewal.
 const PREFIX_AGE: Duration = Duration::from_secs(300);
 
+/// The engines' names of prefixes that are remembered.
+const MAX_NAMES: usize = 4_000;
+
+/// How long after a draft the events of a replica's cache are of interest.
+const CACHE_INTEREST: Duration = Duration::from_secs(10);
+
 /// What a request wants.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub(crate) enum Target {
@@ -69,6 +76,35 @@
     load: Load,
     /// Whether the last survey offered it.
     is_offered: bool,
+    /// The replica, or the instance of a plain backend server, as affinity knows it.
+    key: u64,
+    cache: Cache,
+}
+
+/// What a node follows of one engine's prefix cache.
+#[derive(Debug, Clone, Default)]
+struct Cache {
+    /// The number of its life among all that this node has seen.
+    life: u64,
+    /// The number of the next event.
+    next: u64,
+    /// When this node last sent a draft with a prefix there.
+    sent: Option<Moment>,
+    /// When its events were last asked for.
+    asked: Option<Moment>,
+}
+
+/// A cache whose events are to be read.
+#[derive(Debug, Clone)]
+pub(crate) struct CacheRead {
+    /// The engine.
+    pub(crate) instance: Instance,
+    /// Its address.
+    pub(crate) address: SocketAddr,
+    /// The number of the first event wanted.
+    pub(crate) from: u64,
+    /// The life that the events are believed to be of.
+    holder: prefix::Holder,
 }
 
 /// The right to one request at one server.
@@ -126,6 +162,9 @@
     servers: BTreeMap<Instance, Server>,
     by_target: HashMap<Target, Vec<Instance>>,
     prefixes: prefix::Index,
+    naming: Naming,
+    /// The lives of caches seen so far.
+    lives: u64,
     turn: u64,
 }
 
@@ -141,6 +180,8 @@
             servers: BTreeMap::new(),
             by_target: HashMap::new(),
             prefixes: prefix::Index::new(MAX_PREFIXES, PREFIX_AGE),
+            naming: Naming::new(MAX_NAMES),
+            lives: 0,
             turn: 0,
         }
     }
@@ -180,8 +221,13 @@
             }
             self.take(offer);
         }
+        let before = self.servers.len();
         self.servers
             .retain(|_, server| server.is_offered || server.gate.in_use() > 0);
+        if self.servers.len() < before {
+            let keys: HashSet<u64> = self.servers.values().map(|server| server.key).collect();
+            self.prefixes.retain(|key| keys.contains(&key));
+        }
     }
 
     /// Takes one offer.
@@ -189,6 +235,7 @@
         let (division, vouched) = (self.division.clone(), self.vouched_until);
         let owner = (self.place.node.clone(), self.place.incarnation);
         let timing = self.timing.clone();
+        let key = key_of(&offer);
         let server = self
             .servers
             .entry(offer.instance.clone())
@@ -208,8 +255,23 @@
                     gate,
                     load: Load::default(),
                     is_offered: true,
+                    key,
+                    cache: Cache::default(),
                 }
             });
+        let is_same_life = server.key == key
+            && server.offer.generation == offer.generation
+            && server.offer.evidence.boot == offer.evidence.boot;
+        if !is_same_life || server.cache.life == 0 {
+            self.lives += 1;
+            let life = self.lives;
+            server.key = key;
+            server.cache = Cache {
+                life,
+                ..Cache::default()
+            };
+            self.prefixes.begin(prefix::Holder { key, life });
+        }
         server.gate.observe(offer.evidence.clone());
         server.load.report(offer.running, offer.evidence.at);
         server.offer = offer;
@@ -260,7 +322,7 @@
         let permit = server.gate.try_acquire(now)?;
         server.load.start(now);
         let key = candidates[choice.index].key;
-        let life = server.offer.generation.0;
+        let life = server.cache.life;
         for hash in prefix {
             self.prefixes
                 .store(*hash, prefix::Holder { key, life }, now);
@@ -284,15 +346,9 @@
     fn candidate(&self, server: &Server, now: Moment) -> Candidate {
         let offer = &server.offer;
         let evidence = &offer.evidence;
-        let name = offer
-            .replica
-            .as_ref()
-            .map_or(offer.instance.as_str(), Replica::as_str);
-        let replica = Replica::try_from(name);
-        let replica = replica.expect("the name of an instance or replica is a name");
         Candidate {
-            key: route::key(&replica),
-            replica,
+            key: server.key,
+            replica: name_of(offer),
             generation: offer.generation,
             domain: offer.domain.clone(),
             region: self.place.region.clone(),
@@ -324,6 +380,75 @@
         self.release(lease, unused, now);
     }
 
+    /// Notes that a draft whose prompt has `hashes` goes to the server of `lease`;
+    /// `name` is the engines' name of its prefix.
+    pub(crate) fn sent(&mut self, lease: &Lease, name: u64, hashes: &[u64], now: Moment) {
+        if hashes.is_empty() {
+            return;
+        }
+        self.naming.note(name, hashes);
+        if let Some(server) = self.servers.get_mut(&lease.offer.instance) {
+            server.cache.sent = Some(now);
+        }
+    }
+
+    /// Returns at most `most` caches to read of replicas that had drafts from
+    /// this node lately, those first that were not asked for longest.
+    pub(crate) fn caches_due(&mut self, most: usize, now: Moment) -> Vec<CacheRead> {
+        let is_due = |server: &Server| {
+            let sent = server.cache.sent;
+            server.is_offered && sent.is_some_and(|sent| now.since(sent) < CACHE_INTEREST)
+        };
+        let mut due: Vec<(&Instance, &mut Server)> = self
+            .servers
+            .iter_mut()
+            .filter(|(_, server)| is_due(server))
+            .collect();
+        due.sort_by_key(|(_, server)| server.cache.asked);
+        let reads = due.into_iter().take(most).map(|(instance, server)| {
+            server.cache.asked = Some(now);
+            CacheRead {
+                instance: instance.clone(),
+                address: server.offer.address,
+                from: server.cache.next,
+                holder: prefix::Holder {
+                    key: server.key,
+                    life: server.cache.life,
+                },
+            }
+        });
+        reads.collect()
+    }
+
+    /// Takes in what `read` brought; events of a life that has ended are dropped.
+    ///
+    /// A store event speaks of the first block only, since the engine's name
+    /// covers no more; an eviction ends the longer prefixes too.
+    pub(crate) fn take_cache(&mut self, read: &CacheRead, events: &CacheEvents, now: Moment) {
+        let holder = read.holder;
+        let Some(server) = self.servers.get_mut(&read.instance) else {
+            return;
+        };
+        if server.key != holder.key || server.cache.life != holder.life {
+            return;
+        }
+        server.cache.next = events.next.max(read.from);
+        for event in &events.events {
+            let Some(meaning) = self.naming.meaning(event.prefix) else {
+                continue;
+            };
+            if event.stored {
+                for hash in &meaning.first {
+                    self.prefixes.store(*hash, holder, now);
+                }
+            } else {
+                for hash in meaning.first.iter().chain(&meaning.longer) {
+                    self.prefixes.evict(*hash, holder);
+                }
+            }
+        }
+    }
+
     /// Returns the number of free slots for each target.
     pub(crate) fn free(&self, now: Moment) -> BTreeMap<Target, u32> {
         let mut free = BTreeMap::new();
@@ -356,3 +481,18 @@
             .collect()
     }
 }
+
+/// Returns the name by which the choice knows a server.
+fn name_of(offer: &Offer) -> Replica {
+    let instance =
+        || Replica::try_from(offer.instance.as_str()).expect("the name of an instance is a name");
+    offer.replica.clone().unwrap_or_else(instance)
+}
+
+/// Returns the key by which affinity knows a server.
+fn key_of(offer: &Offer) -> u64 {
+    route::key(&name_of(offer))
+}
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/entry/src/serve/servers/tests.rs
@@ -0,0 +1,175 @@
+//! What cache events change in the choice of a server.
+
+use super::{Offer, Place, Servers, Target};
+use admit::slot::{Evidence, Ownership, Timing};
+use backend::proto::{CacheEvent, CacheEvents};
+use clock::Moment;
+use name::{Domain, Generation, Incarnation, Instance, Model, Node, Offset, Region, Replica};
+use rand::{SeedableRng, rngs::SmallRng};
+use route::Policy;
+use state::{Epoch, Peer};
+use std::time::Duration;
+use uuid::Uuid;
+
+/// The engines' name of the prompt's prefix.
+const NAME: u64 = 77;
+
+/// The route's hashes of it.
+const HASHES: [u64; 3] = [1, 2, 3];
+
+fn target() -> Target {
+    Target::Model(Model::try_from("m").expect("a name"))
+}
+
+fn offer(number: u64, generation: u64, boot: u128, at: Moment) -> Offer {
+    Offer {
+        targets: vec![target()],
+        replica: Some(Replica::try_from(format!("r{number}").as_str()).expect("a name")),
+        generation: Generation(generation),
+        instance: Instance::try_from(format!("i{number}").as_str()).expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: Domain::try_from("d").expect("a name"),
+        is_spread: false,
+        evidence: Evidence {
+            boot: Uuid::from_u128(boot),
+            warm: true,
+            warm_limit: 16,
+            cold_limit: 4,
+            idle: true,
+            at,
+        },
+        running: 0,
+    }
+}
+
+/// Returns a node alone before two replicas.
+fn servers(now: Moment) -> Servers {
+    let node = Node::try_from("n").expect("a name");
+    let incarnation = Incarnation(Uuid::from_u128(1));
+    let place = Place {
+        node: node.clone(),
+        incarnation,
+        domain: Domain::try_from("d").expect("a name"),
+        region: Region::try_from("r").expect("a name"),
+    };
+    let mut servers = Servers::new(place, Timing::default(), Policy::Affinity);
+    let address = ([127, 0, 0, 1], 1).into();
+    let epoch = Epoch {
+        revision: Offset(1),
+        peers: vec![Peer {
+            node,
+            incarnation,
+            domain: Domain::try_from("d").expect("a name"),
+            peer_address: address,
+            caller_address: address,
+        }],
+    };
+    servers.adopt(Ownership::from(&epoch), Some(Offset::ZERO), now);
+    servers.vouch(now + Duration::from_secs(100));
+    servers.survey(vec![offer(0, 1, 10, now), offer(1, 1, 11, now)]);
+    servers
+}
+
+/// Returns how many blocks the index says that the server `at` holds.
+fn blocks(servers: &Servers, at: u64, now: Moment) -> u32 {
+    let replica = Replica::try_from(format!("r{at}").as_str()).expect("a name");
+    servers
+        .prefixes
+        .find(&HASHES, now)
+        .blocks(route::key(&replica))
+}
+
+/// What happens after a draft with the prompt, and the blocks held then.
+struct Case {
+    name: &'static str,
+    events: Vec<(u64, bool)>,
+    /// The generation and boot id by a survey between asking and the answer.
+    meanwhile: (u64, u128),
+    blocks: u32,
+}
+
+#[test]
+fn events_change_what_the_index_says_within_one_life() {
+    let same = (1, 0);
+    let cases = [
+        Case {
+            name: "no events",
+            events: vec![],
+            meanwhile: same,
+            blocks: 3,
+        },
+        Case {
+            name: "evicted",
+            events: vec![(NAME, false)],
+            meanwhile: same,
+            blocks: 0,
+        },
+        Case {
+            name: "evicted and stored",
+            events: vec![(NAME, false), (NAME, true)],
+            meanwhile: same,
+            blocks: 1,
+        },
+        Case {
+            name: "another prefix evicted",
+            events: vec![(NAME + 1, false)],
+            meanwhile: same,
+            blocks: 3,
+        },
+        Case {
+            name: "new generation",
+            events: vec![(NAME, true)],
+            meanwhile: (2, 0),
+            blocks: 0,
+        },
+        Case {
+            name: "restart",
+            events: vec![(NAME, true)],
+            meanwhile: (1, 90),
+            blocks: 0,
+        },
+    ];
+    for case in cases {
+        let now = Moment::START + Duration::from_secs(1);
+        let mut servers = servers(now);
+        assert!(servers.caches_due(8, now).is_empty(), "{}", case.name);
+        let mut rng = SmallRng::seed_from_u64(1);
+        let lease = servers
+            .acquire(&target(), &HASHES, &[], now, &mut rng)
+            .expect("a slot");
+        let at = u64::from(lease.offer.instance.as_str() == "i1");
+        servers.sent(&lease, NAME, &HASHES, now);
+        let reads = servers.caches_due(8, now);
+        assert_eq!(reads.len(), 1, "{}", case.name);
+        assert_eq!(
+            (&reads[0].instance, reads[0].from),
+            (&lease.offer.instance, 0)
+        );
+        let (generation, boot) = case.meanwhile;
+        let changed = offer(at, generation, 10 + u128::from(at) + boot, now);
+        servers.survey(vec![
+            changed,
+            offer(1 - at, 1, 10 + u128::from(1 - at), now),
+        ]);
+        let numbered = case.events.iter().zip(0..);
+        let events = numbered.map(|((prefix, stored), number)| CacheEvent {
+            number,
+            prefix: *prefix,
+            stored: *stored,
+        });
+        let next = case.events.len() as u64;
+        let events = CacheEvents {
+            next,
+            events: events.collect(),
+        };
+        servers.take_cache(&reads[0], &events, now);
+        assert_eq!(blocks(&servers, at, now), case.blocks, "{}", case.name);
+        assert_eq!(blocks(&servers, 1 - at, now), 0, "{}", case.name);
+        if case.meanwhile == same {
+            let again = servers.caches_due(8, now);
+            assert_eq!(again[0].from, next, "{}", case.name);
+        }
+        let late = now + super::CACHE_INTEREST;
+        assert!(servers.caches_due(8, late).is_empty(), "{}", case.name);
+    }
+}
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -3,7 +3,7 @@
 use crate::{
     admin,
     driver::{
-        self, beats, claims, control, each, listing, millis, observe,
+        self, beats, cache, claims, control, each, listing, millis, observe,
         replicas::{self, Former},
         survey,
         watch::{self, Watched},
@@ -438,6 +438,7 @@
     tasks.spawn(each(again(), poll, watch::poll));
     tasks.spawn(each(again(), poll, observe::ask_all));
     tasks.spawn(each(again(), survey::EACH, survey::run));
+    tasks.spawn(each(again(), cache::EACH, cache::run));
     tasks.spawn(each(again(), beat, beats::run));
     let former = Arc::clone(former);
     tasks.spawn(each(again(), replicas::EACH, move |node| {
--- a/crates/route/src/lib.rs
+++ b/crates/route/src/lib.rs
@@ -11,10 +11,12 @@
 pub mod answer;
 mod choice;
 mod load;
+mod naming;
 mod policy;
 pub mod prefix;
 pub mod retry;
 
 pub use choice::{Candidate, Choice, Reason, Request, choose, key};
 pub use load::Load;
+pub use naming::{Meaning, Naming};
 pub use policy::{Policy, Unknown};
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -55,7 +55,7 @@
 pub struct Holder {
     /// The replica, by [`crate::key`].
     pub key: u64,
-    /// The replica's generation; entries of an older one count no more.
+    /// The number of the life; entries of an earlier one count no more.
     pub life: u64,
 }
 
@@ -86,6 +86,14 @@
         }
     }
 
+    /// Notes that a replica's cache began a life, which holds nothing yet.
+    ///
+    /// Entries of earlier lives count no more; word of an earlier life is dropped.
+    pub fn begin(&mut self, holder: Holder) {
+        let life = self.lives.entry(holder.key).or_insert(holder.life);
+        *life = holder.life.max(*life);
+    }
+
     /// Notes that a replica holds a prefix, by an event or by a request sent to it.
     pub fn store(&mut self, prefix: u64, holder: Holder, now: Moment) {
         self.age(now);
