Test retries, hedging, cancellation, affinity and shares before real nodes

One ledger is slowed, not half: the 95th percentile would become the slow time otherwise, and nothing would be hedged.

--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,4 +10,5 @@
 mod drafts;
 mod fixture;
 mod keyed;
+mod routing;
 mod stops;
