--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -18,7 +18,7 @@
 use slog::debug;
 use std::{sync::Arc, time::Duration};
 use tokio::time::sleep;
-use verdict::{Error, Kind};
+use verdict::{Error, Kind, Verdict};
 
 /// The longest time until an engine accepts a draft.
 const ACCEPT_WITHIN: Duration = Duration::from_secs(5);
@@ -41,10 +41,11 @@
 pub(crate) async fn run(
     node: &Arc<Node>,
     draft: &Draft,
-    hold: Hold,
+    mut hold: Hold,
     delivery: &mut Delivery,
 ) -> Outcome {
     let attempt = Attempt::random();
+    hold.send();
     let lease = hold.lease();
     let offer = Arc::clone(&lease.offer);
     let before = delivery.progress().tokens();
@@ -61,7 +62,11 @@
             let changed = failure.changed_life().is_some();
             let error = Error::from(failure);
             debug!(node.log, "attempt not accepted"; "instance" => %offer.instance, "error" => %error);
-            hold.finish(ending_of(&error, changed), None, 0);
+            let ending = ending_of(&error, changed);
+            match error.verdict() {
+                Verdict::NotRun => hold.finish(ending, None, 0),
+                _ => hold.cut(ending, 0),
+            }
             return Outcome::Failed(error);
         }
     };
@@ -75,19 +80,15 @@
     };
     let outcome = stream.deliver(delivery).await;
     delivery.abandon();
-    let ending = match &outcome {
-        Outcome::Whole { .. } => Ending::Whole,
-        Outcome::Failed(_) => Ending::Reset,
-        Outcome::Gone => Ending::Failed,
-    };
     let first = stream.first;
     drop(stream);
     let generated = delivery.progress().tokens().saturating_sub(before);
-    hold.finish(
-        ending,
-        first,
-        prompt_tokens(&draft.prompt) + u64::from(generated),
-    );
+    let tokens = prompt_tokens(&draft.prompt) + u64::from(generated);
+    match &outcome {
+        Outcome::Whole { .. } => hold.finish(Ending::Whole, first, tokens),
+        Outcome::Failed(_) => hold.cut(Ending::Reset, tokens),
+        Outcome::Gone => hold.cut(Ending::Failed, tokens),
+    }
     outcome
 }
 
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -374,7 +374,7 @@
     node: &Arc<Node>,
     call: &Call,
     key: Option<String>,
-    hold: Hold,
+    mut hold: Hold,
 ) -> Result<Vec<u8>, Error> {
     let request = service::Call {
         attempt: Attempt::random(),
@@ -386,20 +386,23 @@
     let allowed = still_allowed(node, hold.lease());
     let left = sent.until(call.deadline);
     let target = hold.lease().target();
+    hold.send();
     match service::call(&node.pool, target, &request, allowed, left).await {
         Ok(answer) => {
             hold.finish(Ending::Whole, None, CALL_TOKENS);
             Ok(serde_json::to_vec(&answer.result).unwrap_or_default())
         }
         Err(failure) => {
-            let is_refusal = failure.error().kind() == Kind::Overloaded;
-            let ending = if is_refusal {
-                Ending::Failed
-            } else {
-                Ending::Reset
+            let error = Error::from(failure);
+            let ending = match error.kind() {
+                Kind::Overloaded => Ending::Failed,
+                _ => Ending::Reset,
             };
-            hold.finish(ending, None, 0);
-            Err(failure.into())
+            match error.verdict() {
+                Verdict::NotRun => hold.finish(ending, None, 0),
+                _ => hold.cut(ending, 0),
+            }
+            Err(error)
         }
     }
 }
--- a/crates/entry/src/serve/hold.rs
+++ b/crates/entry/src/serve/hold.rs
@@ -16,15 +16,21 @@
     task::{Context, Poll},
     time::Duration,
 };
-use tokio::sync::oneshot;
+use tokio::{runtime::Handle, sync::oneshot, time::sleep};
 use verdict::{Error, Kind};
 
+/// The time by which a server has noticed that a connection was closed and has
+/// stopped the work.
+const CUT_REST: Duration = Duration::from_millis(500);
+
 /// A lease in use; dropping it without [`Hold::finish`] counts as a failure.
 #[derive(Debug)]
 pub(crate) struct Hold {
     node: Arc<Node>,
     lease: Option<Lease>,
     share: Share,
+    /// Whether the server may have work in progress for it.
+    is_sent: bool,
 }
 
 /// What the request took from its account's share when it left the queue.
@@ -43,6 +49,44 @@
             .expect("a lease is held until the guard is consumed")
     }
 
+    /// Notes that the request is sent from now on.
+    pub(crate) fn send(&mut self) {
+        self.is_sent = true;
+    }
+
+    /// Returns the slot after the request was cut off, once the server has
+    /// noticed: a cold one might not bear another request before.
+    pub(crate) fn cut(mut self, ending: Ending, tokens: u64) {
+        self.settle(tokens);
+        if ending == Ending::Reset {
+            let now = self.node.clock.now();
+            let instance = Arc::clone(&self.lease().offer);
+            self.node.servers().reset(&instance.instance, now);
+        }
+        self.rest();
+    }
+
+    /// Returns the slot after [`CUT_REST`].
+    fn rest(&mut self) {
+        let failed = Completion {
+            ending: Ending::Failed,
+            first_token: None,
+        };
+        let Ok(runtime) = Handle::try_current() else {
+            return self.put_back(failed);
+        };
+        let mut rested = Self {
+            node: Arc::clone(&self.node),
+            lease: self.lease.take(),
+            share: self.share.clone(),
+            is_sent: false,
+        };
+        runtime.spawn(async move {
+            sleep(CUT_REST).await;
+            rested.put_back(failed);
+        });
+    }
+
     /// Returns the slot with what its use showed.
     ///
     /// `tokens` is what the request came to, prompt and answer.
@@ -77,8 +121,12 @@
 
 impl Drop for Hold {
     fn drop(&mut self) {
-        if self.lease.is_some() {
-            self.settle(self.share.tokens);
+        if self.lease.is_none() {
+            return;
+        }
+        self.settle(self.share.tokens);
+        if self.is_sent {
+            return self.rest();
         }
         self.put_back(Completion {
             ending: Ending::Failed,
@@ -127,6 +175,7 @@
                 node: Arc::clone(&self.node),
                 lease: Some(lease),
                 share: self.share.clone(),
+                is_sent: false,
             }),
             Err(_) => Err(Error::not_run(
                 Kind::Deadline,
@@ -144,6 +193,7 @@
                 node: Arc::clone(&self.node),
                 lease: Some(lease),
                 share: self.share.clone(),
+                is_sent: false,
             });
         }
     }
--- a/crates/entry/src/serve/servers.rs
+++ b/crates/entry/src/serve/servers.rs
@@ -371,6 +371,13 @@
         }
     }
 
+    /// Closes a server to cold after a connection was reset.
+    pub(crate) fn reset(&mut self, instance: &Instance, now: Moment) {
+        if let Some(server) = self.servers.get_mut(instance) {
+            server.gate.reset(now);
+        }
+    }
+
     /// Takes back a lease that was not used.
     pub(crate) fn give_back(&mut self, lease: Lease, now: Moment) {
         let unused = Completion {
--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -266,6 +266,60 @@
     deployment.stop().await;
 }
 
+/// Callers that leave a cold deployment, several at once.
+const LEAVING_ROUNDS: usize = 10;
+const LEAVING_AT_ONCE: usize = 12;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn callers_that_go_away_never_overload_a_cold_server() {
+    let mut deployment = deployment("").await;
+    for server in deployment.world().servers() {
+        let instance = server.listed().instance.clone();
+        deployment.world().apply(&Command::Warm {
+            instance,
+            warm: false,
+        });
+    }
+    let callers = deployment.callers();
+    for round in 0..LEAVING_ROUNDS {
+        let before = begun(&deployment);
+        let streams = (0..LEAVING_AT_ONCE).map(|n| {
+            let (client, address) = (deployment.client().clone(), callers[n % 3]);
+            tokio::spawn(async move {
+                let key = api_key(ACCOUNT);
+                let body = json!({"model": MODEL, "stream": true, "max_tokens": 200, "seed": n, "prompt": "p"});
+                let path = "/v1/completions";
+                let _ = client.stream(address, path, &key, &[], &body).await;
+            })
+        });
+        let calls = (0..LEAVING_AT_ONCE).map(|n| {
+            let (client, address) = (deployment.client().clone(), callers[n % 3]);
+            tokio::spawn(async move {
+                let key = api_key(ACCOUNT);
+                let path = "/v1/services/ledger/balance";
+                let body = json!({"n": n});
+                let _ = client
+                    .call(http::Method::POST, address, path, &key, &[], &body)
+                    .await;
+            })
+        });
+        let all: Vec<_> = streams.chain(calls).collect();
+        within("some work begins", PATIENCE, async || {
+            begun(&deployment) > before + 2 || all.iter().all(|one| one.is_finished())
+        })
+        .await;
+        for one in &all {
+            one.abort();
+        }
+        assert_eq!(
+            deployment.world().counters().cold_overloads,
+            0,
+            "round {round}"
+        );
+    }
+    deployment.stop().await;
+}
+
 /// Common beginnings of prompts, and the drafts with each.
 const FAMILIES: usize = 10;
 const MEMBERS: usize = 6;
