--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -10,6 +10,7 @@
 use slog::{Logger, o};
 use standin::{Command, Faults, Shape};
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
+use tokio::task::JoinHandle;
 
 /// How long anything here may take before it counts as stuck.
 const PATIENCE: Duration = Duration::from_secs(40);
@@ -305,7 +306,7 @@
         });
         let all: Vec<_> = streams.chain(calls).collect();
         within("some work begins", PATIENCE, async || {
-            begun(&deployment) > before + 2 || all.iter().all(|one| one.is_finished())
+            begun(&deployment) > before + 2 || all.iter().all(JoinHandle::is_finished)
         })
         .await;
         for one in &all {
