--- a/crates/entry/src/serve/servers/tests.rs
+++ b/crates/entry/src/serve/servers/tests.rs
@@ -169,7 +169,7 @@
             let again = servers.caches_due(8, now);
             assert_eq!(again[0].from, next, "{}", case.name);
         }
-        let late = now + super::CACHE_INTEREST;
+        let late = now + super::cache::CACHE_INTEREST;
         assert!(servers.caches_due(8, late).is_empty(), "{}", case.name);
     }
 }
