--- a/crates/bench/src/scenario.rs
+++ b/crates/bench/src/scenario.rs
@@ -219,10 +219,9 @@
     let mut random = ChaCha8Rng::seed_from_u64(seed);
     let world = std::sync::Arc::clone(deployment.world());
     let mut up = engines(deployment);
-    let mut down: Vec<(Instant, Instance)> = Vec::new();
+    let mut down: Vec<(u32, Instance)> = Vec::new();
     for percent in (10..=95).step_by(FAILURE_EACH_PERCENT) {
         pace.until(percent).await;
-        let now = Instant::now();
         let back = |instance: &Instance| {
             let mode = Mode::Up;
             let instance = instance.clone();
@@ -230,7 +229,7 @@
             world.apply(&Command::Mode { instance, mode });
         };
         let due: Vec<Instance> = down
-            .extract_if(.., |(at, _)| *at <= now)
+            .extract_if(.., |(at, _)| *at <= percent)
             .map(|(_, instance)| instance)
             .collect();
         due.iter().for_each(back);
@@ -246,7 +245,7 @@
             instance: instance.clone(),
             mode,
         });
-        down.push((now + pace.length * DOWN_PERCENT / 100, instance));
+        down.push((percent + DOWN_PERCENT, instance));
     }
     Ok(Seen::default())
 }
