--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -3,7 +3,7 @@
 use crate::{
     admin,
     driver::{
-        self, beats, claims, control, each, listing, millis, observe,
+        self, beats, cache, claims, control, each, listing, millis, observe,
         replicas::{self, Former},
         survey,
         watch::{self, Watched},
@@ -438,6 +438,7 @@
     tasks.spawn(each(again(), poll, watch::poll));
     tasks.spawn(each(again(), poll, observe::ask_all));
     tasks.spawn(each(again(), survey::EACH, survey::run));
+    tasks.spawn(each(again(), cache::EACH, cache::run));
     tasks.spawn(each(again(), beat, beats::run));
     let former = Arc::clone(former);
     tasks.spawn(each(again(), replicas::EACH, move |node| {
@@ -478,14 +479,19 @@
         ended.clone(),
         node.log.clone(),
     ));
-    tasks.spawn(serve_peers(Arc::clone(node), listeners.peer, ended));
+    tasks.spawn(serve_peers(Arc::clone(node), listeners.peer, bounds, ended));
 }
 
 /// Serves the peers until the node ends.
-async fn serve_peers(node: Arc<Node>, listener: TcpListener, ended: CancellationToken) {
+async fn serve_peers(
+    node: Arc<Node>,
+    listener: TcpListener,
+    bounds: listen::Bounds,
+    ended: CancellationToken,
+) {
     let proof = Proof::new(&node.secret, node.clock.clone());
     let log = node.log.clone();
-    if let Err(error) = peer::server::serve(node, proof, listener, ended).await {
+    if let Err(error) = peer::server::serve(node, proof, listener, bounds, ended).await {
         warn!(log, "the service for peers ended"; "error" => %error);
     }
 }
