--- a/crates/proof/src/world.rs
+++ b/crates/proof/src/world.rs
@@ -223,6 +223,8 @@
     pub(crate) mute_until: Moment,
     /// What all records lead to.
     pub(crate) truth: State,
+    /// The lists in force, by a compare-and-set of its own.
+    lists: Offset,
     /// The accepted lists and operations, with the moments at which a node first
     /// read them back, since no operator is told of them before.
     pub(crate) accepted: Vec<(Offset, Option<Moment>)>,
@@ -548,6 +550,15 @@
         let at = self.wall();
         self.log.entries.push(Entry { offset, at, data });
         let outcome = self.log.truth.apply(offset, &record);
+        if let state::Change::Lists { base, .. } = &record.change
+            && *base == self.log.lists
+        {
+            self.log.lists = offset;
+        }
+        if self.log.truth.lists_revision != self.log.lists {
+            let text = format!("lists {offset} took the place of others than their base");
+            self.note(Promise::Configuration, text);
+        }
         let is_configuration = matches!(
             record.change,
             state::Change::Lists { .. } | state::Change::Operation { .. }
