Let the system choose a deployment's ports when it starts

Change: nodes listen on port 0 and later ones get the earlier ones as seeds; a restart keeps the ports. The bench's own retry of the start is gone.

--- a/crates/bench/src/deployment.rs
+++ b/crates/bench/src/deployment.rs
@@ -10,7 +10,7 @@
 use standin::{Shape, World};
 use std::{
     fmt, io,
-    net::{SocketAddr, TcpListener},
+    net::{IpAddr, Ipv4Addr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
@@ -167,16 +167,15 @@
     admin: SocketAddr,
 }
 
-/// Returns addresses that were free a moment ago.
-fn free_addresses() -> io::Result<Addresses> {
-    let listeners = [(); 3].map(|()| TcpListener::bind("127.0.0.1:0"));
-    let [caller, peer, admin] = listeners;
-    Ok(Addresses {
-        caller: caller?.local_addr()?,
-        peer: peer?.local_addr()?,
-        admin: admin?.local_addr()?,
-    })
-}
+/// Loopback addresses whose ports the system chooses.
+const ANY: Addresses = {
+    let any = SocketAddr::new(IpAddr::V4(Ipv4Addr::LOCALHOST), 0);
+    Addresses {
+        caller: any,
+        peer: any,
+        admin: any,
+    }
+};
 
 impl Deployment {
     /// Starts the stand-ins and the entry nodes, and publishes the lists.
@@ -186,10 +185,6 @@
     /// Returns an error if anything does not start.
     pub async fn start(options: Options, log: &Logger) -> Result<Self, Error> {
         let world = World::start(&options.shape, options.seed).await?;
-        let mut addresses = Vec::new();
-        for _ in 0..options.nodes {
-            addresses.push(free_addresses()?);
-        }
         let mut deployment = Self {
             entries: options
                 .shape
@@ -202,9 +197,9 @@
             clock: Clock::system(),
             client: Client::new(),
             log: log.clone(),
+            addresses: vec![ANY; options.nodes],
             options,
             world: Arc::new(world),
-            addresses,
         };
         for number in 0..deployment.options.nodes {
             deployment.start_entry(number).await?;
@@ -215,6 +210,8 @@
 
     /// Starts the entry node with a number, again after a stop or kill.
     ///
+    /// At the first start the system chooses the ports, which a restart keeps.
+    ///
     /// The listeners of a killed node close a moment after the kill, so that a
     /// few tries may be needed.
     ///
@@ -236,6 +233,11 @@
         let text = self.settings(number);
         let settings = settings::parse(&text, "deployment").map_err(|e| Error(e.to_string()))?;
         let running = Running::start(settings, self.clock.clone(), &self.log)?;
+        self.addresses[number] = Addresses {
+            caller: running.entry.caller_address(),
+            peer: running.entry.peer_address(),
+            admin: running.entry.admin_address(),
+        };
         self.entries[number] = Some(running);
         Ok(())
     }
@@ -259,6 +261,7 @@
         let seeds: Vec<String> = self
             .addresses
             .iter()
+            .filter(|a| a.peer.port() != 0)
             .take(3)
             .map(|a| format!("\"{}\"", a.peer))
             .collect();
--- a/crates/bench/src/run.rs
+++ b/crates/bench/src/run.rs
@@ -24,9 +24,6 @@
 /// How long the replicas may take to form.
 const PATIENCE: Duration = Duration::from_secs(40);
 
-/// The tries to start a deployment, whose ports are free only a moment before.
-const START_TRIES: u32 = 4;
-
 /// The time without load over which the idle processor time is taken.
 const IDLE: Duration = Duration::from_secs(1);
 
@@ -92,7 +89,7 @@
         seed: setup.seed,
         settings: format!("{SETTINGS}{}", policy::settings(setup.policy)),
     };
-    let mut deployment = start(options, log).await?;
+    let mut deployment = Deployment::start(options, log).await?;
     deployment.ready(replicas(setup.policy), PATIENCE).await?;
     warm(deployment.world());
     let idle = idle(setup.nodes).await;
@@ -103,18 +100,6 @@
     Ok(report(setup, gathered?))
 }
 
-/// Starts a deployment, again if another process took one of its ports.
-async fn start(options: Options, log: &Logger) -> Result<Deployment, Error> {
-    let mut tries = 0;
-    loop {
-        tries += 1;
-        match Deployment::start(options.clone(), log).await {
-            Err(error) if tries < START_TRIES => slog::warn!(log, "no start"; "error" => %error),
-            started => return started,
-        }
-    }
-}
-
 /// Returns the replicas that form from 48 engines in six fabric domains.
 fn replicas(policy: &str) -> u64 {
     match policy {
