Give the cancelled draft a seed whose answer is long enough to be cut off

Its draft had a random seed; for some seeds the answer is a single token and whole before the engine falls silent, so that nothing is left to cancel. Change: the seed is one whose answer has more than four tokens. The check is the same.

--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -221,6 +221,8 @@
         ..Faults::default()
     };
     set_faults(&deployment, "-e", &stalls);
+    // An answer of a single token would be whole before the engine falls silent.
+    let long = (0..).find(|seed| standin::engine::answer(*seed, "p", 8).len() > 4);
     // One after the other, so that each finds the slot of the one before.
     for round in 0..12 {
         let before = deployment.world().counters();
@@ -228,7 +230,7 @@
         let is_draft = round % 2 == 0;
         let left = tokio::spawn(async move {
             let key = api_key(ACCOUNT);
-            let body = json!({"model": MODEL, "stream": true, "max_tokens": 8, "prompt": "p"});
+            let body = json!({"model": MODEL, "stream": true, "max_tokens": 8, "seed": long, "prompt": "p"});
             if is_draft {
                 let path = "/v1/completions";
                 let _ = client.stream(address, path, &key, &[], &body).await;
