Decide in one place which epoch was replaced

Cause: the control driver and the matrix each had the rule by which slots are kept or rest; two copies can part. Change: state::replaced_epoch, with a table of cases, used by both. Conclusion: the cells and pairs of the matrix are as before.

--- a/crates/entry/src/driver/control.rs
+++ b/crates/entry/src/driver/control.rs
@@ -8,7 +8,7 @@
 use log::{Backoff, Read, Store, Tail, follow};
 use name::{Node as NodeName, Offset};
 use slog::{debug, info, warn};
-use state::{Change, Event, Outcome, Relay, State};
+use state::{Event, Outcome, Relay, State, replaced_epoch};
 use std::{
     sync::{Arc, MutexGuard},
     time::Duration,
@@ -78,7 +78,7 @@
     for event in &events {
         note(node, event);
     }
-    let base = epoch_base(&events, &before);
+    let base = replaced_epoch(&events, before.epoch.revision);
     if state.epoch.revision != before.epoch.revision {
         adopt_epoch(node, &state, base);
     }
@@ -118,31 +118,6 @@
     }
 }
 
-/// Returns the epoch that the one in force replaced, if this node held it.
-///
-/// If several epochs were folded at once, a slot may have had another owner in
-/// between, so that the base counts as unknown.
-fn epoch_base(events: &[Event], before: &State) -> Option<Offset> {
-    let bases: Vec<Offset> = events
-        .iter()
-        .filter_map(|event| match event {
-            Event::Folded {
-                record: Some(record),
-                outcome: Outcome::Accepted,
-                ..
-            } => match &record.change {
-                Change::Epoch { base, .. } => Some(*base),
-                _ => None,
-            },
-            _ => None,
-        })
-        .collect();
-    match bases.as_slice() {
-        [base] if *base == before.epoch.revision => Some(*base),
-        _ => None,
-    }
-}
-
 /// Divides slots and limits by a new epoch.
 fn adopt_epoch(node: &Node, state: &State, base: Option<Offset>) {
     let now = node.clock.now();
--- a/crates/proof/src/control.rs
+++ b/crates/proof/src/control.rs
@@ -17,7 +17,7 @@
 use replica::{Policy, Servable, orders, propose};
 use state::{
     Change, Event, Follower, Operation, Outcome, Page, Peer, Record, Scope, State, Writer, decode,
-    encode,
+    encode, replaced_epoch,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use uuid::Uuid;
@@ -89,28 +89,6 @@
     .collect()
 }
 
-/// Returns the epoch that the one in force replaced, if the node held it.
-fn epoch_base(events: &[Event], before: &State) -> Option<Offset> {
-    let bases: Vec<Offset> = events
-        .iter()
-        .filter_map(|event| match event {
-            Event::Folded {
-                record: Some(record),
-                outcome: Outcome::Accepted,
-                ..
-            } => match &record.change {
-                Change::Epoch { base, .. } => Some(*base),
-                _ => None,
-            },
-            _ => None,
-        })
-        .collect();
-    match bases.as_slice() {
-        [base] if *base == before.epoch.revision => Some(*base),
-        _ => None,
-    }
-}
-
 /// Returns a node as an epoch lists it.
 fn peer(node: usize, life: u32) -> Peer {
     let template = Node::new(node, life, Moment::START);
@@ -191,7 +169,7 @@
         if state.epoch.revision != before.epoch.revision {
             let base = match self.is_broken(Broken::NoRest) {
                 true => Some(Offset::ZERO),
-                false => epoch_base(events, before),
+                false => replaced_epoch(events, before.epoch.revision),
             };
             self.nodes[node].adopt_epoch(&state, base, now);
         }
--- a/crates/state/src/lib.rs
+++ b/crates/state/src/lib.rs
@@ -16,6 +16,7 @@
 mod history;
 mod index;
 mod stored;
+mod succession;
 mod writers;
 
 pub use change::{Assignment, Change, Epoch, Operation, Peer, Record, Scope, Snapshot, Writer};
@@ -26,6 +27,7 @@
 pub use follower::{Event, Follower, Limits, Page, Relay};
 pub use history::Entry;
 pub use index::Index;
+pub use succession::replaced_epoch;
 pub use writers::{MAX_WRITERS, Mark, RETRY_HORIZON};
 
 /// Serializes a map with keys that are not strings as a list of pairs.
--- /dev/null
+++ b/crates/state/src/succession.rs
@@ -0,0 +1,31 @@
+//! Which epoch the one in force replaced.
+
+use crate::{Change, Event, Outcome};
+use name::Offset;
+
+/// Returns the epoch that the last of `events` replaced, if it is the `held` one.
+///
+/// If several epochs were folded at once, or a snapshot was adopted, a slot may
+/// have had another owner in between, so that the answer is unknown.
+pub fn replaced_epoch(events: &[Event], held: Offset) -> Option<Offset> {
+    let mut bases = events.iter().filter_map(accepted_base);
+    let base = bases.next()?;
+    let is_only = bases.next().is_none();
+    (is_only && base == held).then_some(base)
+}
+
+/// Returns the base of an accepted epoch.
+fn accepted_base(event: &Event) -> Option<Offset> {
+    let Event::Folded {
+        record: Some(record),
+        outcome: Outcome::Accepted,
+        ..
+    } = event
+    else {
+        return None;
+    };
+    match &record.change {
+        Change::Epoch { base, .. } => Some(*base),
+        _ => None,
+    }
+}
--- a/crates/state/tests/all/main.rs
+++ b/crates/state/tests/all/main.rs
@@ -6,3 +6,4 @@
 mod make;
 mod search;
 mod stream;
+mod succession;
--- /dev/null
+++ b/crates/state/tests/all/succession.rs
@@ -0,0 +1,95 @@
+//! Which epoch a set of events replaced.
+
+use name::{Domain, Incarnation, Node, Offset, Sequence};
+use state::{Change, Event, Outcome, Peer, Record, Rejection, Writer, replaced_epoch};
+use uuid::Uuid;
+
+/// Returns the folding of an epoch on `base`.
+fn epoch(base: u64, outcome: Outcome) -> Event {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let peer = Peer {
+        node: Node::try_from("node").expect("a name"),
+        incarnation: Incarnation(Uuid::nil()),
+        domain: Domain::try_from("domain").expect("a name"),
+        peer_address: address,
+        caller_address: address,
+    };
+    let record = Record {
+        writer: Writer(Incarnation(Uuid::nil())),
+        sequence: Sequence(1),
+        change: Change::Epoch {
+            base: Offset(base),
+            peers: vec![peer],
+        },
+    };
+    Event::Folded {
+        offset: Offset(base + 1),
+        record: Some(Box::new(record)),
+        is_own: false,
+        outcome,
+    }
+}
+
+struct Case {
+    name: &'static str,
+    events: Vec<Event>,
+    held: u64,
+    replaced: Option<u64>,
+}
+
+#[test]
+fn only_a_single_accepted_successor_of_the_held_epoch_tells_its_base() {
+    let lost = || Outcome::Rejected(Rejection::Conflict { current: Offset(5) });
+    let adopted = Event::Adopted {
+        offset: Offset(9),
+        own: None,
+    };
+    let cases = [
+        Case {
+            name: "no epoch",
+            events: vec![],
+            held: 4,
+            replaced: None,
+        },
+        Case {
+            name: "the first",
+            events: vec![epoch(0, Outcome::Accepted)],
+            held: 0,
+            replaced: Some(0),
+        },
+        Case {
+            name: "the successor",
+            events: vec![epoch(4, Outcome::Accepted)],
+            held: 4,
+            replaced: Some(4),
+        },
+        Case {
+            name: "the successor beside one that lost",
+            events: vec![epoch(4, Outcome::Accepted), epoch(4, lost())],
+            held: 4,
+            replaced: Some(4),
+        },
+        Case {
+            name: "two at once",
+            events: vec![epoch(4, Outcome::Accepted), epoch(5, Outcome::Accepted)],
+            held: 4,
+            replaced: None,
+        },
+        Case {
+            name: "the successor of another",
+            events: vec![epoch(5, Outcome::Accepted)],
+            held: 4,
+            replaced: None,
+        },
+        Case {
+            name: "a snapshot",
+            events: vec![adopted],
+            held: 4,
+            replaced: None,
+        },
+    ];
+    for case in cases {
+        let replaced = replaced_epoch(&case.events, Offset(case.held));
+        assert_eq!(replaced, case.replaced.map(Offset), "{}", case.name);
+    }
+}
