--- a/crates/proof/src/control.rs
+++ b/crates/proof/src/control.rs
@@ -16,8 +16,8 @@
 use name::{Generation, Offset, Replica, Sequence};
 use replica::{Policy, Servable, orders, propose};
 use state::{
-    Change, Event, Follower, Operation, Outcome, Page, Peer, Record, Scope, State, Writer, decode,
-    encode, replaced_epoch,
+    Change, Event, Follower, Operation, Page, Peer, Record, Scope, State, Writer, decode, encode,
+    replaced_epoch,
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
 use uuid::Uuid;
