Remove three settings that nothing reads

Cause: slot_rest_ms, load_timeout_ms and queue_bytes were documented and had no effect: slots rest by the voucher's bound and the longest request, and waiting requests are bounded by number and by the size of a body.

--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -199,8 +199,6 @@
         queue_requests: u32 = 1_024,
         /// The largest number of requests that wait, for one client account.
         queue_requests_per_account: u32 = 256,
-        /// The largest sum of bodies of the requests that wait.
-        queue_bytes: u64 = 32 << 20,
     }
 }
 
@@ -217,14 +215,10 @@
         report_freshness_ms: u64 = 1_500,
         /// The age after which a reading of the log's tail vouches for nothing.
         voucher_bound_ms: u64 = 2_000,
-        /// The time that a slot rests after it changed its owner.
-        slot_rest_ms: u64 = 3_000,
         /// The time that callers may keep the list of entries.
         entries_ttl_ms: u64 = 5_000,
         /// The longest time between the decision on an order and its effect.
         order_lifetime_ms: u64 = 2_000,
-        /// The longest wait for an engine that loads weights.
-        load_timeout_ms: u64 = 600_000,
         /// The time for which the log keeps a record.
         log_retention_s: u64 = 86_400,
         /// The longest single wait for new records of the log.
