--- a/crates/settings/tests/documents.rs
+++ b/crates/settings/tests/documents.rs
@@ -67,12 +67,12 @@
         name: "three faults at once",
         replace: (
             "domain = \"teifi\"",
-            "colour = 3\nlimits.queue_bytes = -1\ntimings.heartbeat_ms = 0",
+            "colour = 3\nlimits.max_body_bytes = -1\ntimings.heartbeat_ms = 0",
         ),
         faults: &[
             (1, "domain", "missing field"),
             (3, "colour", "unknown key"),
-            (4, "limits.queue_bytes", "invalid value"),
+            (4, "limits.max_body_bytes", "invalid value"),
             (5, "timings.heartbeat_ms", "too small"),
         ],
     },
