Import the replica crate once in the tests of serving

Cause: two use statements for one crate, against the house style. Change: one nested statement. Formatter, linter and the crate's 31 tests pass.

--- a/crates/replica/tests/all/serve.rs
+++ b/crates/replica/tests/all/serve.rs
@@ -3,8 +3,10 @@
 use crate::fixture::{epoch, listed, n};
 use clock::Moment;
 use name::{Generation, Instance, Node, Offset};
-use replica::{Cause, Judgement, Phase, Report, Settings, View, Vote, Watch};
-use replica::{dispatch_check, servable, watchers};
+use replica::{
+    Cause, Judgement, Phase, Report, Settings, View, Vote, Watch, dispatch_check, servable,
+    watchers,
+};
 use state::{Assignment, Operation, Scope, State};
 use std::collections::BTreeSet;
 use uuid::Uuid;
