Stage weights on reserves, ask engines less, hint at news of replicas

Cause: entries' sequence counts renewals, not orders, so that two in three orders did not fit; nodes that read the claims for the first time claimed at once; and replicas that lost a member waited for a load of 16 s. What binds now: replicas of the smaller model are given up too easily.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -19,14 +19,14 @@
 ///
 /// Each read confirms the configuration as of its start, so that the wait and
 /// the time of an answer must stay well below the bound on revoked secrets.
-const OPERATOR_WAIT: Duration = Duration::from_millis(1_200);
+const OPERATOR_WAIT: Duration = Duration::from_millis(1_600);
 
 /// The time between two reads of the servers' feed, part of the time within
 /// which a server that leaves must get no more requests.
-const SERVER_STEP: Duration = Duration::from_millis(450);
+const SERVER_STEP: Duration = Duration::from_millis(800);
 
 /// The same at the node that plans.
-const PLANNER_STEP: Duration = Duration::from_millis(100);
+const PLANNER_STEP: Duration = Duration::from_millis(150);
 
 /// How often a node looks whether another one has read further.
 const HINT_STEP: Duration = Duration::from_millis(50);
@@ -186,11 +186,14 @@
                     .into_iter()
                     .chain(unusable.map(Change::Gone))
                     .collect();
-                apply_servers(&shared, changes, batch.is_snapshot, &mut lapsed);
+                let has_news = apply_servers(&shared, changes, batch.is_snapshot, &mut lapsed);
                 let mut tables = shared.tables();
                 tables.servers_confirmed = Some(asked);
                 if let Cursor::At(offset) = cursor {
                     tables.peers.servers_read = offset;
+                    if has_news {
+                        tables.peers.news = tables.peers.news.max(offset);
+                    }
                 }
             }
             Err(error) => {
@@ -209,23 +212,24 @@
         sleep(HINT_STEP).await;
         let waited = shared.now().since(begin);
         let tables = shared.tables();
+        let has_news = tables.peers.news > tables.peers.servers_read;
         let step = match tables.peers.own_token {
             Some(_) => PLANNER_STEP,
             None => SERVER_STEP,
         };
-        if waited >= step {
+        if waited >= step || has_news {
             return;
         }
     }
 }
 
-/// Applies changes of servers' entries.
+/// Applies changes of servers' entries; returns whether targets changed by them.
 fn apply_servers(
     shared: &Arc<Shared>,
     changes: Vec<Change>,
     is_snapshot: bool,
     lapsed: &mut HashMap<Instance, clock::Moment>,
-) {
+) -> bool {
     let now = shared.now();
     let mut tables = shared.tables();
     let is_after_outage = tables
@@ -271,9 +275,11 @@
         }
         tables.fleet.apply(change);
     }
+    let before = Arc::clone(&tables.targets);
     if is_changed {
         shared.refresh(&mut tables);
     }
+    *before != *tables.targets
 }
 
 /// Logs what changed of a server's entry, if it matters.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -54,8 +54,8 @@
     shares: Vec<(Instance, u32, u32)>,
     /// The replicas that this node's callers would fill, by model.
     demand: Vec<(Model, f64)>,
-    /// How far the sender has read the servers' feed.
-    servers: u64,
+    /// How far the servers' feed must be read to know the last change of a replica.
+    news: u64,
 }
 
 /// Another node.
@@ -84,8 +84,8 @@
     pub(crate) own_lost: Vec<(Instance, u64)>,
     /// How far this node has read the servers' feed.
     pub(crate) servers_read: u64,
-    /// How far any node has read it.
-    pub(crate) servers_known: u64,
+    /// How far it must be read to know the last change of a replica.
+    pub(crate) news: u64,
 }
 
 impl Peers {
@@ -181,7 +181,7 @@
             demand: beat.demand.clone(),
         };
         self.peers.insert(peer.card.node.clone(), peer);
-        self.servers_known = self.servers_known.max(beat.servers);
+        self.news = self.news.max(beat.news);
         if let Some(token) = beat.planner {
             let newest = self.planner.map_or(0, |(newest, _)| newest);
             if token >= newest {
@@ -215,7 +215,7 @@
                     .map(|s| (s.server, s.work.requests, s.work.unread))
                     .collect(),
                 demand: tables.demand.replicas(now).into_iter().collect(),
-                servers: tables.peers.servers_read,
+                news: tables.peers.news,
             };
             let addresses = tables.peers.addresses(now);
             let nodes = tables.peers.count();
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -152,7 +152,7 @@
             return None;
         }
     };
-    let is_news = !batch.records.is_empty() && *cursor != Cursor::Start;
+    let is_news = !batch.records.is_empty();
     *cursor = batch.next;
     let Cursor::At(end) = batch.next else {
         return None;
@@ -166,7 +166,7 @@
         return Some(end);
     }
     if is_news {
-        // Another node claimed meanwhile; it is given time to be heard.
+        // Another node has claimed; it is given time to be heard.
         return None;
     }
     let pause = rand::random_range(0..=MAX_CLAIM_PAUSE_MS);
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -9,11 +9,16 @@
 };
 use std::{collections::HashMap, time::Duration};
 
-/// The time between two questions to an engine, each of which is priced.
-const STEP: Duration = Duration::from_millis(500);
+/// The time between two questions to a member of a replica.
+///
+/// It bounds how long a lost member goes unnoticed, and each question is priced.
+const STEP: Duration = Duration::from_millis(600);
+
+/// The same for an engine that is a member of nothing.
+const IDLE_STEP: Duration = Duration::from_millis(2_000);
 
 /// The same for an engine that an order changes.
-const WATCHED_STEP: Duration = Duration::from_millis(120);
+const WATCHED_STEP: Duration = Duration::from_millis(150);
 
 /// The pause before a question that had no answer is asked again.
 const AGAIN: Duration = Duration::from_millis(100);
@@ -78,10 +83,18 @@
             if probe.entry.1 != *server {
                 probe.entry = (now, server.clone());
             }
-            let step = if is_watched(id) { WATCHED_STEP } else { STEP };
-            let soon = probe.report.as_ref().map_or(now, |(at, _)| *at + step);
-            let is_due = now >= probe.next || (probe.unanswered == 0 && now >= soon);
-            if is_due && !probe.is_asking {
+            let step = if is_watched(id) {
+                WATCHED_STEP
+            } else if server.engine.member.is_some() {
+                STEP
+            } else {
+                IDLE_STEP
+            };
+            let due = match &probe.report {
+                Some((asked, _)) if probe.unanswered == 0 => *asked + step,
+                _ => probe.next,
+            };
+            if now >= due && !probe.is_asking {
                 probe.is_asking = true;
                 questions.push(Question {
                     server: server.clone(),
@@ -109,7 +122,6 @@
         match answer {
             Ok(report) if is_own(&report) => {
                 probe.unanswered = 0;
-                probe.next = now + STEP;
                 probe.report = Some((question.asked, report));
             }
             _ => {
@@ -143,12 +155,14 @@
             is_alive: probe.unanswered < MAX_UNANSWERED,
             is_allowed,
             is_busy: false,
+            sequence: None,
             pace: 1.0,
             asked: probe.entry.0,
         };
         if let Some((asked, report)) = &probe.report {
             engine.pace = report.pace;
             engine.is_busy = report.is_busy;
+            engine.sequence = Some(report.sequence);
             engine.asked = engine.asked.max(*asked);
             if *asked >= probe.entry.0 {
                 let fabric = engine.server.engine.fabric.clone();
--- a/crates/form/src/engine.rs
+++ b/crates/form/src/engine.rs
@@ -19,6 +19,8 @@
     pub is_allowed: bool,
     /// Whether an order is in progress, as it reports.
     pub is_busy: bool,
+    /// The orders that it has accepted, as it reports; `None` before its first report.
+    pub sequence: Option<u64>,
     /// How much slower than usual it works.
     pub pace: f64,
     /// When its latest report was asked for.
--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -91,6 +91,18 @@
         Next::Orders(orders)
     }
 
+    /// Returns how many members still load weights.
+    pub(crate) fn loading(&self, engines: &HashMap<Instance, Engine>) -> usize {
+        if self.loads == 0 {
+            return 0;
+        }
+        let is_ready = |id: &&Instance| {
+            let member = engines.get(*id).and_then(Engine::member);
+            member.is_some_and(|m| self.is_own(m) && m.phase != Phase::Joining)
+        };
+        self.members.len() - self.members.iter().filter(is_ready).count()
+    }
+
     /// Returns whether a membership is one in this formation.
     pub(crate) fn is_own(&self, member: &Member) -> bool {
         member.replica == self.replica && member.generation == self.generation
--- a/crates/form/src/need.rs
+++ b/crates/form/src/need.rs
@@ -1,6 +1,7 @@
 //! How much each model is asked for, against what serves it.
 
-use name::Model;
+use crate::Engine;
+use name::{Fabric, Instance, Model};
 use site::config;
 use std::collections::HashMap;
 
@@ -73,3 +74,68 @@
         models
     }
 }
+
+/// What the engines of each fabric domain could join without a load.
+#[derive(Debug)]
+pub(crate) struct Reserves<'a> {
+    engine: &'a config::Engine,
+    /// The members of replicas by domain and model.
+    members: HashMap<(Option<&'a Fabric>, &'a Model), usize>,
+    /// The engines that are members of nothing and could join, likewise.
+    idle: HashMap<(Option<&'a Fabric>, &'a Model), usize>,
+}
+
+impl<'a> Reserves<'a> {
+    /// Counts the engines.
+    pub(crate) fn new(engines: &'a HashMap<Instance, Engine>, engine: &'a config::Engine) -> Self {
+        let mut reserves = Self {
+            engine,
+            members: HashMap::new(),
+            idle: HashMap::new(),
+        };
+        for e in engines.values().filter(|e| e.is_sound()) {
+            for weights in &engine.models {
+                let key = (e.fabric(), &weights.model);
+                let is_member = e.member().is_some() && e.holds(&weights.model);
+                if is_member {
+                    *reserves.members.entry(key).or_default() += 1;
+                }
+                if e.member().is_none() && !e.needs_load(&weights.model) {
+                    *reserves.idle.entry(key).or_default() += 1;
+                }
+            }
+        }
+        reserves
+    }
+
+    /// Returns the model that an engine's host should stage, if any.
+    ///
+    /// An engine in reserve stages what its domain's replicas would lack most
+    /// if one of their members were lost. A member of a smaller replica stages
+    /// the largest model, so that it can stand in for a member of that.
+    pub(crate) fn lacking(&self, e: &Engine) -> Option<Model> {
+        let largest = self.engine.models.iter().max_by_key(|w| w.size)?;
+        if e.member().is_some() {
+            let is_lacking = e.needs_load(&largest.model);
+            return is_lacking.then(|| largest.model.clone());
+        }
+        let is_ready = |w: &&config::Weights| e.has_staged(&w.model);
+        if self.engine.models.iter().any(|w| is_ready(&w)) {
+            let is_lacking = e.needs_load(&largest.model) && self.is_bare(e, &largest.model);
+            return is_lacking.then(|| largest.model.clone());
+        }
+        let risk = |w: &&config::Weights| {
+            let key = (e.fabric(), &w.model);
+            let members = self.members.get(&key).copied().unwrap_or(0);
+            let idle = self.idle.get(&key).copied().unwrap_or(0);
+            (members * 100 / (1 + idle), w.size)
+        };
+        let lacking = self.engine.models.iter().filter(|w| e.needs_load(&w.model));
+        lacking.max_by_key(risk).map(|w| w.model.clone())
+    }
+
+    /// Returns whether no idle engine of the domain could join a replica of a model.
+    fn is_bare(&self, e: &Engine, model: &Model) -> bool {
+        !self.idle.contains_key(&(e.fabric(), model))
+    }
+}
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -3,7 +3,7 @@
 use crate::{
     Demand, Engine,
     formation::{Formation, Next},
-    need::Scarcity,
+    need::{Reserves, Scarcity},
     replica::{Reported, reported},
 };
 use clock::Moment;
@@ -32,6 +32,11 @@
 /// The hysteresis keeps engines from moving to and fro with the demand.
 const DONOR_FACTOR: f64 = 1.6;
 
+/// The use of a model's replicas above which another one is formed even if that
+/// takes loads from the weight store. Below it, engines are better kept in
+/// reserve, with their weights staged.
+const SCARCE: f64 = 0.6;
+
 /// The part of the allowed loads of weights that the planner uses.
 const LOADS_PART: f64 = 0.8;
 
@@ -61,7 +66,7 @@
 #[derive(Debug, Clone)]
 struct Sent {
     command: Command,
-    sequence: u64,
+    sequence: Option<u64>,
     at: Moment,
 }
 
@@ -272,7 +277,9 @@
         loop {
             let order = scarcity.order(rates.engine);
             let found = order.into_iter().find_map(|weights| {
-                let members = self.pick(engines, free, weights, rates, now)?;
+                let is_scarce = scarcity.with(&weights.model, 0) >= SCARCE;
+                let may_load = !rates.has_traffic || is_scarce;
+                let members = self.pick(engines, free, weights, may_load, rates, now)?;
                 Some((weights, members))
             });
             let Some((weights, members)) = found else {
@@ -292,10 +299,15 @@
         engines: &HashMap<Instance, Engine>,
         free: &HashMap<Option<Fabric>, Vec<Instance>>,
         weights: &config::Weights,
+        may_load: bool,
         rates: &Rates<'_>,
         now: Moment,
     ) -> Option<Vec<Instance>> {
-        let room = self.loads_left(rates, now);
+        let room = if may_load {
+            self.loads_left(engines, rates, now)
+        } else {
+            0
+        };
         let mut best: Option<(Duration, usize, Vec<Instance>)> = None;
         for (fabric, ids) in free {
             if ids.len() < weights.size || (fabric.is_none() && weights.size > 1) {
@@ -404,7 +416,11 @@
         }
     }
 
-    /// Stages weights on hosts that lack those of the largest model.
+    /// Stages weights on hosts, so that replicas that lose a member are formed
+    /// again without a load from the weight store.
+    ///
+    /// Engines that are members of nothing go first. Loads never stop while any
+    /// host lacks something: engines may be lost as fast as they can be loaded.
     fn stage(
         &mut self,
         engines: &HashMap<Instance, Engine>,
@@ -412,39 +428,47 @@
         now: Moment,
         wanted: &mut Vec<(Instance, Command)>,
     ) {
-        if !rates.has_traffic || self.formations.iter().any(|f| f.loads > 0) {
+        if !rates.has_traffic {
             return;
         }
-        let Some(largest) = rates.engine.models.iter().max_by_key(|w| w.size) else {
-            return;
+        let is_taken = |id: &Instance| {
+            self.sent.contains_key(id)
+                || wanted.iter().any(|(other, _)| other == id)
+                || self.formations.iter().any(|f| f.members.contains(id))
         };
-        let at_once = (rates.engine.loads_at_once as usize / 2).max(1);
-        let is_loading = |sent: &&Moment| now.since(**sent) < largest.load;
-        if self.loads.iter().filter(is_loading).count() >= at_once || self.loads_left(rates, now) == 0
-        {
-            return;
-        }
-        let mut lacking: Vec<&Engine> = engines
+        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
+        let busy = |e: &&Engine| e.is_busy && e.is_alive;
+        let staging = engines.values().filter(busy).count();
+        let at_once = rates.engine.loads_at_once as usize;
+        let room = at_once
+            .saturating_sub(joining.max(staging))
+            .min(self.loads_left(engines, rates, now));
+        let mut hosts: Vec<&Engine> = engines
             .values()
-            .filter(|e| e.is_sound() && e.is_allowed && !e.is_busy)
-            .filter(|e| !e.holds(&largest.model) && !e.has_staged(&largest.model))
-            .filter(|e| !wanted.iter().any(|(id, _)| id == e.id()))
-            .filter(|e| !self.sent.contains_key(e.id()))
+            .filter(|e| e.is_sound() && e.is_allowed && !e.is_busy && !is_taken(e.id()))
             .collect();
-        lacking.sort_by_key(|e| (e.member().is_some(), e.id().clone()));
-        if let Some(engine) = lacking.first() {
+        hosts.sort_by_key(|e| (e.member().is_some(), e.id().clone()));
+        let reserves = Reserves::new(engines, rates.engine);
+        let chosen: Vec<_> = hosts
+            .into_iter()
+            .filter_map(|e| Some((e.id().clone(), reserves.lacking(e)?)))
+            .take(room)
+            .collect();
+        for (id, model) in chosen {
             self.loads.push_back(now);
-            let stage = Command::Stage {
-                model: largest.model.clone(),
-            };
-            wanted.push((engine.id().clone(), stage));
+            wanted.push((id, Command::Stage { model }));
         }
     }
 
     /// Returns how many loads of weights may begin now.
-    fn loads_left(&self, rates: &Rates<'_>, now: Moment) -> usize {
+    fn loads_left(
+        &self,
+        engines: &HashMap<Instance, Engine>,
+        rates: &Rates<'_>,
+        now: Moment,
+    ) -> usize {
         if !rates.has_traffic {
-            let loading: usize = self.formations.iter().map(|f| f.loads).sum();
+            let loading: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
             let at_once = rates.engine.loads_at_once as usize;
             return if loading < at_once { usize::MAX } else { 0 };
         }
@@ -466,7 +490,7 @@
             let Some(engine) = engines.get(&id) else {
                 continue;
             };
-            let sequence = engine.server.engine.sequence;
+            let sequence = engine.sequence;
             let is_pending = self.sent.get(&id).is_some_and(|sent| {
                 sent.sequence == sequence || sent.command == command || engine.asked <= sent.at
             });
@@ -484,7 +508,7 @@
                 order: Order {
                     command,
                     token: self.token,
-                    expected_sequence: Some(sequence),
+                    expected_sequence: sequence,
                 },
             });
         }
--- a/crates/site/src/server.rs
+++ b/crates/site/src/server.rs
@@ -37,8 +37,6 @@
     pub models: Vec<Model>,
     /// The replica of which it is a member.
     pub member: Option<Member>,
-    /// The orders that it has accepted in this life.
-    pub sequence: u64,
 }
 
 /// A membership in a replica.
@@ -77,6 +75,8 @@
     pub born: Option<u64>,
     /// What it says of itself.
     pub engine: Engine,
+    /// The orders that it has accepted in this life.
+    pub sequence: u64,
     /// Whether an order is in progress.
     pub is_busy: bool,
     /// The requests that wait.
