--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -302,8 +302,14 @@
     }
 }
 
-/// Reads the other nodes' cards from time to time, for as long as the node runs.
-pub(crate) async fn cards(shared: Arc<Shared>, own: name::Node) {
+/// Announces this node, and reads the other nodes' cards from time to time, for
+/// as long as the node runs.
+///
+/// The card is written before the others are first read, so that of two nodes
+/// that start at once at least one learns of the other.
+pub(crate) async fn cards(shared: Arc<Shared>, card: site::node::Card) {
+    let own = card.node.clone();
+    announce(&shared, card).await;
     let mut faults = Faults::default();
     loop {
         match (shared.platform.cards)(Cursor::Start, Duration::ZERO).await {
@@ -326,7 +332,7 @@
 }
 
 /// Puts this node's card into the store, trying until it stands there.
-pub(crate) async fn announce(shared: Arc<Shared>, card: site::node::Card) {
+async fn announce(shared: &Shared, card: site::node::Card) {
     while let Err(error) = (shared.platform.announce)(card.clone()).await {
         warn!(shared.log, "card not announced"; "error" => %error);
         sleep(PAUSE).await;
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -7,7 +7,7 @@
 
 use crate::{probe::Probes, state::Shared};
 use clock::Moment;
-use form::{Demand, Planner, Rates};
+use form::{Demand, Note, Planner, Rates};
 use name::{Instance, Service};
 use site::{
     Server,
@@ -253,7 +253,11 @@
             .planners
             .entry(service.clone())
             .or_insert_with(|| Planner::new(token));
-        for send in planner.step(&seen, &rates, now) {
+        let decided = planner.step(&seen, &rates, now);
+        for note in &decided.notes {
+            log_note(shared, token, note);
+        }
+        for send in decided.sends {
             let server = seen[&send.engine].server.clone();
             tokio::spawn(order(
                 Arc::clone(shared),
@@ -266,6 +270,30 @@
     }
 }
 
+/// Logs a decision of the planner.
+fn log_note(shared: &Shared, token: u64, note: &Note) {
+    match note {
+        Note::Form {
+            replica,
+            model,
+            members,
+            scarcity,
+            loads,
+        } => info!(shared.log, "replica to form"; "token" => token, "replica" => %replica,
+            "model" => %model, "members" => ?members, "scarcity" => scarcity, "loads" => loads),
+        Note::Formed { replica, is_open } => info!(shared.log, "formation ended";
+            "token" => token, "replica" => %replica, "is_open" => is_open),
+        Note::GiveUp {
+            replica,
+            scarcer,
+            scarcity,
+        } => info!(shared.log, "replica given up"; "token" => token, "replica" => %replica,
+            "scarcer" => %scarcer, "scarcity" => scarcity),
+        Note::Serving { replicas, reserve } => info!(shared.log, "replicas serving";
+            "token" => token, "replicas" => ?replicas, "reserve" => reserve),
+    }
+}
+
 /// Asks one engine for its state.
 async fn ask(
     shared: Arc<Shared>,
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -82,8 +82,7 @@
         let node = card.node.clone();
         tasks.spawn(follow::operators(Arc::clone(&shared)));
         tasks.spawn(follow::servers(Arc::clone(&shared)));
-        tasks.spawn(follow::cards(Arc::clone(&shared), node.clone()));
-        tasks.spawn(follow::announce(Arc::clone(&shared), card.clone()));
+        tasks.spawn(follow::cards(Arc::clone(&shared), card.clone()));
         tasks.spawn(peers::hear(Arc::clone(&shared), Arc::clone(&socket), node));
         tasks.spawn(peers::tell(Arc::clone(&shared), socket, card.clone()));
         tasks.spawn(plan::run(Arc::clone(&shared), card.clone()));
--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -17,4 +17,4 @@
 
 pub use engine::Engine;
 pub use need::Demand;
-pub use planner::{Planner, Rates, Send};
+pub use planner::{Note, Planner, Rates, Send, Step};
--- a/crates/form/src/need.rs
+++ b/crates/form/src/need.rs
@@ -128,7 +128,7 @@
             let key = (e.fabric(), &w.model);
             let members = self.members.get(&key).copied().unwrap_or(0);
             let idle = self.idle.get(&key).copied().unwrap_or(0);
-            (members * 100 / (1 + idle), w.size)
+            (members * 100 / (1 + idle), std::cmp::Reverse(w.size))
         };
         let lacking = self.engine.models.iter().filter(|w| e.needs_load(&w.model));
         lacking.max_by_key(risk).map(|w| w.model.clone())
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -7,7 +7,7 @@
     replica::{Reported, reported},
 };
 use clock::Moment;
-use name::{Fabric, Instance, Replica};
+use name::{Fabric, Instance, Model, Replica};
 use site::{
     config,
     order::{Command, Order, Outcome},
@@ -35,7 +35,11 @@
 /// The use of a model's replicas above which another one is formed even if that
 /// takes loads from the weight store. Below it, engines are better kept in
 /// reserve, with their weights staged.
-const SCARCE: f64 = 0.6;
+const SCARCE: f64 = 0.75;
+
+/// The part of a fabric domain's engines that is kept in reserve while no model
+/// is scarce, so that a replica that loses a member is formed again at once.
+const RESERVE_PART: f64 = 0.2;
 
 /// The part of the allowed loads of weights that the planner uses.
 const LOADS_PART: f64 = 0.8;
@@ -49,6 +53,56 @@
     pub order: Order,
 }
 
+/// What one step decided.
+#[derive(Debug, Clone, Default)]
+pub struct Step {
+    /// The orders to send.
+    pub sends: Vec<Send>,
+    /// What the planner believes and wants now, for the log.
+    pub notes: Vec<Note>,
+}
+
+/// A decision or a change of belief, for the log.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Note {
+    /// A replica is to be formed.
+    Form {
+        /// The replica.
+        replica: Replica,
+        /// The model.
+        model: Model,
+        /// The members.
+        members: Vec<Instance>,
+        /// The use of the model's replicas before.
+        scarcity: f64,
+        /// How many members load weights from the weight store.
+        loads: usize,
+    },
+    /// A formation ended.
+    Formed {
+        /// The replica.
+        replica: Replica,
+        /// Whether it serves.
+        is_open: bool,
+    },
+    /// A serving replica is given up for a scarcer model.
+    GiveUp {
+        /// The replica.
+        replica: Replica,
+        /// The scarcer model.
+        scarcer: Model,
+        /// The use of that model's replicas.
+        scarcity: f64,
+    },
+    /// The replicas that serve each model, and the engines that are members of nothing.
+    Serving {
+        /// The replicas by model.
+        replicas: Vec<(Model, usize)>,
+        /// The engines in reserve.
+        reserve: usize,
+    },
+}
+
 /// The planner's knowledge of the deployment for one step.
 #[derive(Debug, Clone)]
 pub struct Rates<'a> {
@@ -82,6 +136,9 @@
     incomplete: HashMap<(Replica, u64), Moment>,
     /// The highest generation that was reported.
     highest: u64,
+    notes: Vec<Note>,
+    /// The last note on what serves.
+    serving: Option<Note>,
 }
 
 impl Planner {
@@ -104,7 +161,7 @@
         engines: &HashMap<Instance, Engine>,
         rates: &Rates<'_>,
         now: Moment,
-    ) -> Vec<Send> {
+    ) -> Step {
         self.sent
             .retain(|id, sent| engines.contains_key(id) && now.since(sent.at) < PATIENCE);
         let replicas = reported(engines);
@@ -133,11 +190,37 @@
                 serving.push(replica);
             }
         }
+        self.note_serving(&serving, &free, rates);
         self.form(engines, &mut free, &mut scarcity, rates, now);
         self.give_up(engines, &free, &serving, &scarcity, rates, &mut wanted);
         self.stage(engines, rates, now, &mut wanted);
         self.advance(engines, now, &mut wanted);
-        self.send(engines, wanted, now)
+        Step {
+            sends: self.send(engines, wanted, now),
+            notes: std::mem::take(&mut self.notes),
+        }
+    }
+
+    /// Notes what serves, if that has changed.
+    fn note_serving(
+        &mut self,
+        serving: &[&Reported],
+        free: &HashMap<Option<Fabric>, Vec<Instance>>,
+        rates: &Rates<'_>,
+    ) {
+        let count = |model: &Model| {
+            let is_model = |r: &&&Reported| r.model.as_ref() == Some(model);
+            serving.iter().filter(is_model).count()
+        };
+        let models = rates.engine.models.iter();
+        let note = Note::Serving {
+            replicas: models.map(|w| (w.model.clone(), count(&w.model))).collect(),
+            reserve: free.values().map(Vec::len).sum(),
+        };
+        if self.serving.as_ref() != Some(&note) {
+            self.serving = Some(note.clone());
+            self.notes.push(note);
+        }
     }
 
     /// Takes note of what became of an order.
@@ -162,18 +245,23 @@
         now: Moment,
         wanted: &mut Vec<(Instance, Command)>,
     ) {
-        self.formations
-            .retain(|formation| match formation.next(engines, now) {
-                Next::Orders(orders) => {
-                    for order in orders {
-                        if !wanted.contains(&order) {
-                            wanted.push(order);
-                        }
+        let notes = &mut self.notes;
+        self.formations.retain(|formation| {
+            let next = formation.next(engines, now);
+            if let Next::Orders(orders) = next {
+                for order in orders {
+                    if !wanted.contains(&order) {
+                        wanted.push(order);
                     }
-                    true
                 }
-                Next::Done | Next::Hopeless => false,
+                return true;
+            }
+            notes.push(Note::Formed {
+                replica: formation.replica.clone(),
+                is_open: next == Next::Done,
             });
+            false
+        });
     }
 
     /// Returns the engines that are members of nothing, by fabric domain.
@@ -278,18 +366,18 @@
             let order = scarcity.order(rates.engine);
             let found = order.into_iter().find_map(|weights| {
                 let is_scarce = scarcity.with(&weights.model, 0) >= SCARCE;
-                let may_load = !rates.has_traffic || is_scarce;
-                let members = self.pick(engines, free, weights, may_load, rates, now)?;
+                let members = self.pick(engines, free, weights, is_scarce, rates, now)?;
                 Some((weights, members))
             });
             let Some((weights, members)) = found else {
                 return;
             };
+            let before = scarcity.with(&weights.model, 0);
             scarcity.add(&weights.model);
             for ids in free.values_mut() {
                 ids.retain(|id| !members.contains(id));
             }
-            self.begin(engines, weights, members, now);
+            self.begin(engines, weights, members, before, now);
         }
     }
 
@@ -299,18 +387,24 @@
         engines: &HashMap<Instance, Engine>,
         free: &HashMap<Option<Fabric>, Vec<Instance>>,
         weights: &config::Weights,
-        may_load: bool,
+        is_scarce: bool,
         rates: &Rates<'_>,
         now: Moment,
     ) -> Option<Vec<Instance>> {
-        let room = if may_load {
+        let room = if is_scarce || !rates.has_traffic {
             self.loads_left(engines, rates, now)
         } else {
             0
         };
+        let sizes = domain_sizes(engines);
         let mut best: Option<(Duration, usize, Vec<Instance>)> = None;
         for (fabric, ids) in free {
-            if ids.len() < weights.size || (fabric.is_none() && weights.size > 1) {
+            let reserve = if is_scarce {
+                0
+            } else {
+                (sizes[fabric] as f64 * RESERVE_PART).round() as usize
+            };
+            if ids.len() < weights.size + reserve || (fabric.is_none() && weights.size > 1) {
                 continue;
             }
             let mut ids = ids.clone();
@@ -344,6 +438,7 @@
         engines: &HashMap<Instance, Engine>,
         weights: &config::Weights,
         members: Vec<Instance>,
+        scarcity: f64,
         now: Moment,
     ) {
         let loads = members
@@ -361,6 +456,13 @@
         };
         let generation = self.token.max(self.highest);
         let model = weights.model.clone();
+        self.notes.push(Note::Form {
+            replica: replica.clone(),
+            model: model.clone(),
+            members: members.clone(),
+            scarcity,
+            loads,
+        });
         self.formations.push(Formation::new(
             replica, generation, model, members, longest, loads, now,
         ));
@@ -368,7 +470,7 @@
 
     /// Gives up a serving replica whose engines a scarcer model needs more.
     fn give_up(
-        &self,
+        &mut self,
         engines: &HashMap<Instance, Engine>,
         free: &HashMap<Option<Fabric>, Vec<Instance>>,
         serving: &[&Reported],
@@ -413,6 +515,11 @@
                 is_abrupt: false,
             };
             wanted.push((head.clone(), close));
+            self.notes.push(Note::GiveUp {
+                replica: replica.replica.clone(),
+                scarcer: scarcest.model.clone(),
+                scarcity: scarcity.with(&scarcest.model, 0),
+            });
         }
     }
 
@@ -428,7 +535,7 @@
         now: Moment,
         wanted: &mut Vec<(Instance, Command)>,
     ) {
-        if !rates.has_traffic {
+        if !rates.has_traffic && !self.formations.is_empty() {
             return;
         }
         let is_taken = |id: &Instance| {
@@ -515,3 +622,12 @@
         sends
     }
 }
+
+/// Returns how many engines each fabric domain has.
+fn domain_sizes(engines: &HashMap<Instance, Engine>) -> HashMap<Option<Fabric>, usize> {
+    let mut sizes = HashMap::new();
+    for engine in engines.values().filter(|e| e.is_sound()) {
+        *sizes.entry(engine.fabric().cloned()).or_default() += 1;
+    }
+    sizes
+}
