Stage a reserve in each domain before the last replicas; join without leaving

Cause: before the first request loads are bound by the weight store, and all of them went into replicas, so that a lost member meant a load of 16 s. Also: dead engines were forgotten by the planner as soon as it read that their entries were gone, and other nodes, which read later, sent to them again; nodes that lost a claim took it for news later.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -27,7 +27,7 @@
 const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
 
 /// How many intervals a node may be silent before it is thought gone.
-const SILENT_INTERVALS: u32 = 6;
+const SILENT_INTERVALS: u32 = 4;
 
 /// How long a node that is silent still counts when allowances are divided.
 const COUNTED_FOR: Duration = Duration::from_secs(10);
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -35,7 +35,7 @@
 const VIEW_TO_PLAN: Duration = Duration::from_millis(2_500);
 
 /// The longest pause before a node claims, so that not all claim at once.
-const MAX_CLAIM_PAUSE_MS: u64 = 250;
+const MAX_CLAIM_PAUSE_MS: u64 = 150;
 
 /// What the planner of one node has in hand.
 #[derive(Debug)]
@@ -182,6 +182,7 @@
         }
         Ok(Claimed::Lost(end)) => {
             info!(shared.log, "claim lost"; "end" => end);
+            *cursor = Cursor::At(end);
             None
         }
         Err(error) => {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -28,6 +28,10 @@
 /// One can be lost on the way; two are lost once in thousands of times.
 const MAX_UNANSWERED: u32 = 2;
 
+/// How long a dead engine is still named after its entry went, since other
+/// nodes read the feed less often.
+const BURIED_FOR: Duration = Duration::from_secs(4);
+
 /// The part of all engines that may be silent before the planner thinks that
 /// it is itself cut off.
 const CUT_OFF_PART: f64 = 0.5;
@@ -48,6 +52,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Probes {
     probes: HashMap<Instance, Probe>,
+    /// Engines that were dead when their entries went, and when those went.
+    buried: Vec<(Instance, u64, Moment)>,
 }
 
 /// A question to ask now.
@@ -65,10 +71,15 @@
         is_watched: impl Fn(&Instance) -> bool,
         now: Moment,
     ) -> Vec<Question> {
+        let buried = &mut self.buried;
+        buried.retain(|(_, _, at)| now.since(*at) < BURIED_FOR);
         self.probes.retain(|id, probe| {
-            servers
-                .get(id)
-                .is_some_and(|server| server.born == probe.born)
+            let server = servers.get(id);
+            let is_kept = server.is_some_and(|server| server.born == probe.born);
+            if !is_kept && probe.unanswered >= MAX_UNANSWERED {
+                buried.push((id.clone(), probe.born, now));
+            }
+            is_kept
         });
         let mut questions = Vec::new();
         for (id, server) in servers {
@@ -143,7 +154,10 @@
     pub(crate) fn dead(&self) -> Vec<(Instance, u64)> {
         let is_dead = |probe: &Probe| probe.unanswered >= MAX_UNANSWERED;
         let dead = self.probes.iter().filter(|(_, probe)| is_dead(probe));
-        dead.map(|(id, probe)| (id.clone(), probe.born)).collect()
+        let buried = self.buried.iter().map(|(id, born, _)| (id.clone(), *born));
+        dead.map(|(id, probe)| (id.clone(), probe.born))
+            .chain(buried)
+            .collect()
     }
 
     /// Returns an engine as the planner sees it: its entry, and its report where
--- a/crates/form/src/need.rs
+++ b/crates/form/src/need.rs
@@ -79,6 +79,7 @@
 #[derive(Debug)]
 pub(crate) struct Reserves<'a> {
     engine: &'a config::Engine,
+    scarcity: &'a Scarcity,
     /// The members of replicas by domain and model.
     members: HashMap<(Option<&'a Fabric>, &'a Model), usize>,
     /// The engines that are members of nothing and could join, likewise.
@@ -87,9 +88,14 @@
 
 impl<'a> Reserves<'a> {
     /// Counts the engines.
-    pub(crate) fn new(engines: &'a HashMap<Instance, Engine>, engine: &'a config::Engine) -> Self {
+    pub(crate) fn new(
+        engines: &'a HashMap<Instance, Engine>,
+        engine: &'a config::Engine,
+        scarcity: &'a Scarcity,
+    ) -> Self {
         let mut reserves = Self {
             engine,
+            scarcity,
             members: HashMap::new(),
             idle: HashMap::new(),
         };
@@ -108,6 +114,16 @@
         reserves
     }
 
+    /// Returns whether each domain with a replica of the largest model has an
+    /// engine in reserve for it.
+    pub(crate) fn has_one_each(&self) -> bool {
+        let largest = self.engine.models.iter().max_by_key(|w| w.size);
+        largest.is_none_or(|largest| {
+            let mut keys = self.members.keys().filter(|(_, m)| **m == largest.model);
+            keys.all(|key| self.idle.contains_key(key))
+        })
+    }
+
     /// Picks up to `most` hosts and the models that they should stage, where a
     /// lost member would be missed most first.
     pub(crate) fn choose(
@@ -150,13 +166,16 @@
         })
     }
 
-    /// Returns how much a domain's replicas of a model lack a reserve, in
-    /// members for each hundredth of an engine in reserve.
+    /// Returns how much a domain lacks a reserve for a model: its members for
+    /// each engine in reserve, weighted by how scarce the model is.
+    ///
+    /// A domain without a replica of a scarce model still gets a reserve for one.
     fn risk(&self, e: &Engine, weights: &config::Weights) -> usize {
         let key = (e.fabric(), &weights.model);
-        let members = self.members.get(&key).copied().unwrap_or(0);
+        let members = self.members.get(&key).copied().unwrap_or(0).max(1);
         let idle = self.idle.get(&key).copied().unwrap_or(0);
-        members * 100 / (1 + idle)
+        let scarcity = self.scarcity.with(&weights.model, 0).min(2.0);
+        (members as f64 * 1_000.0 * scarcity / (1 + idle) as f64) as usize
     }
 }
 
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -37,17 +37,25 @@
 /// reserve, with their weights staged.
 const SCARCE: f64 = 0.75;
 
+/// The part of all engines that are made members of replicas before reserves
+/// are staged. Before the first request, all loads together take longer than
+/// the time there is.
+const PRIMARY_PART: f64 = 0.6;
+
 /// The part of a fabric domain's engines that is kept in reserve while no model
 /// is scarce, so that a replica that loses a member is formed again at once.
 const RESERVE_PART: f64 = 0.2;
 
 /// How long the planner waits for engines to come before it forms replicas of
-/// models that are not the scarcest one.
-const SETTLING: Duration = Duration::from_millis(1_800);
+/// any but the largest models.
+const SETTLING: Duration = Duration::from_millis(3_000);
 
 /// The part of the allowed loads of weights that the planner uses.
 const LOADS_PART: f64 = 0.8;
 
+/// The engines that are members of nothing, by fabric domain.
+type Free = HashMap<Option<Fabric>, Vec<Instance>>;
+
 /// An order for one engine.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Send {
@@ -189,7 +197,7 @@
         self.incomplete
             .retain(|key, _| replicas.iter().any(|r| (&r.replica, r.generation) == (&key.0, key.1)));
         for replica in &replicas {
-            self.look_at(replica, engines, rates, now, &mut wanted);
+            self.look_at(replica, engines, rates, now, &mut wanted, &mut free);
             let is_serving = matches!(replica.head, Some(Phase::Open | Phase::Ready));
             if let (true, true, true, Some(model)) = (
                 is_serving,
@@ -205,7 +213,9 @@
         let is_settled = rates.has_traffic || now >= settled;
         self.form(engines, &mut free, &mut scarcity, rates, is_settled, now);
         self.give_up(engines, &free, &serving, &scarcity, rates, &mut wanted);
-        self.stage(engines, rates, now, &mut wanted);
+        if is_settled {
+            self.stage(engines, &scarcity, rates, now, &mut wanted);
+        }
         self.advance(engines, now, &mut wanted);
         Step {
             sends: self.send(engines, wanted, now),
@@ -230,7 +240,7 @@
     fn note_serving(
         &mut self,
         serving: &[&Reported],
-        free: &HashMap<Option<Fabric>, Vec<Instance>>,
+        free: &Free,
         rates: &Rates<'_>,
     ) {
         let count = |model: &Model| {
@@ -290,9 +300,9 @@
     }
 
     /// Returns the engines that are members of nothing, by fabric domain.
-    fn free(&self, engines: &HashMap<Instance, Engine>) -> HashMap<Option<Fabric>, Vec<Instance>> {
+    fn free(&self, engines: &HashMap<Instance, Engine>) -> Free {
         let taken: HashSet<&Instance> = self.formations.iter().flat_map(|f| &f.members).collect();
-        let mut free: HashMap<Option<Fabric>, Vec<Instance>> = HashMap::new();
+        let mut free = Free::new();
         for engine in engines.values() {
             let is_free = engine.is_sound()
                 && engine.is_allowed
@@ -314,6 +324,7 @@
         rates: &Rates<'_>,
         now: Moment,
         wanted: &mut Vec<(Instance, Command)>,
+        free: &mut Free,
     ) {
         let is_forming = |f: &Formation| {
             f.replica == replica.replica && f.generation == replica.generation
@@ -365,7 +376,17 @@
                 wanted.push((head.clone(), close));
             }
             (Some(Phase::Closing), _) => {}
-            _ => {
+            (Some(_), _) => {
+                // A join replaces the membership of a replica that does not serve.
+                let sound = replica.members.values().map(|id| &engines[id]);
+                for engine in sound.filter(|e| e.is_sound() && e.is_allowed) {
+                    let fabric = engine.fabric().cloned();
+                    free.entry(fabric).or_default().push(engine.id().clone());
+                }
+            }
+            (None, _) => {
+                // The head is gone, and nothing says whether it still serves:
+                // the others leave it before they join another replica.
                 let is_alive = |id: &&Instance| engines.get(*id).is_some_and(|e| e.is_alive);
                 for id in replica.members.values().filter(is_alive) {
                     let leave = Command::Leave {
@@ -382,18 +403,25 @@
     fn form(
         &mut self,
         engines: &HashMap<Instance, Engine>,
-        free: &mut HashMap<Option<Fabric>, Vec<Instance>>,
+        free: &mut Free,
         scarcity: &mut Scarcity,
         rates: &Rates<'_>,
         is_settled: bool,
         now: Moment,
     ) {
+        let reserves_lack = !Reserves::new(engines, rates.engine, scarcity).has_one_each();
         loop {
+            let members: usize = engines.len() - free.values().map(Vec::len).sum::<usize>();
+            let is_enough = members as f64 > engines.len() as f64 * PRIMARY_PART;
+            if !rates.has_traffic && is_settled && is_enough && reserves_lack {
+                return;
+            }
             let mut order = scarcity.order(rates.engine);
             if !is_settled {
                 // Engines are still coming: a domain that has room for a small
-                // replica now may have room for the scarcer, larger one soon.
-                order.truncate(1);
+                // replica only now may have room for a large one soon.
+                let largest = order.iter().map(|w| w.size).max();
+                order.retain(|w| Some(w.size) == largest);
             }
             let found = order.into_iter().find_map(|weights| {
                 let is_scarce = scarcity.with(&weights.model, 0) >= SCARCE;
@@ -416,7 +444,7 @@
     fn pick(
         &self,
         engines: &HashMap<Instance, Engine>,
-        free: &HashMap<Option<Fabric>, Vec<Instance>>,
+        free: &Free,
         weights: &config::Weights,
         is_scarce: bool,
         rates: &Rates<'_>,
@@ -428,6 +456,7 @@
             0
         };
         let sizes = domain_sizes(engines);
+        let is_largest = rates.engine.models.iter().all(|w| w.size <= weights.size);
         let mut best: Option<(Duration, usize, Vec<Instance>)> = None;
         for (fabric, ids) in free {
             let reserve = if is_scarce {
@@ -450,9 +479,14 @@
                 continue;
             }
             let slowest = ids.iter().map(|id| engines[id].join_time(weights, now)).max()?;
-            // Among equally fast domains, the one with most engines left is
-            // taken, so that each keeps room for small replicas.
-            let rest = usize::MAX - free[fabric].len();
+            // Among equally fast domains, the largest model takes the one with
+            // most engines left, and others the one with fewest: a small
+            // replica must not take the last place of a large one.
+            let rest = if is_largest {
+                usize::MAX - free[fabric].len()
+            } else {
+                free[fabric].len()
+            };
             let is_better = best
                 .as_ref()
                 .is_none_or(|(time, left, first)| (slowest, rest, &ids) < (*time, *left, first));
@@ -503,7 +537,7 @@
     fn give_up(
         &mut self,
         engines: &HashMap<Instance, Engine>,
-        free: &HashMap<Option<Fabric>, Vec<Instance>>,
+        free: &Free,
         serving: &[&Reported],
         scarcity: &Scarcity,
         rates: &Rates<'_>,
@@ -562,13 +596,11 @@
     fn stage(
         &mut self,
         engines: &HashMap<Instance, Engine>,
+        scarcity: &Scarcity,
         rates: &Rates<'_>,
         now: Moment,
         wanted: &mut Vec<(Instance, Command)>,
     ) {
-        if !rates.has_traffic && !self.formations.is_empty() {
-            return;
-        }
         let is_taken = |id: &Instance| {
             self.sent.contains_key(id)
                 || wanted.iter().any(|(other, _)| other == id)
@@ -585,7 +617,11 @@
             .values()
             .filter(|e| e.is_sound() && e.is_allowed && !e.is_busy && !is_taken(e.id()))
             .collect();
-        let chosen = Reserves::new(engines, rates.engine).choose(hosts, room);
+        let reserves = Reserves::new(engines, rates.engine, scarcity);
+        if !rates.has_traffic && reserves.has_one_each() {
+            return;
+        }
+        let chosen = reserves.choose(hosts, room);
         for (id, weights) in chosen {
             self.loads.push_back(now);
             // Stagings that share the weight store with others take longer.
