--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -279,9 +279,9 @@
             model,
             members,
             scarcity,
-            loads,
+            joins,
         } => info!(shared.log, "replica to form"; "token" => token, "replica" => %replica,
-            "model" => %model, "members" => ?members, "scarcity" => scarcity, "loads" => loads),
+            "model" => %model, "members" => ?members, "scarcity" => scarcity, "joins" => ?joins),
         Note::Formed { replica, is_open } => info!(shared.log, "formation ended";
             "token" => token, "replica" => %replica, "is_open" => is_open),
         Note::GiveUp {
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -23,6 +23,10 @@
 /// Reports are up to 200 ms old, and an order takes effect within that time.
 const PATIENCE: Duration = Duration::from_millis(450);
 
+/// How long after an order to open its effect may be missing from reports: the
+/// time of a call that is given up, and the age of a report.
+const SETTLED_AFTER: Duration = Duration::from_millis(700);
+
 /// How long a replica that an earlier planner began may stay incomplete.
 const INHERITED: Duration = Duration::from_millis(1_500);
 
@@ -35,7 +39,7 @@
 /// The use of a model's replicas above which another one is formed even if that
 /// takes loads from the weight store. Below it, engines are better kept in
 /// reserve, with their weights staged.
-const SCARCE: f64 = 0.75;
+const SCARCE: f64 = 0.5;
 
 /// The part of all engines that are made members of replicas before reserves
 /// are staged. Before the first request, all loads together take longer than
@@ -50,6 +54,19 @@
 /// any but the largest models.
 const SETTLING: Duration = Duration::from_millis(3_000);
 
+/// Returns how many loads from the weight store a replica of a model is worth.
+///
+/// Few loads run at once, so that one which completes a replica goes before two
+/// which make a new one.
+fn worthwhile_loads(scarcity: f64) -> usize {
+    const STEPS: [(f64, usize); 4] = [(0.9, 4), (0.8, 3), (0.65, 2), (0.35, 1)];
+    let reached = STEPS.iter().find(|(least, _)| scarcity >= *least);
+    reached.map_or(0, |(_, loads)| *loads)
+}
+
+/// The loads at once that are left to joins, which complete a replica.
+const LOADS_FOR_JOINS: usize = 1;
+
 /// The part of the allowed loads of weights that the planner uses.
 const LOADS_PART: f64 = 0.8;
 
@@ -87,8 +104,8 @@
         members: Vec<Instance>,
         /// The use of the model's replicas before.
         scarcity: f64,
-        /// How many members load weights from the weight store.
-        loads: usize,
+        /// How long each member takes to join.
+        joins: Vec<Duration>,
     },
     /// A formation ended.
     Formed {
@@ -148,6 +165,8 @@
     incomplete: HashMap<(Replica, u64), Moment>,
     /// The highest generation that was reported.
     highest: u64,
+    /// When heads were last told to open.
+    opened: HashMap<(Replica, u64), Moment>,
     /// What hosts were told to stage, and when that should end.
     staging: HashMap<Instance, (Model, Moment)>,
     /// When most engines should have been seen.
@@ -194,6 +213,8 @@
             scarcity.add(&formation.model);
         }
         let mut serving = Vec::new();
+        self.opened
+            .retain(|key, _| replicas.iter().any(|r| (&r.replica, r.generation) == (&key.0, key.1)));
         self.incomplete
             .retain(|key, _| replicas.iter().any(|r| (&r.replica, r.generation) == (&key.0, key.1)));
         for replica in &replicas {
@@ -376,10 +397,14 @@
                 wanted.push((head.clone(), close));
             }
             (Some(Phase::Closing), _) => {}
+            (Some(_), Some(head)) if self.may_have_opened(head, replica, engines) => {}
             (Some(_), _) => {
                 // A join replaces the membership of a replica that does not serve.
-                let sound = replica.members.values().map(|id| &engines[id]);
-                for engine in sound.filter(|e| e.is_sound() && e.is_allowed) {
+                let is_taken =
+                    |e: &&Engine| self.formations.iter().any(|f| f.members.contains(e.id()));
+                let members = replica.members.values().map(|id| &engines[id]);
+                let usable = members.filter(|e| e.is_sound() && e.is_allowed && !is_taken(e));
+                for engine in usable {
                     let fabric = engine.fabric().cloned();
                     free.entry(fabric).or_default().push(engine.id().clone());
                 }
@@ -399,6 +424,19 @@
         }
     }
 
+    /// Returns whether a head may be open though it is not reported so: an order
+    /// to open may still be under way, and reports are some hundred ms old.
+    fn may_have_opened(
+        &self,
+        head: &Instance,
+        replica: &Reported,
+        engines: &HashMap<Instance, Engine>,
+    ) -> bool {
+        let key = (replica.replica.clone(), replica.generation);
+        let opened = self.opened.get(&key);
+        opened.is_some_and(|at| engines[head].asked < *at + SETTLED_AFTER)
+    }
+
     /// Begins formations for the scarcest models.
     fn form(
         &mut self,
@@ -424,8 +462,8 @@
                 order.retain(|w| Some(w.size) == largest);
             }
             let found = order.into_iter().find_map(|weights| {
-                let is_scarce = scarcity.with(&weights.model, 0) >= SCARCE;
-                let members = self.pick(engines, free, weights, is_scarce, rates, now)?;
+                let use_now = scarcity.with(&weights.model, 0);
+                let members = self.pick(engines, free, weights, use_now, rates, now)?;
                 Some((weights, members))
             });
             let Some((weights, members)) = found else {
@@ -446,15 +484,17 @@
         engines: &HashMap<Instance, Engine>,
         free: &Free,
         weights: &config::Weights,
-        is_scarce: bool,
+        scarcity: f64,
         rates: &Rates<'_>,
         now: Moment,
     ) -> Option<Vec<Instance>> {
-        let room = if is_scarce || !rates.has_traffic {
-            self.loads_left(engines, rates, now)
+        let left = self.loads_left(engines, rates, now);
+        let room = if rates.has_traffic {
+            left.min(worthwhile_loads(scarcity))
         } else {
-            0
+            left
         };
+        let is_scarce = scarcity >= SCARCE;
         let sizes = domain_sizes(engines);
         let is_largest = rates.engine.models.iter().all(|w| w.size <= weights.size);
         let mut best: Option<(Duration, usize, Vec<Instance>)> = None;
@@ -511,9 +551,10 @@
             .filter(|id| engines[*id].needs_load(&weights.model))
             .count();
         self.loads.extend(std::iter::repeat_n(now, loads));
-        let slowest = members.iter().map(|id| engines[id].join_time(weights, now));
+        let joins = members.iter().map(|id| engines[id].join_time(weights, now));
+        let joins: Vec<Duration> = joins.collect();
         // Loads share the weight store, so that many at once take longer.
-        let longest = slowest.max().unwrap_or_default() * 3;
+        let longest = joins.iter().max().copied().unwrap_or_default() * 3;
         self.formed += 1;
         let name = format!("r{}-{}", self.token, self.formed);
         let Ok(replica) = Replica::try_from(name) else {
@@ -526,7 +567,7 @@
             model: model.clone(),
             members: members.clone(),
             scarcity,
-            loads,
+            joins,
         });
         self.formations.push(Formation::new(
             replica, generation, model, members, longest, loads, now,
@@ -606,12 +647,10 @@
                 || wanted.iter().any(|(other, _)| other == id)
                 || self.formations.iter().any(|f| f.members.contains(id))
         };
-        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
-        let busy = |e: &&Engine| e.is_busy && e.is_alive;
-        let staging = engines.values().filter(busy).count();
+        let kept_free = if rates.has_traffic { LOADS_FOR_JOINS } else { 0 };
         let at_once = rates.engine.loads_at_once as usize;
         let room = at_once
-            .saturating_sub(joining.max(staging))
+            .saturating_sub(self.loads_under_way(engines) + kept_free)
             .min(self.loads_left(engines, rates, now));
         let hosts: Vec<&Engine> = engines
             .values()
@@ -640,14 +679,25 @@
         now: Moment,
     ) -> usize {
         if !rates.has_traffic {
-            let loading: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
+            let loading = self.loads_under_way(engines);
             let at_once = rates.engine.loads_at_once as usize;
             return if loading < at_once { usize::MAX } else { 0 };
         }
         let is_counted = |sent: &&Moment| now.since(**sent) < rates.load_window;
         let begun = self.loads.iter().filter(is_counted).count();
         let allowed = rates.engine.loads_per_s * rates.load_window.as_secs_f64() * LOADS_PART;
-        (allowed as usize).saturating_sub(begun)
+        let at_once = rates.engine.loads_at_once as usize;
+        // Beyond so many loads at once, each takes longer and none is gained.
+        let under_way = self.loads_under_way(engines);
+        (allowed as usize)
+            .saturating_sub(begun)
+            .min(at_once.saturating_sub(under_way))
+    }
+
+    /// Returns how many loads of weights are under way.
+    fn loads_under_way(&self, engines: &HashMap<Instance, Engine>) -> usize {
+        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
+        joining + self.staging.len()
     }
 
     /// Turns wanted commands into orders, at most one for each engine.
@@ -675,6 +725,13 @@
                 at: now,
             };
             self.sent.insert(id.clone(), sent);
+            if let Command::Open {
+                replica,
+                generation,
+            } = &command
+            {
+                self.opened.insert((replica.clone(), *generation), now);
+            }
             sends.push(Send {
                 engine: id,
                 order: Order {
