--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -100,8 +100,7 @@
             let member = engines.get(*id).and_then(Engine::member);
             member.is_some_and(|m| self.is_own(m) && m.phase != Phase::Joining)
         };
-        let joining = self.members.len() - self.members.iter().filter(is_ready).count();
-        joining.min(self.loads)
+        self.members.len() - self.members.iter().filter(is_ready).count()
     }
 
     /// Returns whether a membership is one in this formation.
--- a/crates/form/src/need.rs
+++ b/crates/form/src/need.rs
@@ -148,28 +148,22 @@
 
     /// Returns what an engine's host should stage, and how much that matters.
     ///
-    /// An engine is ready for the model that it held last as well as for those
-    /// that its host keeps. Engines in reserve that are ready for nothing go
-    /// first: loads are as rare as lost engines, and readiness for a second
-    /// model helps only where the first is not the one that is lacking.
+    /// An engine in reserve stages what its domain's replicas would lack most
+    /// if one of their members were lost. A member of a smaller replica stages
+    /// the largest model, so that it can stand in for a member of that.
     fn wish(&self, e: &Engine) -> Option<(usize, &'a config::Weights)> {
-        let models = self.engine.models.iter();
-        let is_ready = models.clone().any(|w| !e.needs_load(&w.model));
-        let has_held = models.clone().any(|w| e.holds(&w.model));
-        if is_ready && !has_held {
-            // Staging another model would drop the one that the host keeps.
-            return None;
-        }
-        let candidates = models.filter(|w| e.needs_load(&w.model));
-        let (risk, weights) = candidates
+        let largest = self.engine.models.iter().max_by_key(|w| w.size)?;
+        let has_any = self.engine.models.iter().any(|w| !e.needs_load(&w.model));
+        let candidates = self.engine.models.iter().filter(|w| e.needs_load(&w.model));
+        let wish = candidates
+            .filter(|w| !has_any || w.model == largest.model)
             .map(|w| (self.risk(e, w), w))
             .max_by_key(|(risk, _)| *risk)?;
-        let discount = match (e.member().is_some(), is_ready) {
-            (true, _) => MEMBER_DISCOUNT,
-            (false, true) => READY_DISCOUNT,
-            (false, false) => 1,
-        };
-        Some((risk / discount, weights))
+        Some(if e.member().is_some() {
+            (wish.0 / MEMBER_DISCOUNT, wish.1)
+        } else {
+            wish
+        })
     }
 
     /// Returns how much a domain lacks a reserve for a model: its members for
@@ -185,10 +179,6 @@
     }
 }
 
-/// How much less a staging matters on an engine in reserve that is ready for
-/// another model.
-const READY_DISCOUNT: usize = 8;
-
-/// How much less a staging matters on a member of a replica: using it gives up
-/// the replica.
-const MEMBER_DISCOUNT: usize = 16;
+/// How much less a staging on a member of a replica matters than one on an
+/// engine in reserve: using it gives up the replica.
+const MEMBER_DISCOUNT: usize = 4;
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -39,7 +39,7 @@
 /// The use of a model's replicas above which another one is formed even if that
 /// takes loads from the weight store. Below it, engines are better kept in
 /// reserve, with their weights staged.
-const SCARCE: f64 = 0.5;
+const SCARCE: f64 = 0.75;
 
 /// The part of all engines that are made members of replicas before reserves
 /// are staged. Before the first request, all loads together take longer than
@@ -54,18 +54,8 @@
 /// any but the largest models.
 const SETTLING: Duration = Duration::from_millis(3_000);
 
-/// Returns how many loads from the weight store a replica of a model is worth.
-///
-/// Few loads run at once, so that one which completes a replica goes before two
-/// which make a new one.
-fn worthwhile_loads(scarcity: f64) -> usize {
-    const STEPS: [(f64, usize); 4] = [(0.9, 4), (0.8, 3), (0.65, 2), (0.35, 1)];
-    let reached = STEPS.iter().find(|(least, _)| scarcity >= *least);
-    reached.map_or(0, |(_, loads)| *loads)
-}
-
-/// The loads at once that are left to joins, which complete a replica.
-const LOADS_FOR_JOINS: usize = 1;
+/// How much longer than expected a staging may take.
+const STAGING_GRACE: Duration = Duration::from_secs(8);
 
 /// The part of the allowed loads of weights that the planner uses.
 const LOADS_PART: f64 = 0.8;
@@ -153,6 +143,13 @@
     at: Moment,
 }
 
+impl Sent {
+    /// Returns whether the order was to stage weights.
+    fn is_staging(&self) -> bool {
+        matches!(self.command, Command::Stage { .. })
+    }
+}
+
 /// The planner's memory.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -197,7 +194,7 @@
         rates: &Rates<'_>,
         now: Moment,
     ) -> Step {
-        self.note_staging(&mut engines);
+        self.note_staging(&mut engines, now);
         let engines = &engines;
         let settled = *self.settled.get_or_insert(now + SETTLING);
         self.sent
@@ -245,10 +242,13 @@
     }
 
     /// Puts the stagings under way beside the engines that carry them out.
-    fn note_staging(&mut self, engines: &mut HashMap<Instance, Engine>) {
-        self.staging.retain(|id, (model, _)| {
+    ///
+    /// One that takes far longer than expected was not carried out.
+    fn note_staging(&mut self, engines: &mut HashMap<Instance, Engine>, now: Moment) {
+        self.staging.retain(|id, (model, until)| {
             let engine = engines.get(id);
-            engine.is_some_and(|e| e.is_sound() && !e.has_staged(model))
+            now < *until + STAGING_GRACE
+                && engine.is_some_and(|e| e.is_sound() && !e.has_staged(model))
         });
         for (id, staging) in &self.staging {
             if let Some(engine) = engines.get_mut(id) {
@@ -283,6 +283,10 @@
     pub fn answered(&mut self, engine: &Instance, outcome: Outcome) {
         // What was not carried out may be ordered again as soon as a fresh
         // report is there; what may have been is left alone for a while.
+        let is_staging = self.sent.get(engine).is_some_and(Sent::is_staging);
+        if is_staging && !matches!(outcome, Outcome::Begun | Outcome::Unknown) {
+            self.staging.remove(engine);
+        }
         if matches!(outcome, Outcome::Misdirected | Outcome::Refused) {
             self.sent.remove(engine);
         }
@@ -462,8 +466,8 @@
                 order.retain(|w| Some(w.size) == largest);
             }
             let found = order.into_iter().find_map(|weights| {
-                let use_now = scarcity.with(&weights.model, 0);
-                let members = self.pick(engines, free, weights, use_now, rates, now)?;
+                let is_scarce = scarcity.with(&weights.model, 0) >= SCARCE;
+                let members = self.pick(engines, free, weights, is_scarce, rates, now)?;
                 Some((weights, members))
             });
             let Some((weights, members)) = found else {
@@ -484,17 +488,15 @@
         engines: &HashMap<Instance, Engine>,
         free: &Free,
         weights: &config::Weights,
-        scarcity: f64,
+        is_scarce: bool,
         rates: &Rates<'_>,
         now: Moment,
     ) -> Option<Vec<Instance>> {
-        let left = self.loads_left(engines, rates, now);
-        let room = if rates.has_traffic {
-            left.min(worthwhile_loads(scarcity))
+        let room = if is_scarce || !rates.has_traffic {
+            self.loads_left(engines, rates, now)
         } else {
-            left
+            0
         };
-        let is_scarce = scarcity >= SCARCE;
         let sizes = domain_sizes(engines);
         let is_largest = rates.engine.models.iter().all(|w| w.size <= weights.size);
         let mut best: Option<(Duration, usize, Vec<Instance>)> = None;
@@ -647,10 +649,12 @@
                 || wanted.iter().any(|(other, _)| other == id)
                 || self.formations.iter().any(|f| f.members.contains(id))
         };
-        let kept_free = if rates.has_traffic { LOADS_FOR_JOINS } else { 0 };
+        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
+        let busy = |e: &&Engine| e.is_busy && e.is_alive;
+        let staging = engines.values().filter(busy).count();
         let at_once = rates.engine.loads_at_once as usize;
         let room = at_once
-            .saturating_sub(self.loads_under_way(engines) + kept_free)
+            .saturating_sub(joining.max(staging))
             .min(self.loads_left(engines, rates, now));
         let hosts: Vec<&Engine> = engines
             .values()
@@ -679,25 +683,14 @@
         now: Moment,
     ) -> usize {
         if !rates.has_traffic {
-            let loading = self.loads_under_way(engines);
+            let loading: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
             let at_once = rates.engine.loads_at_once as usize;
             return if loading < at_once { usize::MAX } else { 0 };
         }
         let is_counted = |sent: &&Moment| now.since(**sent) < rates.load_window;
         let begun = self.loads.iter().filter(is_counted).count();
         let allowed = rates.engine.loads_per_s * rates.load_window.as_secs_f64() * LOADS_PART;
-        let at_once = rates.engine.loads_at_once as usize;
-        // Beyond so many loads at once, each takes longer and none is gained.
-        let under_way = self.loads_under_way(engines);
-        (allowed as usize)
-            .saturating_sub(begun)
-            .min(at_once.saturating_sub(under_way))
-    }
-
-    /// Returns how many loads of weights are under way.
-    fn loads_under_way(&self, engines: &HashMap<Instance, Engine>) -> usize {
-        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
-        joining + self.staging.len()
+        (allowed as usize).saturating_sub(begun)
     }
 
     /// Turns wanted commands into orders, at most one for each engine.
