--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -86,8 +86,8 @@
 pub(crate) struct Tally {
     /// The servers that refused or failed it.
     excluded: Vec<Instance>,
-    /// The attempts that may have run.
-    runs: u32,
+    /// The servers that may have run it, each in one life.
+    ran: Vec<(Instance, u64)>,
     /// All requests that were sent.
     sent: u32,
 }
@@ -101,13 +101,17 @@
     }
 
     /// Returns whether another server may run the request, by the route's attempts.
-    pub(crate) fn may_repeat(&self, job: &Job) -> bool {
-        self.runs < job.route.attempts
+    ///
+    /// Servers that have ended since do not count.
+    pub(crate) fn may_repeat(&self, shared: &Shared, job: &Job) -> bool {
+        let tables = shared.tables();
+        let lives = |(server, born): &&(Instance, u64)| tables.fleet.lives(server, *born);
+        self.ran.iter().filter(lives).count() < job.route.attempts as usize
     }
 
     /// Returns what is known of the request's execution.
     fn verdict(&self) -> Verdict {
-        if self.runs == 0 {
+        if self.ran.is_empty() {
             Verdict::NotRun
         } else {
             Verdict::MayHaveRun
@@ -322,8 +326,10 @@
                 shared.tables().load.fail(&server, now);
                 tally.exclude(server.clone());
                 info!(shared.log, "attempt failed"; "id" => &*job.call.id, "server" => %server,
-                    "reason" => reason, "runs" => tally.runs);
-                if tally.runs > 0 && !(job.is_repeatable() && tally.may_repeat(job)) {
+                    "reason" => reason, "runs" => tally.ran.len());
+                if !tally.ran.is_empty()
+                    && !(job.is_repeatable() && tally.may_repeat(shared, job))
+                {
                     return Err(job.error(tally, Kind::Upstream, "the server gave no answer"));
                 }
             }
@@ -433,13 +439,13 @@
         };
         let request = (shared.platform.request)(&self.outgoing, &addition);
         tally.sent += 1;
-        tally.runs += 1;
+        tally.ran.push((target.server.clone(), target.born));
         let sending = connection.send(request);
         let answer = match self.await_head(shared, sending, &place, tally).await {
             Ok(Ok(answer)) => answer,
             Ok(Err(failure)) => {
                 if failure.is_unsent {
-                    tally.runs -= 1;
+                    tally.ran.pop();
                 }
                 return Err(Missed::Failed("no answer"));
             }
@@ -455,7 +461,7 @@
             connection,
             place,
         };
-        self.check(answer, tally)
+        self.check(shared, answer, tally)
     }
 
     /// Waits for the head of an answer, as long as there is hope for one.
@@ -467,7 +473,7 @@
         tally: &Tally,
     ) -> Result<T, Missed> {
         let mut changes = shared.changes.subscribe();
-        let may_repeat = self.is_repeatable() && tally.may_repeat(self);
+        let may_repeat = self.is_repeatable() && tally.may_repeat(shared, self);
         let predicted = place.choice.first_token * PREDICTION_FACTOR;
         let silence = Instant::now() + HEAD_SILENCE.max(predicted);
         tokio::pin!(sending);
@@ -486,17 +492,17 @@
     }
 
     /// Decides whether an answer is one for the caller.
-    fn check(&self, answer: Answer, tally: &mut Tally) -> Result<Answer, Missed> {
+    fn check(&self, shared: &Shared, answer: Answer, tally: &mut Tally) -> Result<Answer, Missed> {
         let is_refused = answer.head.is_not_run || answer.status == StatusCode::MISDIRECTED_REQUEST;
         if is_refused {
-            tally.runs -= 1;
+            tally.ran.pop();
             return Err(Missed::Refused(answer.head.culprit));
         }
         let is_own = answer.head.id.as_deref() == Some(&*self.call.id);
         if !is_own || (answer.status.is_success() && !answer.head.is_signed) {
             return Err(Missed::Failed("not an answer to this request"));
         }
-        let may_repeat = self.is_repeatable() && tally.may_repeat(self);
+        let may_repeat = self.is_repeatable() && tally.may_repeat(shared, self);
         if answer.status.is_server_error() && may_repeat {
             return Err(Missed::Failed("server error"));
         }
@@ -532,7 +538,7 @@
             "status" => status, "route" => &*self.route.name,
             "account" => self.account.as_ref().map(|a| a.as_str().to_owned()),
             "service" => %self.service, "server" => server.map(|s| s.as_str().to_owned()),
-            "sent" => tally.sent, "runs" => tally.runs, "took_ms" => took.as_millis() as u64,
+            "sent" => tally.sent, "runs" => tally.ran.len(), "took_ms" => took.as_millis() as u64,
             "config_version" => self.version, "view_age_ms" => self.view_age.as_millis() as u64);
     }
 }
@@ -562,7 +568,7 @@
                 info!(shared.log, "answer broke off"; "id" => &*job.call.id, "server" => %server,
                     "reason" => reason);
                 tally.exclude(server);
-                let next = if job.is_repeatable() && tally.may_repeat(&job) {
+                let next = if job.is_repeatable() && tally.may_repeat(shared, &job) {
                     attempt(shared, &job, &mut tally).await
                 } else {
                     Err(job.error(&tally, Kind::Upstream, "the answer broke off"))
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -141,7 +141,7 @@
                 piece = frame(&mut answer.body) => piece,
                 () = self.sink.closed() => return End::Left,
                 () = sleep_until(deadline) => return End::Late,
-                () = sleep_until(silence), if self.job.is_repeatable() && self.tally.may_repeat(&self.job) => {
+                () = sleep_until(silence), if self.job.is_repeatable() && self.tally.may_repeat(&self.shared, &self.job) => {
                     return End::Broken("silence");
                 }
                 _ = changes.changed() => {
@@ -186,10 +186,10 @@
 
     /// Finds a server that goes on behind the last event.
     async fn resume(&mut self, failed: name::Instance) -> Option<Answer> {
-        if !self.job.is_repeatable() {
+        self.tally.exclude(failed);
+        if !(self.job.is_repeatable() && self.tally.may_repeat(&self.shared, &self.job)) {
             return None;
         }
-        self.tally.exclude(failed);
         self.job.call.last_event = self.events.last();
         let next = attempt(&self.shared, &self.job, &mut self.tally);
         let found = tokio::select! {
