A single load may complete a replica of the scarcest model; a planner that steps down says so

Cause: an engine that was left of a pair stood idle for want of one load while its model's replicas were in use at 0.5 to 0.75.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -71,13 +71,23 @@
     demand: Vec<(Model, f64)>,
 }
 
+/// A planner that was heard.
+#[derive(Debug, Clone)]
+pub(crate) struct Heard {
+    /// Its fencing token.
+    pub(crate) token: u64,
+    node: Node,
+    /// When it last said that it plans; `None` if it has stepped down since.
+    at: Option<Moment>,
+}
+
 /// What is known of the other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     peers: HashMap<Node, Peer>,
     now: Moment,
-    /// The highest token heard from a planner, and when.
-    pub(crate) planner: Option<(u64, Moment)>,
+    /// The planner with the highest token that was heard.
+    pub(crate) planner: Option<Heard>,
     /// The token that this node plans with, if it does.
     pub(crate) own_token: Option<u64>,
     /// What this node found dead, if it plans.
@@ -109,6 +119,17 @@
         self.interval() * SILENT_INTERVALS
     }
 
+    /// Returns whether a planner was heard lately and has not stepped down.
+    pub(crate) fn has_planner(&self, now: Moment) -> bool {
+        let at = self.planner.as_ref().and_then(|heard| heard.at);
+        at.is_some_and(|at| now.since(at) < self.patience())
+    }
+
+    /// Returns the highest fencing token that was heard.
+    pub(crate) fn newest_token(&self) -> u64 {
+        self.planner.as_ref().map_or(0, |heard| heard.token)
+    }
+
     /// Learns of a node from its card in the store.
     pub(crate) fn learn(&mut self, card: Card, now: Moment) {
         let known = self.peers.get(&card.node);
@@ -182,11 +203,16 @@
         };
         self.peers.insert(peer.card.node.clone(), peer);
         self.news = self.news.max(beat.news);
-        if let Some(token) = beat.planner {
-            let newest = self.planner.map_or(0, |(newest, _)| newest);
-            if token >= newest {
-                self.planner = Some((token, now));
+        match (beat.planner, &mut self.planner) {
+            (Some(token), known) if token >= known.as_ref().map_or(0, |k| k.token) => {
+                *known = Some(Heard {
+                    token,
+                    node: beat.card.node.clone(),
+                    at: Some(now),
+                });
             }
+            (None, Some(known)) if known.node == beat.card.node => known.at = None,
+            _ => {}
         }
         true
     }
@@ -277,7 +303,7 @@
         work: Work { requests, unread },
     });
     tables.load.share(beat.card.node, shares, now);
-    let is_newest = tables.peers.planner.map(|(token, _)| token) == beat.planner;
+    let is_newest = beat.planner == Some(tables.peers.newest_token());
     let is_changed = beat.planner.is_some()
         && is_newest
         && tables.peers.own_token.is_none()
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -32,7 +32,7 @@
 /// The oldest view of the store with which a planner goes on.
 ///
 /// It is above the time of a read that fails and is made again.
-const VIEW_TO_PLAN: Duration = Duration::from_millis(2_500);
+const VIEW_TO_PLAN: Duration = Duration::from_millis(2_000);
 
 /// The longest pause before a node claims, so that not all claim at once.
 const MAX_CLAIM_PAUSE_MS: u64 = 150;
@@ -70,8 +70,9 @@
             continue;
         }
         let patience = shared.tables().peers.patience();
-        let has_waited = now.since(quiet_since) >= patience || cursor == Cursor::Start;
-        if has_waited && may_claim(&shared, now) {
+        let is_vacant = shared.tables().peers.planner.is_some();
+        let has_waited = now.since(quiet_since) >= patience;
+        if (has_waited || is_vacant || cursor == Cursor::Start) && may_claim(&shared, now) {
             if let Some(token) = claim(&shared, &card, &mut cursor).await {
                 take_office(&shared, &desk, token);
             }
@@ -85,12 +86,9 @@
     desk.lock().unwrap_or_else(PoisonError::into_inner).is_some()
 }
 
-/// Returns whether a planner was heard lately.
+/// Returns whether another node plans.
 fn is_heard(shared: &Shared, now: Moment) -> bool {
-    let tables = shared.tables();
-    let patience = tables.peers.patience();
-    let planner = tables.peers.planner;
-    planner.is_some_and(|(_, at)| now.since(at) < patience)
+    shared.tables().peers.has_planner(now)
 }
 
 /// Returns whether this node may claim.
@@ -108,8 +106,7 @@
     let office = desk.as_ref()?;
     let tables = shared.tables();
     let seen = tables.servers_confirmed;
-    let heard = tables.peers.planner.map_or(0, |(token, _)| token);
-    if heard > office.token {
+    if tables.peers.newest_token() > office.token {
         Some("a newer planner was heard")
     } else if shared.is_stopping() {
         Some("the node stops")
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -46,6 +46,10 @@
 /// the time there is.
 const PRIMARY_PART: f64 = 0.6;
 
+/// The use of a model's replicas above which another one is formed if that
+/// takes a single load.
+const COMPLETED_AT: f64 = 0.35;
+
 /// The part of a fabric domain's engines that is kept in reserve while no model
 /// is scarce, so that a replica that loses a member is formed again at once.
 const RESERVE_PART: f64 = 0.2;
@@ -465,9 +469,11 @@
                 let largest = order.iter().map(|w| w.size).max();
                 order.retain(|w| Some(w.size) == largest);
             }
-            let found = order.into_iter().find_map(|weights| {
-                let is_scarce = scarcity.with(&weights.model, 0) >= SCARCE;
-                let members = self.pick(engines, free, weights, is_scarce, rates, now)?;
+            let found = order.into_iter().enumerate().find_map(|(place, weights)| {
+                let use_now = scarcity.with(&weights.model, 0);
+                let is_scarcest = place == 0;
+                let members =
+                    self.pick(engines, free, weights, use_now, is_scarcest, rates, now)?;
                 Some((weights, members))
             });
             let Some((weights, members)) = found else {
@@ -488,12 +494,17 @@
         engines: &HashMap<Instance, Engine>,
         free: &Free,
         weights: &config::Weights,
-        is_scarce: bool,
+        scarcity: f64,
+        is_scarcest: bool,
         rates: &Rates<'_>,
         now: Moment,
     ) -> Option<Vec<Instance>> {
+        let is_scarce = scarcity >= SCARCE;
+        let left = self.loads_left(engines, rates, now);
         let room = if is_scarce || !rates.has_traffic {
-            self.loads_left(engines, rates, now)
+            left
+        } else if is_scarcest && scarcity >= COMPLETED_AT {
+            left.min(1)
         } else {
             0
         };
