--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -50,8 +50,8 @@
     planner: Option<u64>,
     /// The engines that the planner found dead, with their lives.
     lost: Vec<(Instance, u64)>,
-    /// Requests in progress and unread prompt tokens, by target.
-    shares: Vec<(Instance, u32, u32)>,
+    /// Requests in progress, unread prompt tokens and silence, by target.
+    shares: Vec<(Instance, u32, u32, bool)>,
     /// The replicas that this node's callers would fill, by model.
     demand: Vec<(Model, f64)>,
     /// How far the servers' feed must be read to know the last change of a replica.
@@ -237,8 +237,8 @@
                 lost: tables.peers.own_lost.clone(),
                 shares: tables
                     .load
-                    .shares()
-                    .map(|s| (s.server, s.work.requests, s.work.unread))
+                    .shares(now)
+                    .map(|s| (s.server, s.work.requests, s.work.unread, s.work.is_silent))
                     .collect(),
                 demand: tables.demand.replicas(now).into_iter().collect(),
                 news: tables.peers.news,
@@ -298,9 +298,14 @@
     if !was_known {
         info!(shared.log, "node heard"; "node" => %beat.card.node, "front" => %beat.card.front);
     }
-    let shares = beat.shares.into_iter().map(|(server, requests, unread)| Share {
+    let shares = beat.shares.into_iter();
+    let shares = shares.map(|(server, requests, unread, is_silent)| Share {
         server,
-        work: Work { requests, unread },
+        work: Work {
+            requests,
+            unread,
+            is_silent,
+        },
     });
     tables.load.share(beat.card.node, shares, now);
     let is_newest = beat.planner == Some(tables.peers.newest_token());
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -21,7 +21,7 @@
 };
 use slog::info;
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, sleep_until, timeout, timeout_at};
+use tokio::time::{Instant, sleep, sleep_until, timeout, timeout_at};
 use verdict::{Error, Kind, Verdict};
 
 /// How long a connection to a server may take to open.
@@ -43,6 +43,10 @@
 /// The silence before an answer's head after which another server is tried.
 const HEAD_SILENCE: Duration = Duration::from_millis(1_200);
 
+/// How often a request without an answer looks whether its server is silent to
+/// all others as well.
+const SILENCE_STEP: Duration = Duration::from_millis(100);
+
 /// How many times longer than predicted a first token may take.
 const PREDICTION_FACTOR: u32 = 4;
 
@@ -482,6 +486,13 @@
                 result = sending.as_mut() => return Ok(result),
                 () = sleep_until(self.until) => return Err(Missed::Late),
                 () = sleep_until(silence), if may_repeat => return Err(Missed::Failed("silence")),
+                () = sleep(SILENCE_STEP), if may_repeat && place.choice.target.model.is_some() => {
+                    let now = shared.now();
+                    let server = &place.choice.target.server;
+                    if shared.tables().load.work(server, now).is_silent {
+                        return Err(Missed::Failed("server silent"));
+                    }
+                }
                 _ = changes.changed(), if may_repeat => {
                     if is_doomed(shared, place) {
                         return Err(Missed::Failed("replica lost"));
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -120,6 +120,7 @@
 
     /// Returns whether requests are in progress.
     fn is_busy(&self) -> bool {
-        self.shared.tables().load.shares().next().is_some()
+        let now = self.shared.now();
+        self.shared.tables().load.shares(now).next().is_some()
     }
 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -157,6 +157,7 @@
                 Ok(None) => return self.finish().await,
                 Err(reason) => return End::Broken(reason),
             };
+            answer.place.heard();
             if is_first {
                 is_first = false;
                 answer.place.read();
--- a/crates/edge/src/wait.rs
+++ b/crates/edge/src/wait.rs
@@ -48,6 +48,13 @@
         tables.load.end(server);
     }
 
+    /// Notes that something has come.
+    pub(crate) fn heard(&self) {
+        let now = self.shared.now();
+        let mut tables = self.shared.tables();
+        tables.load.heard(&self.choice.target.server, now);
+    }
+
     /// Notes that the first token has come.
     pub(crate) fn read(&mut self) {
         if !self.is_read {
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -83,7 +83,11 @@
         .filter(|t| load.work(&t.server, now).requests < t.slots)
         .filter(|t| !t.is_cold || load.sent_lately(&t.server, now) < cold_per_s)
         .collect();
-    let drawn = free.choose_multiple(rng, DRAWN);
+    // A replica that lost a member takes requests and does not answer them.
+    let is_silent = |t: &&Target| t.model.is_some() && load.work(&t.server, now).is_silent;
+    let (silent, answering): (Vec<&Target>, Vec<&Target>) = free.iter().copied().partition(is_silent);
+    let pool = if answering.is_empty() { silent } else { answering };
+    let drawn = pool.choose_multiple(rng, DRAWN);
     let predicted = drawn.map(|target| {
         let (first, penalty) = predict(ask, target, cost, load, now);
         (*target, first, first * penalty)
@@ -94,7 +98,7 @@
             target: target.clone(),
             first_token: Duration::from_secs_f64(first),
             in_progress: load.work(&target.server, now).requests,
-            candidates: free.len(),
+            candidates: pool.len(),
         }))
     })
 }
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -22,6 +22,10 @@
 /// The time after which half of an observation is forgotten.
 const FORGETTING: Duration = Duration::from_secs(3);
 
+/// The silence of a replica with requests in progress after which it is thought
+/// to stand still. Passes of a full replica take up to 0.3 s.
+const SILENCE: Duration = Duration::from_millis(450);
+
 /// The window in which requests to a cold target are counted.
 const SENT_WINDOW: Duration = Duration::from_secs(1);
 
@@ -33,6 +37,8 @@
     pub requests: u32,
     /// The prompt tokens of those without a first token yet.
     pub unread: u32,
+    /// Whether nothing has come from the target for longer than it ever pauses.
+    pub is_silent: bool,
 }
 
 /// One node's work at one target, as nodes tell each other.
@@ -51,6 +57,8 @@
     slowness: f64,
     failures: f64,
     observed: Moment,
+    /// When something last came, or the first request in progress was sent.
+    heard: Moment,
     sent: VecDeque<Moment>,
 }
 
@@ -61,11 +69,22 @@
             slowness: 1.0,
             failures: 0.0,
             observed: Moment::START,
+            heard: Moment::START,
             sent: VecDeque::new(),
         }
     }
 }
 
+impl Own {
+    /// Returns the work with what the target's silence says of it.
+    fn work(&self, now: Moment) -> Work {
+        Work {
+            is_silent: self.work.requests > 0 && now.since(self.heard) > SILENCE,
+            ..self.work
+        }
+    }
+}
+
 /// The work in progress at all targets.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
@@ -77,6 +96,9 @@
     /// Notes that a request with `prompt` tokens is sent to a target.
     pub fn start(&mut self, server: &Instance, prompt: u32, now: Moment) {
         let own = self.own.entry(server.clone()).or_default();
+        if own.work.requests == 0 {
+            own.heard = now;
+        }
         own.work.requests += 1;
         own.work.unread = own.work.unread.saturating_add(prompt);
         let is_old = |sent: &Moment| now.since(*sent) >= SENT_WINDOW;
@@ -100,6 +122,13 @@
         }
     }
 
+    /// Notes that something came from a target.
+    pub fn heard(&mut self, server: &Instance, now: Moment) {
+        if let Some(own) = self.own.get_mut(server) {
+            own.heard = now;
+        }
+    }
+
     /// Notes how long a target took for something, against the prediction.
     pub fn observe(&mut self, server: &Instance, took: Duration, predicted: Duration, now: Moment) {
         let own = self.own.entry(server.clone()).or_default();
@@ -124,17 +153,18 @@
     }
 
     /// Returns this node's work, for other nodes.
-    pub fn shares(&self) -> impl Iterator<Item = Share> {
+    pub fn shares(&self, now: Moment) -> impl Iterator<Item = Share> {
         let busy = self.own.iter().filter(|(_, own)| own.work.requests > 0);
-        busy.map(|(server, own)| Share {
+        busy.map(move |(server, own)| Share {
             server: server.clone(),
-            work: own.work,
+            work: own.work(now),
         })
     }
 
     /// Returns the work of all nodes at a target.
     pub fn work(&self, server: &Instance, now: Moment) -> Work {
-        let mut work = self.own.get(server).map(|own| own.work).unwrap_or_default();
+        let own = self.own.get(server);
+        let mut work = own.map(|own| own.work(now)).unwrap_or_default();
         for (heard, shares) in self.others.values() {
             if now.since(*heard) > SHARE_AGE {
                 continue;
@@ -142,6 +172,7 @@
             if let Some(share) = shares.get(server) {
                 work.requests += share.requests;
                 work.unread = work.unread.saturating_add(share.unread);
+                work.is_silent |= share.is_silent;
             }
         }
         work
