--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -100,7 +100,8 @@
             let member = engines.get(*id).and_then(Engine::member);
             member.is_some_and(|m| self.is_own(m) && m.phase != Phase::Joining)
         };
-        self.members.len() - self.members.iter().filter(is_ready).count()
+        let joining = self.members.len() - self.members.iter().filter(is_ready).count();
+        joining.min(self.loads)
     }
 
     /// Returns whether a membership is one in this formation.
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -46,9 +46,12 @@
 /// the time there is.
 const PRIMARY_PART: f64 = 0.6;
 
-/// The use of a model's replicas above which another one is formed if that
-/// takes a single load.
-const COMPLETED_AT: f64 = 0.35;
+/// The use of a model's replicas for each load from the weight store that
+/// another replica may take.
+const SCARCE_FOR_LOAD: f64 = 0.35;
+
+/// What a formation without a load costs, in loads.
+const LOAD_COST: f64 = 0.25;
 
 /// The part of a fabric domain's engines that is kept in reserve while no model
 /// is scarce, so that a replica that loses a member is formed again at once.
@@ -58,6 +61,9 @@
 /// any but the largest models.
 const SETTLING: Duration = Duration::from_millis(3_000);
 
+/// The loads at once that are left to joins, which complete a replica.
+const LOADS_FOR_JOINS: usize = 2;
+
 /// How much longer than expected a staging may take.
 const STAGING_GRACE: Duration = Duration::from_secs(8);
 
@@ -469,13 +475,19 @@
                 let largest = order.iter().map(|w| w.size).max();
                 order.retain(|w| Some(w.size) == largest);
             }
-            let found = order.into_iter().enumerate().find_map(|(place, weights)| {
-                let use_now = scarcity.with(&weights.model, 0);
-                let is_scarcest = place == 0;
-                let members =
-                    self.pick(engines, free, weights, use_now, is_scarcest, rates, now)?;
-                Some((weights, members))
-            });
+            // What a replica is worth, for each load that it takes.
+            let worth = |weights: &config::Weights, members: &[Instance]| {
+                let loads = loads_for(engines, members, weights);
+                scarcity.with(&weights.model, 0) / (LOAD_COST + loads as f64)
+            };
+            let found = order
+                .into_iter()
+                .filter_map(|weights| {
+                    let use_now = scarcity.with(&weights.model, 0);
+                    let members = self.pick(engines, free, weights, use_now, rates, now)?;
+                    Some((weights, members))
+                })
+                .max_by(|a, b| worth(a.0, &a.1).total_cmp(&worth(b.0, &b.1)));
             let Some((weights, members)) = found else {
                 return;
             };
@@ -495,18 +507,15 @@
         free: &Free,
         weights: &config::Weights,
         scarcity: f64,
-        is_scarcest: bool,
         rates: &Rates<'_>,
         now: Moment,
     ) -> Option<Vec<Instance>> {
         let is_scarce = scarcity >= SCARCE;
         let left = self.loads_left(engines, rates, now);
-        let room = if is_scarce || !rates.has_traffic {
-            left
-        } else if is_scarcest && scarcity >= COMPLETED_AT {
-            left.min(1)
+        let room = if rates.has_traffic {
+            left.min((scarcity / SCARCE_FOR_LOAD) as usize)
         } else {
-            0
+            left
         };
         let sizes = domain_sizes(engines);
         let is_largest = rates.engine.models.iter().all(|w| w.size <= weights.size);
@@ -527,8 +536,7 @@
                 (engine.join_time(weights, now), slowness, id.clone())
             });
             ids.truncate(weights.size);
-            let loads = ids.iter().filter(|id| engines[*id].needs_load(&weights.model));
-            if loads.count() > room {
+            if loads_for(engines, &ids, weights) > room {
                 continue;
             }
             let slowest = ids.iter().map(|id| engines[id].join_time(weights, now)).max()?;
@@ -559,10 +567,7 @@
         scarcity: f64,
         now: Moment,
     ) {
-        let loads = members
-            .iter()
-            .filter(|id| engines[*id].needs_load(&weights.model))
-            .count();
+        let loads = loads_for(engines, &members, weights);
         self.loads.extend(std::iter::repeat_n(now, loads));
         let joins = members.iter().map(|id| engines[id].join_time(weights, now));
         let joins: Vec<Duration> = joins.collect();
@@ -660,13 +665,8 @@
                 || wanted.iter().any(|(other, _)| other == id)
                 || self.formations.iter().any(|f| f.members.contains(id))
         };
-        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
-        let busy = |e: &&Engine| e.is_busy && e.is_alive;
-        let staging = engines.values().filter(busy).count();
-        let at_once = rates.engine.loads_at_once as usize;
-        let room = at_once
-            .saturating_sub(joining.max(staging))
-            .min(self.loads_left(engines, rates, now));
+        let for_joins = if rates.has_traffic { LOADS_FOR_JOINS } else { 0 };
+        let room = self.loads_left(engines, rates, now).saturating_sub(for_joins);
         let hosts: Vec<&Engine> = engines
             .values()
             .filter(|e| e.is_sound() && e.is_allowed && !e.is_busy && !is_taken(e.id()))
@@ -687,21 +687,26 @@
     }
 
     /// Returns how many loads of weights may begin now.
+    ///
+    /// Beyond so many at once each load takes longer, so that none is gained and
+    /// the first ones are late.
     fn loads_left(
         &self,
         engines: &HashMap<Instance, Engine>,
         rates: &Rates<'_>,
         now: Moment,
     ) -> usize {
+        let joining: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
+        let under_way = joining + self.staging.len();
+        let at_once = (rates.engine.loads_at_once as usize).saturating_sub(under_way);
         if !rates.has_traffic {
-            let loading: usize = self.formations.iter().map(|f| f.loading(engines)).sum();
-            let at_once = rates.engine.loads_at_once as usize;
-            return if loading < at_once { usize::MAX } else { 0 };
+            // Replicas of several engines are begun whole.
+            return if at_once > 0 { usize::MAX } else { 0 };
         }
         let is_counted = |sent: &&Moment| now.since(**sent) < rates.load_window;
         let begun = self.loads.iter().filter(is_counted).count();
         let allowed = rates.engine.loads_per_s * rates.load_window.as_secs_f64() * LOADS_PART;
-        (allowed as usize).saturating_sub(begun)
+        (allowed as usize).saturating_sub(begun).min(at_once)
     }
 
     /// Turns wanted commands into orders, at most one for each engine.
@@ -757,3 +762,13 @@
     }
     sizes
 }
+
+/// Returns how many loads from the weight store a replica with these members takes.
+fn loads_for(
+    engines: &HashMap<Instance, Engine>,
+    members: &[Instance],
+    weights: &config::Weights,
+) -> usize {
+    let needs_load = |id: &&Instance| engines[*id].needs_load(&weights.model);
+    members.iter().filter(needs_load).count()
+}
