--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -107,11 +107,22 @@
 
     /// Returns the nodes among which allowances are divided, this one included.
     pub(crate) fn count(&self) -> usize {
+        1 + self.counted().count()
+    }
+
+    /// Returns the names of the nodes among which allowances are divided.
+    pub(crate) fn names<'a>(&'a self, own: &'a str) -> Vec<&'a str> {
+        let others = self.counted().map(|peer| peer.card.node.as_str());
+        others.chain([own]).collect()
+    }
+
+    /// Returns the other nodes among which allowances are divided.
+    fn counted(&self) -> impl Iterator<Item = &Peer> {
         let is_counted = |peer: &&Peer| {
             peer.heard
                 .is_some_and(|heard| self.now.since(heard) < COUNTED_FOR)
         };
-        1 + self.peers.values().filter(is_counted).count()
+        self.peers.values().filter(is_counted)
     }
 
     /// Returns how old a planner's word may be before it counts as gone.
--- a/crates/edge/src/wait.rs
+++ b/crates/edge/src/wait.rs
@@ -3,7 +3,7 @@
 use crate::state::{Shared, Tables};
 use clock::Moment;
 use name::{Instance, Model, Service};
-use place::{Ask, Choice, Fleet, Outlook, Rank, choose};
+use place::{Ask, Choice, Outlook, Rank, choose, cold_part};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -179,7 +179,10 @@
             &tables.targets,
             cost.as_deref(),
             &tables.load,
-            Fleet::cold_part(cold_per_s, tables.peers.count()),
+            |target| {
+                let own = self.settings.node.as_str();
+                cold_part(cold_per_s, &target.server, own, tables.peers.names(own).into_iter())
+            },
             now,
             &mut rand::rng(),
         );
--- /dev/null
+++ b/crates/form/tests/planner.rs
@@ -0,0 +1,422 @@
+//! The planner against engines that carry out orders, without a network.
+
+use clock::Moment;
+use form::{Demand, Engine, Note, Planner, Rates};
+use name::{Instance, Model};
+use site::{
+    Server, config,
+    order::{Command, Outcome},
+    server::{self, Member, Phase},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+/// How old reports are: an order shows its effect after this time.
+const LAG: Duration = Duration::from_millis(250);
+
+/// The step of the planner's driver.
+const STEP: Duration = Duration::from_millis(100);
+
+fn model(name: &str) -> Model {
+    name.parse().expect("a model's name")
+}
+
+fn weights(name: &str, size: usize, share: f64) -> config::Weights {
+    config::Weights {
+        model: model(name),
+        size,
+        share,
+        pace: 1.0,
+        load: Duration::from_secs(16),
+        warm: Duration::from_millis(1_600),
+    }
+}
+
+fn costs() -> config::Engine {
+    config::Engine {
+        slots: 26,
+        memory_tokens: 1_400_000,
+        step: Duration::from_millis(6),
+        step_per_request: Duration::from_micros(241),
+        step_per_context: Duration::from_micros(5),
+        read_per_s: 46_000.0,
+        pairs_per_million: Duration::from_micros(700),
+        stride: 5,
+        chunk: 2_048,
+        usual_prompt: 1_000.0,
+        usual_answer: 100.0,
+        forming: Duration::from_millis(300),
+        loads_per_s: 4.0,
+        loads_at_once: 6,
+        models: vec![weights("large", 4, 0.67), weights("small", 2, 0.33)],
+    }
+}
+
+/// Engines that carry out orders, and report it a little later.
+struct World {
+    costs: config::Engine,
+    engines: BTreeMap<Instance, Engine>,
+    ordered: Vec<(Moment, Instance, Command)>,
+    joining: HashMap<Instance, Moment>,
+    staging: HashMap<Instance, (Model, Moment)>,
+    now: Moment,
+    demand: Demand,
+    notes: Vec<Note>,
+    /// Joins of an engine whose replica's head was open.
+    violations: Vec<String>,
+    most_loads: usize,
+}
+
+impl World {
+    /// Returns a world with `domains` fabric domains of `size` engines.
+    fn new(domains: usize, size: usize) -> Self {
+        let mut engines = BTreeMap::new();
+        for n in 0..domains * size {
+            let id: Instance = format!("e{n:02}").parse().expect("a name");
+            let fabric = format!("f{}", n / size).parse().expect("a name");
+            let server = Server {
+                id: id.clone(),
+                service: "llm".parse().expect("a name"),
+                address: ([127, 0, 0, 1], 1).into(),
+                domain: "d".parse().expect("a name"),
+                born: 1,
+                slots: 26,
+                is_leaving: false,
+                cold_for: Duration::ZERO,
+                engine: server::Engine {
+                    fabric: Some(fabric),
+                    ..server::Engine::default()
+                },
+            };
+            engines.insert(
+                id,
+                Engine {
+                    server,
+                    is_alive: true,
+                    is_allowed: true,
+                    is_busy: false,
+                    sequence: Some(0),
+                    pace: 1.0,
+                    asked: Moment::START,
+                    staging: None,
+                },
+            );
+        }
+        Self {
+            costs: costs(),
+            engines,
+            ordered: Vec::new(),
+            joining: HashMap::new(),
+            staging: HashMap::new(),
+            now: Moment::from_millis(10_000),
+            demand: Demand::default(),
+            notes: Vec::new(),
+            violations: Vec::new(),
+            most_loads: 0,
+        }
+    }
+
+    /// Lets callers ask for this many replicas of each model.
+    fn ask(&mut self, large: f64, small: f64) {
+        self.demand.replicas = [(model("large"), large), (model("small"), small)].into();
+    }
+
+    /// Runs a planner for some time.
+    fn run(&mut self, planner: &mut Planner, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.settle();
+            let rates = Rates {
+                engine: &self.costs.clone(),
+                demand: &self.demand.clone(),
+                has_traffic: !self.demand.replicas.is_empty(),
+                load_window: Duration::from_secs(5),
+            };
+            let seen = self.engines.clone().into_iter().collect();
+            let step = planner.step(seen, &rates, self.now);
+            self.notes.extend(step.notes);
+            for send in step.sends {
+                let is_alive = self.engines[&send.engine].is_alive;
+                let outcome = if is_alive { Outcome::Begun } else { Outcome::Refused };
+                planner.answered(&send.engine, outcome);
+                let at = self.now + LAG;
+                self.ordered.push((at, send.engine, send.order.command));
+            }
+        }
+    }
+
+    /// Carries out the orders, and ends the joins and stagings, that are due.
+    fn settle(&mut self) {
+        let now = self.now;
+        let ordered = std::mem::take(&mut self.ordered);
+        for (at, id, command) in ordered {
+            if now >= at {
+                self.order(&id, &command);
+            } else {
+                self.ordered.push((at, id, command));
+            }
+        }
+        for (id, at) in &self.joining {
+            let engine = self.engines.get_mut(id).expect("a known engine");
+            if let (true, Some(member)) = (now >= *at, &mut engine.server.engine.member)
+                && member.phase == Phase::Joining
+            {
+                member.phase = Phase::Ready;
+            }
+        }
+        self.joining.retain(|_, at| now < *at);
+        for (id, (staged, at)) in &self.staging {
+            if now >= *at {
+                let engine = self.engines.get_mut(id).expect("a known engine");
+                engine.server.engine.staged = vec![staged.clone()];
+            }
+        }
+        self.staging.retain(|_, (_, at)| now < *at);
+        for engine in self.engines.values_mut() {
+            engine.asked = now;
+        }
+    }
+
+    /// Carries an order out.
+    fn order(&mut self, id: &Instance, command: &Command) {
+        if !self.engines[id].is_alive {
+            return;
+        }
+        if let Command::Join { .. } = command {
+            self.check_join(id);
+        }
+        let is_traffic = !self.demand.replicas.is_empty();
+        let engine = self.engines.get_mut(id).expect("a known engine");
+        engine.sequence = engine.sequence.map(|s| s + 1);
+        match command {
+            Command::Join {
+                replica,
+                generation,
+                model,
+                members,
+            } => {
+                let weights = self.costs.weights(model).expect("a known model");
+                let is_load = engine.needs_load(model);
+                let time = engine.join_time(weights, self.now);
+                let time = if is_load && !is_traffic { time / 10 } else { time };
+                engine.server.engine.member = Some(Member {
+                    replica: replica.clone(),
+                    generation: *generation,
+                    rank: members.iter().position(|m| m == id).expect("a member"),
+                    phase: Phase::Joining,
+                });
+                engine.server.engine.models = vec![model.clone()];
+                if is_load {
+                    engine.server.engine.staged = vec![model.clone()];
+                    self.joining.insert(id.clone(), self.now + time);
+                    self.count_loads();
+                } else {
+                    self.joining.insert(id.clone(), self.now + time);
+                }
+            }
+            Command::Open { .. } => set(engine, Phase::Open),
+            Command::Close { .. } => set(engine, Phase::Ready),
+            Command::Leave { .. } => engine.server.engine.member = None,
+            Command::Stage { model } => {
+                let load = self.costs.weights(model).expect("a known model").load;
+                let load = if is_traffic { load } else { load / 10 };
+                self.staging
+                    .insert(id.clone(), (model.clone(), self.now + load));
+                self.count_loads();
+            }
+        }
+    }
+
+    /// Notes a join of an engine whose replica's head is open.
+    fn check_join(&mut self, id: &Instance) {
+        let Some(member) = self.engines[id].member() else {
+            return;
+        };
+        let is_open_head = |e: &&Engine| {
+            let other = e.member();
+            other.is_some_and(|m| m.replica == member.replica && m.rank == 0)
+                && e.is_alive
+                && other.is_some_and(|m| m.phase == Phase::Open)
+        };
+        if self.engines.values().any(|e| is_open_head(&e)) {
+            self.violations.push(format!("{id} at {:?}", self.now));
+        }
+    }
+
+    /// Notes how many loads run at once.
+    fn count_loads(&mut self) {
+        let is_load = |id: &&Instance| self.joining[*id].since(self.now) > Duration::from_secs(2);
+        let joins = self.joining.keys().filter(is_load).count();
+        self.most_loads = self.most_loads.max(joins + self.staging.len());
+    }
+
+    /// Returns how many replicas of a model serve with all their members.
+    fn serving(&self, name: &str) -> usize {
+        let size = self.costs.weights(&model(name)).expect("a model").size;
+        let heads = self.engines.values().filter(|e| {
+            e.is_alive
+                && e.holds(&model(name))
+                && e.member().is_some_and(|m| m.phase == Phase::Open)
+        });
+        heads
+            .filter(|head| {
+                let replica = head.member().map(|m| &m.replica);
+                let members = self.engines.values().filter(|e| e.is_alive);
+                members.filter(|e| e.member().map(|m| &m.replica) == replica).count() == size
+            })
+            .count()
+    }
+
+    /// Ends an engine that matches.
+    fn kill(&mut self, is_it: impl Fn(&Engine) -> bool) -> Instance {
+        let engine = self.engines.values_mut().find(|e| e.is_alive && is_it(e));
+        let engine = engine.expect("an engine that matches");
+        engine.is_alive = false;
+        engine.id().clone()
+    }
+}
+
+fn set(engine: &mut Engine, phase: Phase) {
+    if let Some(member) = &mut engine.server.engine.member {
+        member.phase = phase;
+    }
+}
+
+/// Returns a world whose replicas serve.
+fn formed() -> (World, Planner) {
+    let mut world = World::new(6, 8);
+    let mut planner = Planner::new(1);
+    world.run(&mut planner, Duration::from_secs(12));
+    (world, planner)
+}
+
+#[test]
+fn all_models_are_served_before_the_first_request() {
+    let (world, _) = formed();
+    assert!(world.serving("large") >= 5, "{}", world.serving("large"));
+    assert!(world.serving("small") >= 5, "{}", world.serving("small"));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn a_lost_member_is_replaced_from_the_reserve_of_its_domain() {
+    struct Case {
+        what: &'static str,
+        rank: usize,
+    }
+    let cases = [
+        Case { what: "a member", rank: 2 },
+        Case { what: "the head", rank: 0 },
+    ];
+    for case in cases {
+        let (mut world, mut planner) = formed();
+        world.ask(2.0, 2.0);
+        world.run(&mut planner, Duration::from_secs(1));
+        let before = world.serving("large");
+        let is_it = |e: &Engine| {
+            e.holds(&model("large")) && e.member().is_some_and(|m| m.rank == case.rank)
+        };
+        world.kill(is_it);
+        assert_eq!(world.serving("large"), before - 1, "{}", case.what);
+        // Closing, joining from the host and opening take less than four seconds.
+        world.run(&mut planner, Duration::from_secs(4));
+        assert_eq!(world.serving("large"), before, "{}", case.what);
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.what);
+    }
+}
+
+/// Engines of a replica that was given up were taken for free although a
+/// formation had picked them already, and were ordered to and fro.
+#[test]
+fn an_engine_is_in_one_formation_at_a_time() {
+    let (mut world, mut planner) = formed();
+    world.ask(4.0, 4.0);
+    for round in 0..12 {
+        let rank = round % 2;
+        world.kill(|e| e.member().is_some_and(|m| m.rank == rank && m.phase != Phase::Joining));
+        world.run(&mut planner, Duration::from_secs(3));
+        let mut current: HashMap<Instance, u32> = HashMap::new();
+        let ended: Vec<_> = world
+            .notes
+            .iter()
+            .filter_map(|n| match n {
+                Note::Formed { replica, .. } => Some(replica.clone()),
+                _ => None,
+            })
+            .collect();
+        for note in &world.notes {
+            if let Note::Form { replica, members, .. } = note
+                && !ended.contains(replica)
+            {
+                for id in members {
+                    *current.entry(id.clone()).or_default() += 1;
+                }
+            }
+        }
+        assert!(current.values().all(|n| *n == 1), "round {round}: {current:?}");
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Fifteen loads at once took 40 s each instead of 16.
+#[test]
+fn loads_at_once_stay_within_what_the_weight_store_serves() {
+    let (mut world, mut planner) = formed();
+    world.ask(5.0, 5.0);
+    world.most_loads = 0;
+    for _ in 0..10 {
+        world.kill(|e| e.member().is_some_and(|m| m.phase == Phase::Open));
+        world.run(&mut planner, Duration::from_secs(3));
+    }
+    assert!(
+        world.most_loads <= world.costs.loads_at_once as usize,
+        "{} loads at once",
+        world.most_loads
+    );
+}
+
+/// A staging that an engine refused was counted as under way for ever, and no
+/// load began any more.
+#[test]
+fn a_successor_goes_on_from_reports_alone() {
+    let (mut world, mut planner) = formed();
+    world.ask(3.0, 3.0);
+    world.run(&mut planner, Duration::from_secs(4));
+    let before = (world.serving("large"), world.serving("small"));
+    let mut successor = Planner::new(2);
+    world.kill(|e| e.holds(&model("large")) && e.member().is_some_and(|m| m.rank == 1));
+    world.run(&mut successor, Duration::from_secs(4));
+    let after = (world.serving("large"), world.serving("small"));
+    assert!(after.0 >= before.0 && after.1 >= before.1, "{before:?} {after:?}");
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+#[test]
+fn members_that_left_a_dead_head_join_only_after_leaving() {
+    let (mut world, mut planner) = formed();
+    world.ask(2.0, 2.0);
+    world.run(&mut planner, Duration::from_secs(1));
+    let head = world.kill(|e| e.holds(&model("small")) && e.member().is_some_and(|m| m.rank == 0));
+    let replica = world.engines[&head].member().map(|m| m.replica.clone());
+    let survivor = world.engines.values().find(|e| {
+        e.is_alive && e.member().map(|m| &m.replica) == replica.as_ref()
+    });
+    let survivor = survivor.expect("the other member").id().clone();
+    let rates = Rates {
+        engine: &world.costs.clone(),
+        demand: &world.demand.clone(),
+        has_traffic: true,
+        load_window: Duration::from_secs(5),
+    };
+    world.now = world.now + Duration::from_secs(1);
+    world.settle();
+    let step = planner.step(world.engines.clone().into_iter().collect(), &rates, world.now);
+    let to_survivor: Vec<_> = step.sends.iter().filter(|s| s.engine == survivor).collect();
+    assert!(
+        matches!(to_survivor[..], [send] if matches!(send.order.command, Command::Leave { .. })),
+        "{to_survivor:?}"
+    );
+}
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -1,6 +1,6 @@
 //! The choice of a target for one request.
 
-use crate::{Cost, Fleet, Load, Target};
+use crate::{Cost, Load, Target};
 use clock::Moment;
 use name::{Domain, Instance, Model, Service};
 use rand::{Rng, seq::IndexedRandom};
@@ -58,14 +58,14 @@
 
 /// Picks a target for a request.
 ///
-/// `cold_per_s` is the most requests that this node may send to a cold target
+/// `cold_per_s` tells the most requests that this node may send to a cold target
 /// in a second.
 pub fn choose(
     ask: &Ask<'_>,
     targets: &[Target],
     cost: Option<&Cost>,
     load: &Load,
-    cold_per_s: usize,
+    cold_per_s: impl Fn(&Target) -> usize,
     now: Moment,
     rng: &mut impl Rng,
 ) -> Outlook {
@@ -81,7 +81,7 @@
         .copied()
         .filter(|t| !ask.excluded.contains(&t.server))
         .filter(|t| load.work(&t.server, now).requests < t.slots)
-        .filter(|t| !t.is_cold || load.sent_lately(&t.server, now) < cold_per_s)
+        .filter(|t| !t.is_cold || load.sent_lately(&t.server, now) < cold_per_s(t))
         .collect();
     // A replica that lost a member takes requests and does not answer them.
     let is_silent = |t: &&Target| t.model.is_some() && load.work(&t.server, now).is_silent;
@@ -128,12 +128,18 @@
     (first + way, load.penalty(&target.server, now))
 }
 
-impl Fleet {
-    /// Returns the part of a cold server's bound that one of `nodes` nodes may use.
-    ///
-    /// The bound is the operators' figure; every node may send at least one
-    /// request a second, which the promised overshoot allows for.
-    pub fn cold_part(cold_per_s: f64, nodes: usize) -> usize {
-        ((cold_per_s / nodes.max(1) as f64) as usize).max(1)
-    }
+/// Returns the part of a cold server's bound that one node may use.
+///
+/// Whole requests are dealt out, so that the parts of all nodes add up to the
+/// bound however many nodes there are. Each server begins with another node.
+pub fn cold_part<'a>(
+    cold_per_s: f64,
+    server: &Instance,
+    own: &str,
+    nodes: impl ExactSizeIterator<Item = &'a str>,
+) -> usize {
+    let bound = cold_per_s as usize;
+    let count = nodes.len().max(1);
+    let rank = name::rank(server.as_str(), own, nodes);
+    bound / count + usize::from(rank < bound % count)
 }
--- /dev/null
+++ b/crates/place/tests/placing.rs
@@ -0,0 +1,398 @@
+//! Budget, fleet, choice, load and queue, each under the load it answers.
+
+use clock::Moment;
+use name::{Domain, Instance, Model, Service};
+use place::{Ask, Budget, Cost, Fleet, Load, Outlook, Queue, Rank, Share, Target, Work, choose, cold_part};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use site::{
+    Config, Server,
+    config::{Engine, Spec, Weights},
+    server::{self, Change, Member, Phase},
+    settings::Bounds,
+};
+use std::{sync::Arc, time::Duration};
+
+const SLOTS: u32 = 26;
+
+fn id(text: &str) -> Instance {
+    text.parse().expect("a name")
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+fn bounds() -> Bounds {
+    Bounds {
+        leaving: Duration::from_secs(2),
+        config: Duration::from_secs(2),
+        revoke: Some(Duration::from_secs(5)),
+        grace: Duration::from_secs(8),
+        stall: Duration::from_secs(6),
+        retry_ratio: 0.2,
+        retry_slack: 136.0,
+        retry_window: Duration::from_secs(10),
+        load_window: Duration::from_secs(5),
+        max_answer_age: Duration::from_secs(5),
+    }
+}
+
+fn engine() -> Engine {
+    Engine {
+        slots: SLOTS,
+        memory_tokens: 1_400_000,
+        step: Duration::from_micros(6_070),
+        step_per_request: Duration::from_micros(241),
+        step_per_context: Duration::from_micros(5),
+        read_per_s: 46_000.0,
+        pairs_per_million: Duration::from_micros(700),
+        stride: 5,
+        chunk: 2_048,
+        usual_prompt: 1_076.0,
+        usual_answer: 116.0,
+        forming: Duration::from_millis(300),
+        loads_per_s: 4.0,
+        loads_at_once: 6,
+        models: vec![Weights {
+            model: "m".parse().expect("a name"),
+            size: 2,
+            share: 1.0,
+            pace: 1.0,
+            load: Duration::from_secs(12),
+            warm: Duration::from_secs(1),
+        }],
+    }
+}
+
+fn config() -> Config {
+    let spec = Spec {
+        cold_per_s: 36.0,
+        max_connections: 400,
+        engine: Some(engine()),
+    };
+    Config {
+        services: [("llm".parse().expect("a name"), Arc::new(spec))].into(),
+        ..Config::default()
+    }
+}
+
+/// A member of the replica `r`.
+fn member(name: &str, rank: usize, phase: Phase) -> Server {
+    Server {
+        id: id(name),
+        service: "llm".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "d".parse().expect("a name"),
+        born: 1,
+        slots: SLOTS,
+        is_leaving: false,
+        cold_for: Duration::ZERO,
+        engine: server::Engine {
+            fabric: None,
+            staged: Vec::new(),
+            models: vec!["m".parse().expect("a name")],
+            member: Some(Member {
+                replica: "r".parse().expect("a name"),
+                generation: 1,
+                rank,
+                phase,
+            }),
+        },
+    }
+}
+
+fn fleet(servers: impl IntoIterator<Item = Server>) -> Fleet {
+    let mut fleet = Fleet::default();
+    for server in servers {
+        fleet.apply(Change::Is(Box::new(server)));
+    }
+    fleet
+}
+
+#[test]
+fn a_replica_takes_requests_only_while_whole_and_open() {
+    struct Case {
+        what: &'static str,
+        change: fn(&mut Fleet),
+        targets: usize,
+    }
+    let pair = || [member("a", 0, Phase::Open), member("b", 1, Phase::Ready)];
+    let cases = [
+        Case { what: "whole", change: |_| {}, targets: 1 },
+        Case {
+            what: "a member's entry is gone",
+            change: |f| f.apply(Change::Gone(id("b"))),
+            targets: 0,
+        },
+        Case {
+            what: "a member was found dead",
+            change: |f| {
+                f.set_lost([(id("b"), 1)]);
+            },
+            targets: 0,
+        },
+        Case {
+            what: "an earlier life of a member was found dead",
+            change: |f| {
+                f.set_lost([(id("b"), 0)]);
+            },
+            targets: 1,
+        },
+        Case {
+            what: "a member leaves",
+            change: |f| {
+                let mut leaving = member("b", 1, Phase::Ready);
+                leaving.is_leaving = true;
+                f.apply(Change::Is(Box::new(leaving)));
+            },
+            targets: 0,
+        },
+        Case {
+            what: "the head closes",
+            change: |f| f.apply(Change::Is(Box::new(member("a", 0, Phase::Closing)))),
+            targets: 0,
+        },
+        Case {
+            what: "the head's domain is taken out",
+            change: |f| f.take_out("d".parse().expect("a name"), true),
+            targets: 0,
+        },
+        Case {
+            what: "an entry of an earlier life comes late",
+            change: |f| {
+                let mut old = member("a", 0, Phase::Broken);
+                old.born = 0;
+                f.apply(Change::Is(Box::new(old)));
+            },
+            targets: 1,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet(pair());
+        (case.change)(&mut fleet);
+        assert_eq!(fleet.targets(&config()).len(), case.targets, "{}", case.what);
+    }
+}
+
+#[test]
+fn what_is_in_progress_goes_on_while_members_only_leave() {
+    struct Case {
+        what: &'static str,
+        change: fn(&mut Fleet),
+        is_doomed: bool,
+    }
+    let cases = [
+        Case {
+            what: "a member leaves",
+            change: |f| {
+                let mut leaving = member("b", 1, Phase::Ready);
+                leaving.is_leaving = true;
+                f.apply(Change::Is(Box::new(leaving)));
+            },
+            is_doomed: false,
+        },
+        Case {
+            what: "the head closes",
+            change: |f| f.apply(Change::Is(Box::new(member("a", 0, Phase::Closing)))),
+            is_doomed: false,
+        },
+        Case {
+            what: "a member was found dead",
+            change: |f| {
+                f.set_lost([(id("b"), 1)]);
+            },
+            is_doomed: true,
+        },
+        Case {
+            what: "the head began another life",
+            change: |f| {
+                let mut other = member("a", 0, Phase::Open);
+                other.born = 2;
+                f.apply(Change::Is(Box::new(other)));
+            },
+            is_doomed: true,
+        },
+    ];
+    for case in cases {
+        let mut fleet = fleet([member("a", 0, Phase::Open), member("b", 1, Phase::Ready)]);
+        let target = fleet.targets(&config()).remove(0);
+        (case.change)(&mut fleet);
+        assert_eq!(fleet.is_doomed(&target, &config()), case.is_doomed, "{}", case.what);
+    }
+}
+
+/// A second server was counted against a route's attempts although the first
+/// had ended, or was not counted at all.
+#[test]
+fn only_servers_that_live_the_same_life_count_as_living() {
+    let mut fleet = fleet([member("a", 0, Phase::Open)]);
+    assert!(fleet.lives(&id("a"), 1));
+    assert!(!fleet.lives(&id("a"), 2));
+    fleet.set_lost([(id("a"), 1)]);
+    assert!(!fleet.lives(&id("a"), 1));
+    fleet.apply(Change::Gone(id("a")));
+    assert!(!fleet.lives(&id("a"), 1));
+}
+
+/// All nodes together must not exceed the allowance in any window.
+#[test]
+fn budgets_of_all_nodes_stay_within_the_allowance() {
+    for nodes in [1, 6, 9, 72, 340] {
+        let bounds = bounds();
+        let mut budgets: Vec<Budget> = (0..nodes).map(|_| Budget::new(&bounds, nodes)).collect();
+        let mut requests = 0.0;
+        let mut further = 0.0;
+        // Every request fails and wants a further attempt, twice.
+        for n in 0..3_000 {
+            let budget = &mut budgets[n % nodes];
+            budget.request();
+            requests += 1.0;
+            further += f64::from(u8::from(budget.take())) + f64::from(u8::from(budget.take()));
+        }
+        let allowed = bounds.retry_ratio * requests + bounds.retry_slack;
+        assert!(further <= allowed, "{nodes} nodes: {further} of {allowed}");
+    }
+}
+
+/// With more nodes than a cold server bears requests, each node sent one.
+#[test]
+fn parts_of_a_cold_servers_bound_add_up_to_it() {
+    for nodes in [1_usize, 5, 9, 36, 72, 340] {
+        let names: Vec<String> = (0..nodes).map(|n| format!("node-{n}")).collect();
+        for server in ["a", "b", "c"] {
+            let parts = names.iter().map(|own| {
+                let all: Vec<&str> = names.iter().map(String::as_str).collect();
+                cold_part(36.0, &id(server), own, all.into_iter())
+            });
+            assert_eq!(parts.sum::<usize>(), 36, "{nodes} nodes, server {server}");
+        }
+    }
+}
+
+fn target(name: &str) -> Target {
+    Target {
+        server: id(name),
+        born: 1,
+        address: ([127, 0, 0, 1], 1).into(),
+        service: "llm".parse().expect("a name"),
+        domain: "d".parse().expect("a name"),
+        model: Some("m".parse().expect("a name")),
+        slots: SLOTS,
+        is_cold: false,
+        replica: None,
+    }
+}
+
+/// Chooses among targets for a request with a usual prompt.
+fn pick(targets: &[Target], load: &Load, excluded: &[Instance], now: Moment) -> Outlook {
+    let service: Service = "llm".parse().expect("a name");
+    let model: Model = "m".parse().expect("a name");
+    let domain: Domain = "d".parse().expect("a name");
+    let cost = Cost::new(&engine(), &engine().models[0]);
+    let ask = Ask {
+        service: &service,
+        model: Some(&model),
+        prompt: 1_000,
+        excluded,
+        domain: &domain,
+    };
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    choose(&ask, targets, Some(&cost), load, |_| 1, now, &mut rng)
+}
+
+fn name_of(outlook: &Outlook) -> Option<&str> {
+    match outlook {
+        Outlook::Place(choice) => Some(choice.target.server.as_str()),
+        _ => None,
+    }
+}
+
+#[test]
+fn the_target_with_the_earliest_first_token_is_taken() {
+    let targets = [target("a"), target("b")];
+    let mut load = Load::default();
+    for _ in 0..5 {
+        load.start(&id("a"), 2_000, at(1_000));
+    }
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("b"));
+    // Work that other nodes tell of counts as well.
+    let shares = [Share {
+        server: id("b"),
+        work: Work { requests: 20, unread: 40_000, is_silent: false },
+    }];
+    load.share("other".parse().expect("a name"), shares, at(1_000));
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("a"));
+    // It is forgotten when the node falls silent.
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(9_000))), Some("b"));
+}
+
+#[test]
+fn full_excluded_and_missing_targets_are_told_apart() {
+    let targets = [target("a")];
+    let mut load = Load::default();
+    let excluded = [id("a")];
+    assert!(matches!(pick(&targets, &load, &excluded, at(0)), Outlook::Full));
+    assert!(matches!(pick(&[], &load, &[], at(0)), Outlook::Nowhere));
+    for _ in 0..SLOTS {
+        load.start(&id("a"), 10, at(0));
+    }
+    assert!(matches!(pick(&targets, &load, &[], at(0)), Outlook::Full));
+    load.end(&id("a"));
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(0))), Some("a"));
+}
+
+/// A replica that lost a member took about 40 requests until it was found out.
+#[test]
+fn a_replica_that_stands_still_gets_nothing_new() {
+    let targets = [target("a"), target("b")];
+    let mut load = Load::default();
+    load.start(&id("a"), 100, at(0));
+    for _ in 0..20 {
+        load.start(&id("b"), 100, at(0));
+    }
+    load.heard(&id("b"), at(900));
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(200))), Some("a"));
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("b"));
+    // It is used if there is nothing else.
+    assert_eq!(name_of(&pick(&targets[..1], &load, &[], at(1_000))), Some("a"));
+    load.heard(&id("a"), at(1_000));
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(1_100))), Some("a"));
+}
+
+#[test]
+fn a_target_that_fails_or_is_slow_is_avoided_for_a_while() {
+    let targets = [target("a"), target("b")];
+    let mut load = Load::default();
+    for _ in 0..3 {
+        load.fail(&id("a"), at(1_000));
+        load.start(&id("b"), 0, at(1_000));
+    }
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("b"));
+    load.heard(&id("b"), at(60_000));
+    assert_eq!(name_of(&pick(&targets, &load, &[], at(60_000))), Some("a"));
+}
+
+#[test]
+fn urgent_requests_and_those_that_can_be_on_time_go_first() {
+    let rank = |priority, due| Rank { priority, due: at(due) };
+    let mut queue = Queue::default();
+    queue.push(rank(1, 900), "late");
+    queue.push(rank(2, 1_500), "less urgent");
+    queue.push(rank(1, 1_400), "second");
+    queue.push(rank(1, 1_200), "first");
+    assert_eq!(queue.ahead(rank(1, 1_300)), 2);
+    let mut order = Vec::new();
+    queue.offer(at(1_000), |what| {
+        order.push(*what);
+        *what != "second"
+    });
+    assert_eq!(order, ["first", "second", "less urgent", "late"]);
+    assert_eq!(queue.len(), 1);
+}
+
+#[test]
+fn a_wait_grows_with_what_is_ahead_and_never_ends_without_servers() {
+    assert_eq!(place::wait(9, 10.0), Some(Duration::from_secs(1)));
+    assert_eq!(place::wait(0, 0.0), None);
+}
