--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -76,3 +76,6 @@
         .find_map(|line| line.strip_prefix("id:"))
         .and_then(|id| id.trim().parse().ok())
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/events/tests.rs
@@ -0,0 +1,80 @@
+//! Events pass whole, once, and in order.
+
+use super::Events;
+
+/// Returns the text of what passes for each piece, and the last event at the end.
+fn pass(after: Option<u64>, pieces: &[&str]) -> (Vec<String>, Option<u64>) {
+    let mut events = Events::after(after);
+    let passed = pieces.iter().filter_map(|p| events.push(p.as_bytes()));
+    let passed = passed.map(|b| String::from_utf8(b.to_vec()).expect("text"));
+    (passed.collect(), events.last())
+}
+
+#[test]
+fn only_whole_events_pass_and_none_twice() {
+    struct Case {
+        what: &'static str,
+        after: Option<u64>,
+        pieces: &'static [&'static str],
+        passed: &'static [&'static str],
+        last: Option<u64>,
+    }
+    let cases = [
+        Case {
+            what: "one piece each",
+            after: None,
+            pieces: &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"],
+            passed: &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"],
+            last: Some(2),
+        },
+        Case {
+            what: "several in one piece, the last one torn",
+            after: None,
+            pieces: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\nda"],
+            passed: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\n"],
+            last: Some(2),
+        },
+        Case {
+            what: "torn between the two ends of line",
+            after: None,
+            pieces: &["id: 1\ndata: a\n", "\nid: 2\n", "data: b\n\n"],
+            passed: &["id: 1\ndata: a\n\n", "id: 2\ndata: b\n\n"],
+            last: Some(2),
+        },
+        Case {
+            what: "ends of line with carriage returns",
+            after: None,
+            pieces: &["id: 1\r\ndata: a\r\n\r\nid: 2\r\n"],
+            passed: &["id: 1\r\ndata: a\r\n\r\n"],
+            last: Some(1),
+        },
+        Case {
+            what: "a server that begins anew",
+            after: Some(2),
+            pieces: &["id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3\ndata: c\n\n"],
+            passed: &["id: 3\ndata: c\n\n"],
+            last: Some(3),
+        },
+        Case {
+            what: "an event without an id",
+            after: Some(2),
+            pieces: &["data: a\n\n"],
+            passed: &["data: a\n\n"],
+            last: Some(2),
+        },
+    ];
+    for case in cases {
+        let (passed, last) = pass(case.after, case.pieces);
+        assert_eq!(passed, case.passed, "{}", case.what);
+        assert_eq!(last, case.last, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_torn_event_is_dropped_before_the_stream_goes_on() {
+    let mut events = Events::default();
+    assert!(events.push(b"id: 1\ndata: a\n\nid: 2\nda").is_some());
+    events.drop_rest();
+    let passed = events.push(b"id: 2\ndata: b\n\n").expect("an event");
+    assert_eq!(&passed[..], b"id: 2\ndata: b\n\n");
+}
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -8,11 +8,7 @@
     server::Change,
 };
 use slog::{info, warn};
-use std::{
-    collections::HashSet,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashSet, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
 /// How long a read of the operators' feed waits for a change.
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -1,8 +1,7 @@
 //! The listeners: callers, readiness, directory, metrics.
 
 use crate::{
-    directory,
-    serve,
+    directory, serve,
     state::Shared,
     stream::{Body, whole},
 };
@@ -50,7 +49,8 @@
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
-                let connection = connection(Arc::clone(&shared), stream, role.clone(), closing.clone());
+                let connection =
+                    connection(Arc::clone(&shared), stream, role.clone(), closing.clone());
                 tokio::spawn(connection);
             }
             Err(error) => {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -10,12 +10,7 @@
 use serde::{Deserialize, Serialize};
 use site::node::Card;
 use slog::{info, warn};
-use std::{
-    collections::HashMap,
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::UdpSocket, time::sleep};
 
 /// The shortest time between two datagrams to the same node.
@@ -257,7 +252,11 @@
             let addresses = tables.peers.addresses(now);
             let nodes = tables.peers.count();
             tables.budget.divide(&shared.settings.bounds, nodes);
-            (addresses, tables.peers.interval(), serde_json::to_vec(&beat))
+            (
+                addresses,
+                tables.peers.interval(),
+                serde_json::to_vec(&beat),
+            )
         };
         match bytes {
             Ok(bytes) => send(&socket, &bytes, &addresses).await,
@@ -300,9 +299,11 @@
 fn take_in(shared: &Arc<Shared>, beat: Beat) {
     let now = shared.now();
     let mut tables = shared.tables();
-    let was_known = tables.peers.peers.get(&beat.card.node).is_some_and(|peer| {
-        peer.card.life == beat.card.life && peer.heard.is_some()
-    });
+    let was_known = tables
+        .peers
+        .peers
+        .get(&beat.card.node)
+        .is_some_and(|peer| peer.card.life == beat.card.life && peer.heard.is_some());
     if !tables.peers.hear(&beat, now) {
         return;
     }
@@ -330,3 +331,6 @@
         shared.offer(&mut tables);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/peers/tests.rs
@@ -0,0 +1,132 @@
+//! What a node believes of others, by the datagrams that it heard.
+
+use super::{Beat, COUNTED_FOR, Peers};
+use clock::Moment;
+use site::node::Card;
+use std::time::Duration;
+
+fn card(node: &str, life: u64) -> Card {
+    Card {
+        node: node.parse().expect("a name"),
+        life,
+        domain: "d".parse().expect("a name"),
+        front: ([127, 0, 0, 1], 1).into(),
+        peer: ([127, 0, 0, 1], 2).into(),
+    }
+}
+
+fn beat(node: &str, life: u64, number: u64, planner: Option<u64>) -> Beat {
+    Beat {
+        card: card(node, life),
+        number,
+        is_ready: true,
+        is_stopping: false,
+        planner,
+        lost: Vec::new(),
+        shares: Vec::new(),
+        demand: Vec::new(),
+        news: 0,
+    }
+}
+
+fn at(millis: u64) -> Moment {
+    Moment::from_millis(millis)
+}
+
+#[test]
+fn datagrams_out_of_order_are_left_out_and_a_new_life_is_not() {
+    struct Case {
+        what: &'static str,
+        life: u64,
+        number: u64,
+        is_news: bool,
+    }
+    let cases = [
+        Case {
+            what: "the first",
+            life: 7,
+            number: 5,
+            is_news: true,
+        },
+        Case {
+            what: "the same again",
+            life: 7,
+            number: 5,
+            is_news: false,
+        },
+        Case {
+            what: "an earlier one",
+            life: 7,
+            number: 4,
+            is_news: false,
+        },
+        Case {
+            what: "a later one",
+            life: 7,
+            number: 6,
+            is_news: true,
+        },
+        Case {
+            what: "another life",
+            life: 8,
+            number: 1,
+            is_news: true,
+        },
+    ];
+    let mut peers = Peers::default();
+    for case in cases {
+        let is_news = peers.hear(&beat("a", case.life, case.number, None), at(1_000));
+        assert_eq!(is_news, case.is_news, "{}", case.what);
+    }
+}
+
+#[test]
+fn a_planner_counts_until_it_is_silent_or_says_that_it_stepped_down() {
+    let mut peers = Peers::default();
+    peers.hear(&beat("a", 1, 1, Some(4)), at(1_000));
+    assert!(peers.has_planner(at(1_000)));
+    assert!(!peers.has_planner(at(1_000) + peers.patience()));
+    // An older planner that does not know yet changes nothing.
+    peers.hear(&beat("b", 1, 1, Some(3)), at(2_000));
+    assert!(!peers.has_planner(at(2_000)));
+    assert_eq!(peers.newest_token(), 4);
+    peers.hear(&beat("a", 1, 2, Some(4)), at(2_000));
+    assert!(peers.has_planner(at(2_000)));
+    // Another node without office does not end it.
+    peers.hear(&beat("b", 1, 2, None), at(2_100));
+    assert!(peers.has_planner(at(2_100)));
+    peers.hear(&beat("a", 1, 3, None), at(2_200));
+    assert!(!peers.has_planner(at(2_200)));
+    assert_eq!(peers.newest_token(), 4);
+}
+
+#[test]
+fn only_nodes_that_are_heard_are_named_to_callers() {
+    let mut peers = Peers::default();
+    peers.learn(card("known", 1), at(0));
+    peers.hear(&beat("ready", 1, 1, None), at(1_000));
+    let mut stopping = beat("stopping", 1, 1, None);
+    stopping.is_stopping = true;
+    peers.hear(&stopping, at(1_000));
+    let names = |peers: &Peers, now| -> Vec<String> {
+        let usable = peers.usable(now).into_iter();
+        usable.map(|(card, _)| card.node.to_string()).collect()
+    };
+    assert_eq!(names(&peers, at(1_100)), ["ready"]);
+    assert!(names(&peers, at(1_000) + peers.patience()).is_empty());
+}
+
+/// Allowances are divided among nodes that were heard a while ago as well: one
+/// that is silent for a moment may go on using its part.
+#[test]
+fn silent_nodes_count_for_a_while_when_allowances_are_divided() {
+    let mut peers = Peers::default();
+    peers.hear(&beat("a", 1, 1, None), at(1_000));
+    assert_eq!(peers.count(), 2);
+    peers.hear(&beat("b", 1, 1, None), at(1_000) + COUNTED_FOR);
+    assert_eq!(peers.count(), 2, "a was silent for long, b is new");
+    let later = at(1_000) + COUNTED_FOR + Duration::from_secs(1);
+    peers.hear(&beat("a", 1, 2, None), later);
+    assert_eq!(peers.count(), 3);
+    assert_eq!(peers.names("own").len(), 3);
+}
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -83,7 +83,9 @@
 
 /// Returns whether this node plans.
 fn is_planning(desk: &Desk) -> bool {
-    desk.lock().unwrap_or_else(PoisonError::into_inner).is_some()
+    desk.lock()
+        .unwrap_or_else(PoisonError::into_inner)
+        .is_some()
 }
 
 /// Returns whether another node plans.
@@ -215,13 +217,23 @@
     };
     let engines: HashMap<Instance, Server> = servers
         .iter()
-        .filter(|(s, _)| config.services.get(&s.service).is_some_and(|s| s.engine.is_some()))
+        .filter(|(s, _)| {
+            config
+                .services
+                .get(&s.service)
+                .is_some_and(|s| s.engine.is_some())
+        })
         .map(|(server, _)| (server.id.clone(), server.clone()))
         .collect();
     let planners = &office.planners;
     let is_watched = |id: &Instance| planners.values().any(|p| p.is_watched(id));
     for question in office.probes.due(&engines, is_watched, now) {
-        tokio::spawn(ask(Arc::clone(shared), Arc::clone(desk), office.token, question));
+        tokio::spawn(ask(
+            Arc::clone(shared),
+            Arc::clone(desk),
+            office.token,
+            question,
+        ));
     }
     if office.probes.is_cut_off() {
         return;
@@ -293,12 +305,7 @@
 }
 
 /// Asks one engine for its state.
-async fn ask(
-    shared: Arc<Shared>,
-    desk: Desk,
-    token: u64,
-    question: crate::probe::Question,
-) {
+async fn ask(shared: Arc<Shared>, desk: Desk, token: u64, question: crate::probe::Question) {
     let server = &question.server;
     let answer = (shared.platform.report)((server.address, server.id.clone())).await;
     let reason = answer.as_ref().err().map(ToString::to_string);
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -2,11 +2,7 @@
 
 use clock::Moment;
 use name::Instance;
-use site::{
-    Server,
-    feed::Error,
-    server::Report,
-};
+use site::{Server, feed::Error, server::Report};
 use std::{collections::HashMap, time::Duration};
 
 /// The time between two questions to a member of a replica.
@@ -190,3 +186,6 @@
         Some(engine)
     }
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/probe/tests.rs
@@ -0,0 +1,123 @@
+//! Which engines the planner finds dead.
+
+use super::{BURIED_FOR, Probes, Question};
+use clock::Moment;
+use name::Instance;
+use site::{
+    Server,
+    feed::Error,
+    server::{Engine, Report},
+};
+use std::{collections::HashMap, time::Duration};
+
+fn server(name: &str, born: u64) -> Server {
+    Server {
+        id: name.parse().expect("a name"),
+        service: "llm".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "d".parse().expect("a name"),
+        born,
+        slots: 26,
+        is_leaving: false,
+        cold_for: Duration::ZERO,
+        engine: Engine::default(),
+    }
+}
+
+fn report(born: u64) -> Result<Report, Error> {
+    Ok(Report {
+        born: Some(born),
+        engine: Engine::default(),
+        sequence: 0,
+        is_busy: false,
+        queued: 0,
+        running: 0,
+        pace: 1.0,
+    })
+}
+
+fn silence() -> Result<Report, Error> {
+    Err(Error {
+        reason: "no answer".into(),
+        is_without_effect: true,
+    })
+}
+
+fn servers(born: u64) -> HashMap<Instance, Server> {
+    let server = server("a", born);
+    [(server.id.clone(), server)].into()
+}
+
+/// Asks whatever is due and gives the answers; returns how often was asked.
+fn ask(
+    probes: &mut Probes,
+    servers: &HashMap<Instance, Server>,
+    now: Moment,
+    answer: impl Fn(&Question) -> Result<Report, Error>,
+) -> usize {
+    let questions = probes.due(servers, |_| true, now);
+    for question in &questions {
+        probes.answered(question, answer(question), now);
+    }
+    questions.len()
+}
+
+#[test]
+fn an_engine_is_dead_after_two_questions_without_an_answer() {
+    let mut probes = Probes::default();
+    let mut now = Moment::from_millis(1_000);
+    ask(&mut probes, &servers(1), now, |_| silence());
+    assert!(probes.dead().is_empty());
+    now = now + Duration::from_millis(200);
+    ask(&mut probes, &servers(1), now, |_| silence());
+    assert_eq!(probes.dead().len(), 1);
+    now = now + Duration::from_millis(200);
+    ask(&mut probes, &servers(1), now, |q| report(q.server.born));
+    assert!(probes.dead().is_empty(), "it answers again");
+}
+
+#[test]
+fn an_answer_of_another_life_is_none() {
+    let mut probes = Probes::default();
+    for step in 0..2 {
+        let now = Moment::from_millis(1_000 + step * 200);
+        ask(&mut probes, &servers(1), now, |_| report(2));
+    }
+    assert_eq!(probes.dead().len(), 1);
+}
+
+/// Nodes that read the feed later than the planner sent to a dead engine again,
+/// because the planner forgot it as soon as its entry was gone.
+#[test]
+fn a_dead_engine_is_named_for_a_while_after_its_entry_went() {
+    let mut probes = Probes::default();
+    for step in 0..2 {
+        let now = Moment::from_millis(1_000 + step * 200);
+        ask(&mut probes, &servers(1), now, |_| silence());
+    }
+    let gone = Moment::from_millis(2_000);
+    probes.due(&HashMap::new(), |_| true, gone);
+    assert_eq!(probes.dead().len(), 1);
+    probes.due(&HashMap::new(), |_| true, gone + BURIED_FOR);
+    assert!(probes.dead().is_empty());
+}
+
+#[test]
+fn a_planner_that_hears_from_hardly_any_engine_is_cut_off_itself() {
+    let many: HashMap<Instance, Server> = (0..10)
+        .map(|n| server(&format!("e{n}"), 1))
+        .map(|s| (s.id.clone(), s))
+        .collect();
+    for (silent, is_cut_off) in [(2, false), (5, false), (6, true), (10, true)] {
+        let mut probes = Probes::default();
+        ask(&mut probes, &many, Moment::from_millis(1_000), |q| {
+            let number: usize = q.server.id.as_str()[1..].parse().expect("a number");
+            if number < silent {
+                silence()
+            } else {
+                report(1)
+            }
+        });
+        assert_eq!(probes.is_cut_off(), is_cut_off, "{silent} of 10 silent");
+    }
+}
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -160,7 +160,11 @@
     let config = shared.tables().config.clone();
     let Some(config) = config else {
         let error = Error::not_run(Kind::Unavailable, "no configuration is known yet");
-        return refuse(shared, Some(&call), &error.with_retry_after(RETRY_ELSEWHERE));
+        return refuse(
+            shared,
+            Some(&call),
+            &error.with_retry_after(RETRY_ELSEWHERE),
+        );
     };
     let body = match read_body(body, config.limits.max_body_bytes).await {
         Ok(body) => body,
@@ -203,7 +207,10 @@
             format!("the body is longer than {most} bytes"),
         )),
         Ok(Err(_)) => Err(Error::not_run(Kind::Malformed, "the body broke off")),
-        Err(_) => Err(Error::not_run(Kind::SlowRequest, "the body came too slowly")),
+        Err(_) => Err(Error::not_run(
+            Kind::SlowRequest,
+            "the body came too slowly",
+        )),
     }
 }
 
@@ -243,7 +250,10 @@
     if let (Some(accounts), false) = (&config.accounts, route.is_anonymous) {
         let holder = call.key.as_ref().and_then(|key| accounts.get(key));
         let Some(holder) = holder else {
-            return Err(deny(Kind::Unauthenticated, "the secret names no client account"));
+            return Err(deny(
+                Kind::Unauthenticated,
+                "the secret names no client account",
+            ));
         };
         if !is_fresh {
             return Err(elsewhere("the configuration is too old to trust a secret"));
@@ -251,8 +261,7 @@
         account = Some(holder.account.clone());
         priority = holder.priority.unwrap_or(priority);
     }
-    let service = pick_service(route)
-        .ok_or_else(|| elsewhere("the route has no service"))?;
+    let service = pick_service(route).ok_or_else(|| elsewhere("the route has no service"))?;
     let wait = call.patience.unwrap_or(route.timeout).min(route.timeout);
     let due = arrived + route.objective;
     Ok(Job {
@@ -331,9 +340,8 @@
                 tally.exclude(server.clone());
                 info!(shared.log, "attempt failed"; "id" => &*job.call.id, "server" => %server,
                     "reason" => reason, "runs" => tally.ran.len());
-                if !tally.ran.is_empty()
-                    && !(job.is_repeatable() && tally.may_repeat(shared, job))
-                {
+                let may_repeat = job.is_repeatable() && tally.may_repeat(shared, job);
+                if !tally.ran.is_empty() && !may_repeat {
                     return Err(job.error(tally, Kind::Upstream, "the server gave no answer"));
                 }
             }
@@ -527,10 +535,12 @@
         shared
             .metrics
             .time("first", &self.route.name, now.since(self.arrived));
-        shared
-            .tables()
-            .load
-            .observe(&choice.target.server, now.since(place.since), choice.first_token, now);
+        shared.tables().load.observe(
+            &choice.target.server,
+            now.since(place.since),
+            choice.first_token,
+            now,
+        );
     }
 
     /// Logs the end of a request.
@@ -627,12 +637,7 @@
 }
 
 /// Makes an answer to a caller.
-fn response(
-    shared: &Shared,
-    status: StatusCode,
-    headers: HeaderMap,
-    body: Body,
-) -> Response<Body> {
+fn response(shared: &Shared, status: StatusCode, headers: HeaderMap, body: Body) -> Response<Body> {
     let mut response = Response::new(body);
     *response.status_mut() = status;
     *response.headers_mut() = headers;
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -102,12 +102,16 @@
             match end {
                 End::Whole => {
                     let keep_alive = answer.head.keep_alive;
-                    let Answer { connection, place, .. } = answer;
+                    let Answer {
+                        connection, place, ..
+                    } = answer;
                     self.shared.pool.put(connection, keep_alive);
                     self.log_end(&place.choice.target.server, "whole");
                     return;
                 }
-                End::Left => return self.log_end(&answer.place.choice.target.server, "caller left"),
+                End::Left => {
+                    return self.log_end(&answer.place.choice.target.server, "caller left");
+                }
                 End::Late => {
                     self.log_end(&answer.place.choice.target.server, "deadline");
                     return self.break_off().await;
@@ -227,7 +231,8 @@
 
     /// Logs how the stream ended.
     fn log_end(&self, server: &name::Instance, outcome: &'static str) {
-        self.job.log_end(&self.shared, &self.tally, 200, outcome, Some(server));
+        self.job
+            .log_end(&self.shared, &self.tally, 200, outcome, Some(server));
     }
 }
 
--- a/crates/edge/src/wait.rs
+++ b/crates/edge/src/wait.rs
@@ -165,7 +165,10 @@
         now: Moment,
     ) -> Result<Place, Lack> {
         let config = tables.config.as_ref().ok_or(Lack::Nowhere)?;
-        let cold_per_s = config.services.get(&want.service).map_or(0.0, |s| s.cold_per_s);
+        let cold_per_s = config
+            .services
+            .get(&want.service)
+            .map_or(0.0, |s| s.cold_per_s);
         let cost = tables.cost(&want.service, want.model.as_ref());
         let ask = Ask {
             service: &want.service,
@@ -181,7 +184,12 @@
             &tables.load,
             |target| {
                 let own = self.settings.node.as_str();
-                cold_part(cold_per_s, &target.server, own, tables.peers.names(own).into_iter())
+                cold_part(
+                    cold_per_s,
+                    &target.server,
+                    own,
+                    tables.peers.names(own).into_iter(),
+                )
             },
             now,
             &mut rand::rng(),
--- a/crates/edge/tests/requests.rs
+++ b/crates/edge/tests/requests.rs
@@ -66,7 +66,10 @@
 async fn server(name: &'static str, act: Act, scripts: &Scripts) -> Server {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
     let address = listener.local_addr().expect("an address");
-    let script = Script { act, asked: Vec::new() };
+    let script = Script {
+        act,
+        asked: Vec::new(),
+    };
     scripts.lock().expect("no panic").insert(id(name), script);
     let scripts = Arc::clone(scripts);
     tokio::spawn(async move {
@@ -91,8 +94,11 @@
 async fn converse(mut stream: TcpStream, name: &'static str, scripts: Scripts) {
     while let Some(head) = read_head(&mut stream).await {
         let header = |name: &str| {
-            let line = head.lines().find(|l| l.to_ascii_lowercase().starts_with(name));
-            line.and_then(|l| l.split_once(": ")).map(|(_, v)| v.trim().to_owned())
+            let line = head
+                .lines()
+                .find(|l| l.to_ascii_lowercase().starts_with(name));
+            line.and_then(|l| l.split_once(": "))
+                .map(|(_, v)| v.trim().to_owned())
         };
         let attempt = header("attempt-id").expect("an attempt's id");
         assert_eq!(header("expect-instance").as_deref(), Some(name));
@@ -103,25 +109,38 @@
             script.asked.push(last);
             script.act
         };
-        let signed = format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nEngine-Signature: s-{name}\r\nTransfer-Encoding: chunked\r\n\r\n");
+        let signed = format!(
+            "HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nEngine-Signature: s-{name}\r\nTransfer-Encoding: chunked\r\n\r\n"
+        );
         let event = |n: u64| format!("id: {n}\ndata: {n}\n\n");
         let chunk = |text: &str| format!("{:x}\r\n{text}\r\n", text.len());
         let events = |to: u64| -> String {
-            (last.unwrap_or(0) + 1..=to).map(|n| chunk(&event(n))).collect()
+            (last.unwrap_or(0) + 1..=to)
+                .map(|n| chunk(&event(n)))
+                .collect()
         };
         let answer = match act {
             Act::Whole => format!("{signed}{}0\r\n\r\n", events(EVENTS)),
             Act::CutAfter(n) => format!("{signed}{}{}", events(n), chunk("id: 99\nda")),
-            Act::Refuse => "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".into(),
+            Act::Refuse => {
+                "HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n".into()
+            }
             Act::Reset => return,
             Act::OtherId => format!("{}0\r\n\r\n", signed.replace(&attempt, "other")),
-            Act::Unsigned => format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nContent-Length: 2\r\n\r\nok"),
-            Act::Fail => format!("HTTP/1.1 500 No\r\nAttempt-Id: {attempt}\r\nEngine-Signature: s-{name}\r\nContent-Length: 4\r\n\r\nfail"),
+            Act::Unsigned => {
+                format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\nContent-Length: 2\r\n\r\nok")
+            }
+            Act::Fail => format!(
+                "HTTP/1.1 500 No\r\nAttempt-Id: {attempt}\r\nEngine-Signature: s-{name}\r\nContent-Length: 4\r\n\r\nfail"
+            ),
             Act::Slow => {
                 stream.write_all(signed.as_bytes()).await.expect("a caller");
                 for n in 1..=EVENTS {
                     sleep(Duration::from_millis(150)).await;
-                    stream.write_all(chunk(&event(n)).as_bytes()).await.expect("a caller");
+                    stream
+                        .write_all(chunk(&event(n)).as_bytes())
+                        .await
+                        .expect("a caller");
                 }
                 "0\r\n\r\n".into()
             }
@@ -252,7 +271,10 @@
         })
     });
     platform.servers = Arc::new(move |cursor, wait| {
-        let changes = servers.iter().cloned().map(|s| server::Change::Is(Box::new(s)));
+        let changes = servers
+            .iter()
+            .cloned()
+            .map(|s| server::Change::Is(Box::new(s)));
         let first = batch(changes.collect(), true);
         Box::pin(async move {
             if cursor == Cursor::Start {
@@ -273,7 +295,10 @@
 /// Starts a node with two servers.
 async fn bed(a: Act, b: Act) -> Bed {
     let scripts = Scripts::default();
-    let servers = vec![server("a", a, &scripts).await, server("b", b, &scripts).await];
+    let servers = vec![
+        server("a", a, &scripts).await,
+        server("b", b, &scripts).await,
+    ];
     let store = Arc::new(Store::default());
     *store.config.lock().expect("no panic") = Some(config());
     let settings = settings().await;
@@ -312,17 +337,26 @@
         let mut answer = Vec::new();
         let reading = stream.read_to_end(&mut answer);
         // A connection that is reset ends the answer as well.
-        let _ = timeout(Duration::from_secs(5), reading).await.expect("an end");
+        let _ = timeout(Duration::from_secs(5), reading)
+            .await
+            .expect("an end");
         let text = String::from_utf8(answer).expect("text");
         let (head, body) = text.split_once("\r\n\r\n").unwrap_or((&text, ""));
         let header = |name: &str| {
-            let line = head.lines().find(|l| l.to_ascii_lowercase().starts_with(name));
-            line.and_then(|l| l.split_once(": ")).map(|(_, v)| v.to_owned())
+            let line = head
+                .lines()
+                .find(|l| l.to_ascii_lowercase().starts_with(name));
+            line.and_then(|l| l.split_once(": "))
+                .map(|(_, v)| v.to_owned())
         };
         let is_chunked = header("transfer-encoding").is_some();
         let ids = body.lines().filter_map(|l| l.strip_prefix("id: "));
         Got {
-            status: head.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0),
+            status: head
+                .split(' ')
+                .nth(1)
+                .and_then(|s| s.parse().ok())
+                .unwrap_or(0),
             signature: header("engine-signature"),
             events: ids.filter_map(|n| n.parse().ok()).collect(),
             is_complete: !is_chunked || body.ends_with("0\r\n\r\n"),
@@ -350,26 +384,131 @@
     }
     let both = |act| (act, act);
     let cases = [
-        Case { what: "whole", path: "/resumable/1", acts: both(Act::Whole), status: 200, events: EVENTS, is_complete: true, most: 1 },
-        Case { what: "whole, once", path: "/unsafe/1", acts: both(Act::Whole), status: 200, events: EVENTS, is_complete: true, most: 1 },
-        Case { what: "refused by one", path: "/unsafe/1", acts: (Act::Refuse, Act::Whole), status: 200, events: EVENTS, is_complete: true, most: 2 },
-        Case { what: "refused by all", path: "/unsafe/1", acts: both(Act::Refuse), status: 503, events: 0, is_complete: true, most: 2 },
-        Case { what: "lost, once", path: "/unsafe/1", acts: both(Act::Reset), status: 502, events: 0, is_complete: true, most: 1 },
-        Case { what: "lost, repeatable", path: "/safe/1", acts: both(Act::Reset), status: 502, events: 0, is_complete: true, most: 2 },
-        Case { what: "failed, once", path: "/unsafe/1", acts: both(Act::Fail), status: 500, events: 0, is_complete: true, most: 1 },
-        Case { what: "failed, repeatable", path: "/safe/1", acts: both(Act::Fail), status: 500, events: 0, is_complete: true, most: 2 },
-        Case { what: "another's answer", path: "/unsafe/1", acts: both(Act::OtherId), status: 502, events: 0, is_complete: true, most: 1 },
-        Case { what: "unsigned", path: "/unsafe/1", acts: both(Act::Unsigned), status: 502, events: 0, is_complete: true, most: 1 },
-        Case { what: "cut, may not be taken up", path: "/stream/1", acts: both(Act::CutAfter(2)), status: 200, events: 2, is_complete: false, most: 1 },
-        Case { what: "cut twice", path: "/resumable/1", acts: both(Act::CutAfter(3)), status: 200, events: 3, is_complete: false, most: 2 },
+        Case {
+            what: "whole",
+            path: "/resumable/1",
+            acts: both(Act::Whole),
+            status: 200,
+            events: EVENTS,
+            is_complete: true,
+            most: 1,
+        },
+        Case {
+            what: "whole, once",
+            path: "/unsafe/1",
+            acts: both(Act::Whole),
+            status: 200,
+            events: EVENTS,
+            is_complete: true,
+            most: 1,
+        },
+        Case {
+            what: "refused by one",
+            path: "/unsafe/1",
+            acts: (Act::Refuse, Act::Whole),
+            status: 200,
+            events: EVENTS,
+            is_complete: true,
+            most: 2,
+        },
+        Case {
+            what: "refused by all",
+            path: "/unsafe/1",
+            acts: both(Act::Refuse),
+            status: 503,
+            events: 0,
+            is_complete: true,
+            most: 2,
+        },
+        Case {
+            what: "lost, once",
+            path: "/unsafe/1",
+            acts: both(Act::Reset),
+            status: 502,
+            events: 0,
+            is_complete: true,
+            most: 1,
+        },
+        Case {
+            what: "lost, repeatable",
+            path: "/safe/1",
+            acts: both(Act::Reset),
+            status: 502,
+            events: 0,
+            is_complete: true,
+            most: 2,
+        },
+        Case {
+            what: "failed, once",
+            path: "/unsafe/1",
+            acts: both(Act::Fail),
+            status: 500,
+            events: 0,
+            is_complete: true,
+            most: 1,
+        },
+        Case {
+            what: "failed, repeatable",
+            path: "/safe/1",
+            acts: both(Act::Fail),
+            status: 500,
+            events: 0,
+            is_complete: true,
+            most: 2,
+        },
+        Case {
+            what: "another's answer",
+            path: "/unsafe/1",
+            acts: both(Act::OtherId),
+            status: 502,
+            events: 0,
+            is_complete: true,
+            most: 1,
+        },
+        Case {
+            what: "unsigned",
+            path: "/unsafe/1",
+            acts: both(Act::Unsigned),
+            status: 502,
+            events: 0,
+            is_complete: true,
+            most: 1,
+        },
+        Case {
+            what: "cut, may not be taken up",
+            path: "/stream/1",
+            acts: both(Act::CutAfter(2)),
+            status: 200,
+            events: 2,
+            is_complete: false,
+            most: 1,
+        },
+        Case {
+            what: "cut twice",
+            path: "/resumable/1",
+            acts: both(Act::CutAfter(3)),
+            status: 200,
+            events: 3,
+            is_complete: false,
+            most: 2,
+        },
     ];
     for case in cases {
         let bed = bed(case.acts.0, case.acts.1).await;
         let got = bed.call(case.path, "k").await;
         let what = case.what;
         assert_eq!(got.status, case.status, "{what}: {got:?}");
-        let events: Vec<u64> = got.events.iter().copied().filter(|n| *n <= EVENTS).collect();
-        assert_eq!(events, (1..=case.events).collect::<Vec<_>>(), "{what}: {got:?}");
+        let events: Vec<u64> = got
+            .events
+            .iter()
+            .copied()
+            .filter(|n| *n <= EVENTS)
+            .collect();
+        assert_eq!(
+            events,
+            (1..=case.events).collect::<Vec<_>>(),
+            "{what}: {got:?}"
+        );
         assert_eq!(got.is_complete, case.is_complete, "{what}: {got:?}");
         assert!(bed.asked().len() <= case.most, "{what}: {:?}", bed.asked());
         let is_servers = [200, 500].contains(&case.status);
@@ -381,7 +520,10 @@
 async fn a_stream_that_breaks_off_goes_on_elsewhere_without_gap_or_repeat() {
     // Whichever server is taken first, one of the two plays breaks off.
     let mut broke_off = 0;
-    for acts in [(Act::CutAfter(2), Act::Whole), (Act::Whole, Act::CutAfter(2))] {
+    for acts in [
+        (Act::CutAfter(2), Act::Whole),
+        (Act::Whole, Act::CutAfter(2)),
+    ] {
         for _ in 0..4 {
             let bed = bed(acts.0, acts.1).await;
             let got = bed.call("/resumable/1", "k").await;
@@ -408,23 +550,61 @@
         away: u16,
     }
     let cases = [
-        Case { what: "a known secret", path: "/safe/1", key: "k", known: 200, away: 503 },
-        Case { what: "an unknown secret", path: "/safe/1", key: "x", known: 401, away: 503 },
-        Case { what: "an unknown route", path: "/none/1", key: "k", known: 404, away: 503 },
-        Case { what: "a route without accounts", path: "/open/1", key: "x", known: 200, away: 200 },
+        Case {
+            what: "a known secret",
+            path: "/safe/1",
+            key: "k",
+            known: 200,
+            away: 503,
+        },
+        Case {
+            what: "an unknown secret",
+            path: "/safe/1",
+            key: "x",
+            known: 401,
+            away: 503,
+        },
+        Case {
+            what: "an unknown route",
+            path: "/none/1",
+            key: "k",
+            known: 404,
+            away: 503,
+        },
+        Case {
+            what: "a route without accounts",
+            path: "/open/1",
+            key: "x",
+            known: 200,
+            away: 200,
+        },
     ];
     let bed = bed(Act::Whole, Act::Whole).await;
     for case in &cases {
-        assert_eq!(bed.call(case.path, case.key).await.status, case.known, "{}", case.what);
+        assert_eq!(
+            bed.call(case.path, case.key).await.status,
+            case.known,
+            "{}",
+            case.what
+        );
     }
     bed.store.is_down.store(true, Ordering::Relaxed);
     sleep(Duration::from_millis(2_200)).await;
     for case in &cases {
-        assert_eq!(bed.call(case.path, case.key).await.status, case.away, "{}", case.what);
+        assert_eq!(
+            bed.call(case.path, case.key).await.status,
+            case.away,
+            "{}",
+            case.what
+        );
     }
     bed.store.is_down.store(false, Ordering::Relaxed);
     sleep(Duration::from_millis(400)).await;
-    assert_eq!(bed.call("/safe/1", "k").await.status, 200, "the store is back");
+    assert_eq!(
+        bed.call("/safe/1", "k").await.status,
+        200,
+        "the store is back"
+    );
 }
 
 #[tokio::test]
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -220,10 +220,16 @@
             scarcity.add(&formation.model);
         }
         let mut serving = Vec::new();
-        self.opened
-            .retain(|key, _| replicas.iter().any(|r| (&r.replica, r.generation) == (&key.0, key.1)));
-        self.incomplete
-            .retain(|key, _| replicas.iter().any(|r| (&r.replica, r.generation) == (&key.0, key.1)));
+        self.opened.retain(|key, _| {
+            replicas
+                .iter()
+                .any(|r| (&r.replica, r.generation) == (&key.0, key.1))
+        });
+        self.incomplete.retain(|key, _| {
+            replicas
+                .iter()
+                .any(|r| (&r.replica, r.generation) == (&key.0, key.1))
+        });
         for replica in &replicas {
             self.look_at(replica, engines, rates, now, &mut wanted, &mut free);
             let is_serving = matches!(replica.head, Some(Phase::Open | Phase::Ready));
@@ -268,12 +274,7 @@
     }
 
     /// Notes what serves, if that has changed.
-    fn note_serving(
-        &mut self,
-        serving: &[&Reported],
-        free: &Free,
-        rates: &Rates<'_>,
-    ) {
+    fn note_serving(&mut self, serving: &[&Reported], free: &Free, rates: &Rates<'_>) {
         let count = |model: &Model| {
             let is_model = |r: &&&Reported| r.model.as_ref() == Some(model);
             serving.iter().filter(is_model).count()
@@ -304,8 +305,7 @@
 
     /// Returns whether an engine is in transition, so that its reports matter.
     pub fn is_watched(&self, engine: &Instance) -> bool {
-        self.sent.contains_key(engine)
-            || self.formations.iter().any(|f| f.members.contains(engine))
+        self.sent.contains_key(engine) || self.formations.iter().any(|f| f.members.contains(engine))
     }
 
     /// Moves the formations on.
@@ -361,9 +361,8 @@
         wanted: &mut Vec<(Instance, Command)>,
         free: &mut Free,
     ) {
-        let is_forming = |f: &Formation| {
-            f.replica == replica.replica && f.generation == replica.generation
-        };
+        let is_forming =
+            |f: &Formation| f.replica == replica.replica && f.generation == replica.generation;
         if self.formations.iter().any(is_forming) {
             return;
         }
@@ -539,7 +538,10 @@
             if loads_for(engines, &ids, weights) > room {
                 continue;
             }
-            let slowest = ids.iter().map(|id| engines[id].join_time(weights, now)).max()?;
+            let slowest = ids
+                .iter()
+                .map(|id| engines[id].join_time(weights, now))
+                .max()?;
             // Among equally fast domains, the largest model takes the one with
             // most engines left, and others the one with fewest: a small
             // replica must not take the last place of a large one.
@@ -665,8 +667,14 @@
                 || wanted.iter().any(|(other, _)| other == id)
                 || self.formations.iter().any(|f| f.members.contains(id))
         };
-        let for_joins = if rates.has_traffic { LOADS_FOR_JOINS } else { 0 };
-        let room = self.loads_left(engines, rates, now).saturating_sub(for_joins);
+        let for_joins = if rates.has_traffic {
+            LOADS_FOR_JOINS
+        } else {
+            0
+        };
+        let room = self
+            .loads_left(engines, rates, now)
+            .saturating_sub(for_joins);
         let hosts: Vec<&Engine> = engines
             .values()
             .filter(|e| e.is_sound() && e.is_allowed && !e.is_busy && !is_taken(e.id()))
@@ -680,7 +688,8 @@
             self.loads.push_back(now);
             // Stagings that share the weight store with others take longer.
             let until = now + weights.load;
-            self.staging.insert(id.clone(), (weights.model.clone(), until));
+            self.staging
+                .insert(id.clone(), (weights.model.clone(), until));
             let model = weights.model.clone();
             wanted.push((id, Command::Stage { model }));
         }
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -140,7 +140,11 @@
             self.notes.extend(step.notes);
             for send in step.sends {
                 let is_alive = self.engines[&send.engine].is_alive;
-                let outcome = if is_alive { Outcome::Begun } else { Outcome::Refused };
+                let outcome = if is_alive {
+                    Outcome::Begun
+                } else {
+                    Outcome::Refused
+                };
                 planner.answered(&send.engine, outcome);
                 let at = self.now + LAG;
                 self.ordered.push((at, send.engine, send.order.command));
@@ -201,7 +205,11 @@
                 let weights = self.costs.weights(model).expect("a known model");
                 let is_load = engine.needs_load(model);
                 let time = engine.join_time(weights, self.now);
-                let time = if is_load && !is_traffic { time / 10 } else { time };
+                let time = if is_load && !is_traffic {
+                    time / 10
+                } else {
+                    time
+                };
                 engine.server.engine.member = Some(Member {
                     replica: replica.clone(),
                     generation: *generation,
@@ -265,7 +273,10 @@
             .filter(|head| {
                 let replica = head.member().map(|m| &m.replica);
                 let members = self.engines.values().filter(|e| e.is_alive);
-                members.filter(|e| e.member().map(|m| &m.replica) == replica).count() == size
+                members
+                    .filter(|e| e.member().map(|m| &m.replica) == replica)
+                    .count()
+                    == size
             })
             .count()
     }
@@ -308,8 +319,14 @@
         rank: usize,
     }
     let cases = [
-        Case { what: "a member", rank: 2 },
-        Case { what: "the head", rank: 0 },
+        Case {
+            what: "a member",
+            rank: 2,
+        },
+        Case {
+            what: "the head",
+            rank: 0,
+        },
     ];
     for case in cases {
         let (mut world, mut planner) = formed();
@@ -336,7 +353,10 @@
     world.ask(4.0, 4.0);
     for round in 0..12 {
         let rank = round % 2;
-        world.kill(|e| e.member().is_some_and(|m| m.rank == rank && m.phase != Phase::Joining));
+        world.kill(|e| {
+            e.member()
+                .is_some_and(|m| m.rank == rank && m.phase != Phase::Joining)
+        });
         world.run(&mut planner, Duration::from_secs(3));
         let mut current: HashMap<Instance, u32> = HashMap::new();
         let ended: Vec<_> = world
@@ -348,7 +368,9 @@
             })
             .collect();
         for note in &world.notes {
-            if let Note::Form { replica, members, .. } = note
+            if let Note::Form {
+                replica, members, ..
+            } = note
                 && !ended.contains(replica)
             {
                 for id in members {
@@ -356,7 +378,10 @@
                 }
             }
         }
-        assert!(current.values().all(|n| *n == 1), "round {round}: {current:?}");
+        assert!(
+            current.values().all(|n| *n == 1),
+            "round {round}: {current:?}"
+        );
     }
     assert_eq!(world.violations, Vec::<String>::new());
 }
@@ -390,7 +415,10 @@
     world.kill(|e| e.holds(&model("large")) && e.member().is_some_and(|m| m.rank == 1));
     world.run(&mut successor, Duration::from_secs(4));
     let after = (world.serving("large"), world.serving("small"));
-    assert!(after.0 >= before.0 && after.1 >= before.1, "{before:?} {after:?}");
+    assert!(
+        after.0 >= before.0 && after.1 >= before.1,
+        "{before:?} {after:?}"
+    );
     assert_eq!(world.violations, Vec::<String>::new());
 }
 
@@ -401,9 +429,10 @@
     world.run(&mut planner, Duration::from_secs(1));
     let head = world.kill(|e| e.holds(&model("small")) && e.member().is_some_and(|m| m.rank == 0));
     let replica = world.engines[&head].member().map(|m| m.replica.clone());
-    let survivor = world.engines.values().find(|e| {
-        e.is_alive && e.member().map(|m| &m.replica) == replica.as_ref()
-    });
+    let survivor = world
+        .engines
+        .values()
+        .find(|e| e.is_alive && e.member().map(|m| &m.replica) == replica.as_ref());
     let survivor = survivor.expect("the other member").id().clone();
     let rates = Rates {
         engine: &world.costs.clone(),
@@ -413,7 +442,11 @@
     };
     world.now = world.now + Duration::from_secs(1);
     world.settle();
-    let step = planner.step(world.engines.clone().into_iter().collect(), &rates, world.now);
+    let step = planner.step(
+        world.engines.clone().into_iter().collect(),
+        &rates,
+        world.now,
+    );
     let to_survivor: Vec<_> = step.sends.iter().filter(|s| s.engine == survivor).collect();
     assert!(
         matches!(to_survivor[..], [send] if matches!(send.order.command, Command::Leave { .. })),
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -85,8 +85,13 @@
         .collect();
     // A replica that lost a member takes requests and does not answer them.
     let is_silent = |t: &&Target| t.model.is_some() && load.work(&t.server, now).is_silent;
-    let (silent, answering): (Vec<&Target>, Vec<&Target>) = free.iter().copied().partition(is_silent);
-    let pool = if answering.is_empty() { silent } else { answering };
+    let (silent, answering): (Vec<&Target>, Vec<&Target>) =
+        free.iter().copied().partition(is_silent);
+    let pool = if answering.is_empty() {
+        silent
+    } else {
+        answering
+    };
     let drawn = pool.choose_multiple(rng, DRAWN);
     let predicted = drawn.map(|target| {
         let (first, penalty) = predict(ask, target, cost, load, now);
--- a/crates/place/tests/placing.rs
+++ b/crates/place/tests/placing.rs
@@ -2,7 +2,9 @@
 
 use clock::Moment;
 use name::{Domain, Instance, Model, Service};
-use place::{Ask, Budget, Cost, Fleet, Load, Outlook, Queue, Rank, Share, Target, Work, choose, cold_part};
+use place::{
+    Ask, Budget, Cost, Fleet, Load, Outlook, Queue, Rank, Share, Target, Work, choose, cold_part,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use site::{
@@ -119,7 +121,11 @@
     }
     let pair = || [member("a", 0, Phase::Open), member("b", 1, Phase::Ready)];
     let cases = [
-        Case { what: "whole", change: |_| {}, targets: 1 },
+        Case {
+            what: "whole",
+            change: |_| {},
+            targets: 1,
+        },
         Case {
             what: "a member's entry is gone",
             change: |f| f.apply(Change::Gone(id("b"))),
@@ -171,7 +177,12 @@
     for case in cases {
         let mut fleet = fleet(pair());
         (case.change)(&mut fleet);
-        assert_eq!(fleet.targets(&config()).len(), case.targets, "{}", case.what);
+        assert_eq!(
+            fleet.targets(&config()).len(),
+            case.targets,
+            "{}",
+            case.what
+        );
     }
 }
 
@@ -218,7 +229,12 @@
         let mut fleet = fleet([member("a", 0, Phase::Open), member("b", 1, Phase::Ready)]);
         let target = fleet.targets(&config()).remove(0);
         (case.change)(&mut fleet);
-        assert_eq!(fleet.is_doomed(&target, &config()), case.is_doomed, "{}", case.what);
+        assert_eq!(
+            fleet.is_doomed(&target, &config()),
+            case.is_doomed,
+            "{}",
+            case.what
+        );
     }
 }
 
@@ -319,7 +335,11 @@
     // Work that other nodes tell of counts as well.
     let shares = [Share {
         server: id("b"),
-        work: Work { requests: 20, unread: 40_000, is_silent: false },
+        work: Work {
+            requests: 20,
+            unread: 40_000,
+            is_silent: false,
+        },
     }];
     load.share("other".parse().expect("a name"), shares, at(1_000));
     assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("a"));
@@ -332,7 +352,10 @@
     let targets = [target("a")];
     let mut load = Load::default();
     let excluded = [id("a")];
-    assert!(matches!(pick(&targets, &load, &excluded, at(0)), Outlook::Full));
+    assert!(matches!(
+        pick(&targets, &load, &excluded, at(0)),
+        Outlook::Full
+    ));
     assert!(matches!(pick(&[], &load, &[], at(0)), Outlook::Nowhere));
     for _ in 0..SLOTS {
         load.start(&id("a"), 10, at(0));
@@ -355,7 +378,10 @@
     assert_eq!(name_of(&pick(&targets, &load, &[], at(200))), Some("a"));
     assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("b"));
     // It is used if there is nothing else.
-    assert_eq!(name_of(&pick(&targets[..1], &load, &[], at(1_000))), Some("a"));
+    assert_eq!(
+        name_of(&pick(&targets[..1], &load, &[], at(1_000))),
+        Some("a")
+    );
     load.heard(&id("a"), at(1_000));
     assert_eq!(name_of(&pick(&targets, &load, &[], at(1_100))), Some("a"));
 }
@@ -375,7 +401,10 @@
 
 #[test]
 fn urgent_requests_and_those_that_can_be_on_time_go_first() {
-    let rank = |priority, due| Rank { priority, due: at(due) };
+    let rank = |priority, due| Rank {
+        priority,
+        due: at(due),
+    };
     let mut queue = Queue::default();
     queue.push(rank(1, 900), "late");
     queue.push(rank(2, 1_500), "less urgent");
--- a/crates/site/src/seam.rs
+++ b/crates/site/src/seam.rs
@@ -19,8 +19,7 @@
 pub type Pending<T> = Pin<Box<dyn Future<Output = T> + Send>>;
 
 /// Reads a feed from a cursor, waiting up to a time for a record.
-pub type Read<T> =
-    Arc<dyn Fn(Cursor, Duration) -> Pending<Result<Batch<T>, Error>> + Send + Sync>;
+pub type Read<T> = Arc<dyn Fn(Cursor, Duration) -> Pending<Result<Batch<T>, Error>> + Send + Sync>;
 
 /// A closure of one argument that makes a call.
 pub type Ask<A, T> = Arc<dyn Fn(A) -> Pending<T> + Send + Sync>;
--- a/src/commands/edge.rs
+++ b/src/commands/edge.rs
@@ -47,9 +47,10 @@
             let mut reload = signal(SignalKind::hangup()).map_err(failed)?;
             let connected = platform::connect(&settings);
             let clock = boot_clock();
-            let edge = ::edge::Edge::start(settings.clone(), metrics, connected, clock, log.clone())
-                .await
-                .map_err(failed)?;
+            let edge =
+                ::edge::Edge::start(settings.clone(), metrics, connected, clock, log.clone())
+                    .await
+                    .map_err(failed)?;
             loop {
                 tokio::select! {
                     _ = stop.recv() => break,
@@ -87,7 +88,9 @@
 /// with the new settings; a change is logged and the process goes on.
 fn check_again(log: &slog::Logger, path: &std::path::Path, known: &site::Settings) {
     match read(path) {
-        Ok(settings) if settings == *known => slog::info!(log, "settings read again"; "changed" => false),
+        Ok(settings) if settings == *known => {
+            slog::info!(log, "settings read again"; "changed" => false);
+        }
         Ok(settings) => slog::warn!(log, "settings read again"; "changed" => true,
             "node" => %settings.node, "in_force" => "from the next start"),
         Err(reason) => slog::warn!(log, "settings refused"; "reason" => reason),
