The planner tells what it reads of entries; resumed streams wait longer; silence counts from reading

Cause: each change of a replica let every node read the store, 2.8 calls a second and node. The planner's datagrams carry the changed entries now, with the offset behind them, so that nodes read every 1.35 s only; what is heard never takes an entry back.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,6 +1,7 @@
 //! The feeds of the store, read into the tables.
 
-use crate::state::Shared;
+use crate::state::{Shared, Tables};
+use clock::Moment;
 use name::Instance;
 use site::{
     config,
@@ -21,11 +22,15 @@
 /// which a server that leaves must get no more requests.
 const SERVER_STEP: Duration = Duration::from_millis(800);
 
+/// The same while a planner tells what it reads. What it tells may be lost, so
+/// that this alone must keep the bound.
+const TOLD_STEP: Duration = Duration::from_millis(1_350);
+
 /// The same at the node that plans.
 const PLANNER_STEP: Duration = Duration::from_millis(150);
 
-/// How often a node looks whether another one has read further.
-const HINT_STEP: Duration = Duration::from_millis(50);
+/// How often a node looks whether it has become the planner.
+const LOOK_STEP: Duration = Duration::from_millis(50);
 
 /// How long a read of the servers' feed waits for a change.
 const SERVER_WAIT: Duration = Duration::from_millis(300);
@@ -120,7 +125,7 @@
     shared: &Arc<Shared>,
     changes: Vec<config::Change>,
     is_snapshot: bool,
-    asked: clock::Moment,
+    asked: Moment,
 ) {
     let mut tables = shared.tables();
     let is_changed = is_snapshot || !changes.is_empty();
@@ -178,15 +183,11 @@
                     .into_iter()
                     .chain(unusable.map(Change::Gone))
                     .collect();
-                let has_news = apply_servers(&shared, changes, batch.is_snapshot, &mut lapsed);
-                let mut tables = shared.tables();
-                tables.servers_confirmed = Some(asked);
                 if let Cursor::At(offset) = cursor {
-                    tables.peers.servers_read = offset;
-                    if has_news {
-                        tables.peers.news = tables.peers.news.max(offset);
-                    }
+                    let is_snapshot = batch.is_snapshot;
+                    apply_servers(&shared, changes, is_snapshot, offset, &mut lapsed);
                 }
+                shared.tables().servers_confirmed = Some(asked);
             }
             Err(error) => {
                 contact.fail(&shared, &error);
@@ -201,27 +202,30 @@
 async fn rest(shared: &Shared) {
     let begin = shared.now();
     loop {
-        sleep(HINT_STEP).await;
+        sleep(LOOK_STEP).await;
         let waited = shared.now().since(begin);
         let tables = shared.tables();
-        let has_news = tables.peers.news > tables.peers.servers_read;
-        let step = match tables.peers.own_token {
-            Some(_) => PLANNER_STEP,
-            None => SERVER_STEP,
+        let step = if tables.peers.own_token.is_some() {
+            PLANNER_STEP
+        } else if tables.peers.has_planner(shared.now()) {
+            TOLD_STEP
+        } else {
+            SERVER_STEP
         };
-        if waited >= step || has_news {
+        if waited >= step {
             return;
         }
     }
 }
 
-/// Applies changes of servers' entries; returns whether targets changed by them.
+/// Applies changes of servers' entries that were read before an offset.
 fn apply_servers(
     shared: &Arc<Shared>,
     changes: Vec<Change>,
     is_snapshot: bool,
+    offset: u64,
     lapsed: &mut HashSet<Instance>,
-) -> bool {
+) {
     let now = shared.now();
     let mut tables = shared.tables();
     let held_until = tables.store_regained.map(|at| at + LAPSE_GRACE);
@@ -232,11 +236,19 @@
         std::mem::take(lapsed).into_iter().collect()
     };
     let mut is_changed = !due.is_empty() || is_snapshot;
+    tables.servers_read = offset;
     if is_snapshot {
+        tables.servers_heard.clear();
         lapsed.clear();
         tables.fleet.replace(changes);
     } else {
         for change in changes {
+            // The planner may have told of a later entry meanwhile.
+            let heard = tables.servers_heard.get(change.id());
+            if heard.is_some_and(|heard| *heard > offset) {
+                continue;
+            }
+            tell(&mut tables, &change, offset, now);
             match &change {
                 Change::Gone(id) if is_held => {
                     info!(shared.log, "entry lapsed after an outage"; "server" => %id);
@@ -261,11 +273,44 @@
         info!(shared.log, "server gone"; "server" => %id, "was_held_back" => true);
         tables.fleet.apply(Change::Gone(id));
     }
-    let before = Arc::clone(&tables.targets);
+    tables.servers_heard.retain(|_, heard| *heard > offset);
     if is_changed {
         shared.refresh(&mut tables);
     }
-    *before != *tables.targets
+}
+
+/// Lets other nodes know of a change, if this node plans and the change matters.
+fn tell(tables: &mut Tables, change: &Change, offset: u64, now: Moment) {
+    if tables.peers.own_token.is_none() {
+        return;
+    }
+    let known = tables.fleet.server(change.id());
+    let is_news = match change {
+        Change::Is(server) => known.is_none_or(|known| !known.is_alike(server)),
+        Change::Gone(_) => known.is_some(),
+    };
+    if is_news {
+        tables.peers.own_news.add(offset, change.clone(), now);
+    }
+}
+
+/// Takes over a change that the planner read before an offset of the feed;
+/// returns whether it was news.
+///
+/// Removals are left to this node's own reading, which knows whether the store
+/// was away.
+pub(crate) fn hear(shared: &Shared, tables: &mut Tables, offset: u64, change: Change) -> bool {
+    let Change::Is(server) = &change else {
+        return false;
+    };
+    let heard = tables.servers_heard.get(&server.id).copied().unwrap_or(0);
+    if offset <= tables.servers_read.max(heard) {
+        return false;
+    }
+    log_change(shared, tables.fleet.server(&server.id), server);
+    tables.servers_heard.insert(server.id.clone(), offset);
+    tables.fleet.apply(change);
+    true
 }
 
 /// Logs what changed of a server's entry, if it matters.
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -3,12 +3,12 @@
 //! A lost datagram costs the freshness of a hint and nothing else: what must be
 //! agreed on stands in the platform's store.
 
-use crate::state::Shared;
+use crate::{follow, state::Shared};
 use clock::Moment;
 use name::{Instance, Model, Node};
 use place::{Share, Work};
 use serde::{Deserialize, Serialize};
-use site::node::Card;
+use site::{node::Card, server::Change};
 use slog::{info, warn};
 use std::{collections::HashMap, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{net::UdpSocket, time::sleep};
@@ -30,6 +30,12 @@
 /// How long datagrams are sent to a node that never answers.
 const TRIED_FOR: Duration = Duration::from_secs(30);
 
+/// How long a change of an entry is told: some datagrams, of which a few may be lost.
+const TOLD_FOR: Duration = Duration::from_millis(900);
+
+/// The most changes in one datagram, so that it stays within its length.
+const MAX_NEWS: usize = 60;
+
 /// The longest datagram, in bytes.
 const MAX_BYTES: usize = 60_000;
 
@@ -49,8 +55,9 @@
     shares: Vec<(Instance, u32, u32, bool)>,
     /// The replicas that this node's callers would fill, by model.
     demand: Vec<(Model, f64)>,
-    /// How far the servers' feed must be read to know the last change of a replica.
-    news: u64,
+    /// What the planner read of servers' entries lately, each with the offset of
+    /// the feed behind it.
+    news: Vec<(u64, Change)>,
 }
 
 /// Another node.
@@ -66,6 +73,31 @@
     demand: Vec<(Model, f64)>,
 }
 
+/// Changes of servers' entries, told for as long as other nodes may not have read them.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct News {
+    changes: Vec<(u64, Change, Moment)>,
+}
+
+impl News {
+    /// Adds a change that was read before an offset of the feed.
+    pub(crate) fn add(&mut self, offset: u64, change: Change, now: Moment) {
+        self.changes
+            .retain(|(_, known, at)| known.id() != change.id() && now.since(*at) < TOLD_FOR);
+        self.changes.push((offset, change, now));
+    }
+
+    /// Returns what is still to be told, the newest changes if they are many.
+    fn told(&self, now: Moment) -> Vec<(u64, Change)> {
+        let lately = self.changes.iter().rev();
+        lately
+            .filter(|(_, _, at)| now.since(*at) < TOLD_FOR)
+            .take(MAX_NEWS)
+            .map(|(offset, change, _)| (*offset, change.clone()))
+            .collect()
+    }
+}
+
 /// A planner that was heard.
 #[derive(Debug, Clone)]
 pub(crate) struct Heard {
@@ -87,10 +119,8 @@
     pub(crate) own_token: Option<u64>,
     /// What this node found dead, if it plans.
     pub(crate) own_lost: Vec<(Instance, u64)>,
-    /// How far this node has read the servers' feed.
-    pub(crate) servers_read: u64,
-    /// How far it must be read to know the last change of a replica.
-    pub(crate) news: u64,
+    /// What this node read of servers' entries lately, if it plans.
+    pub(crate) own_news: News,
 }
 
 impl Peers {
@@ -208,7 +238,6 @@
             demand: beat.demand.clone(),
         };
         self.peers.insert(peer.card.node.clone(), peer);
-        self.news = self.news.max(beat.news);
         match (beat.planner, &mut self.planner) {
             (Some(token), known) if token >= known.as_ref().map_or(0, |k| k.token) => {
                 *known = Some(Heard {
@@ -247,7 +276,7 @@
                     .map(|s| (s.server, s.work.requests, s.work.unread, s.work.is_silent))
                     .collect(),
                 demand: tables.demand.replicas(now).into_iter().collect(),
-                news: tables.peers.news,
+                news: tables.peers.own_news.told(now),
             };
             let addresses = tables.peers.addresses(now);
             let nodes = tables.peers.count();
@@ -321,10 +350,13 @@
     });
     tables.load.share(beat.card.node, shares, now);
     let is_newest = beat.planner == Some(tables.peers.newest_token());
-    let is_changed = beat.planner.is_some()
-        && is_newest
-        && tables.peers.own_token.is_none()
-        && tables.fleet.set_lost(beat.lost);
+    let mut is_changed = false;
+    if beat.planner.is_some() && is_newest && tables.peers.own_token.is_none() {
+        is_changed |= tables.fleet.set_lost(beat.lost);
+        for (offset, change) in beat.news {
+            is_changed |= follow::hear(shared, &mut tables, offset, change);
+        }
+    }
     if is_changed {
         shared.refresh(&mut tables);
     } else {
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -25,7 +25,7 @@
         lost: Vec::new(),
         shares: Vec::new(),
         demand: Vec::new(),
-        news: 0,
+        news: Vec::new(),
     }
 }
 
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -40,6 +40,9 @@
 /// The part of a request's time that it may wait for a place.
 const WAITING_PART: f64 = 0.35;
 
+/// The same for a request that a server has begun to answer.
+const RESUMING_PART: f64 = 0.8;
+
 /// The silence before an answer's head after which another server is tried.
 const HEAD_SILENCE: Duration = Duration::from_millis(1_200);
 
@@ -394,10 +397,17 @@
             prompt: self.call.prompt_tokens,
             excluded: tally.excluded.clone(),
         };
-        let left = shared.now().until(self.deadline);
-        let patience = left.mul_f64(WAITING_PART);
         let begin = shared.now();
-        let place = shared.place(want, self.rank, patience).await;
+        let left = begin.until(self.deadline);
+        // What has begun is worth more than what has not: a stream that broke off
+        // waits for longer, and goes before new requests meanwhile.
+        let (part, rank) = if tally.ran.is_empty() {
+            (WAITING_PART, self.rank)
+        } else {
+            let due = begin + left.mul_f64(RESUMING_PART);
+            (RESUMING_PART, Rank { due, ..self.rank })
+        };
+        let place = shared.place(want, rank, left.mul_f64(part)).await;
         let waited = shared.now().since(begin);
         shared.metrics.time("wait", &self.route.name, waited);
         place.map_err(|placeless| {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -2,7 +2,7 @@
 
 use crate::{metrics::Metrics, peers::Peers, wait::Waiter};
 use clock::{Clock, Moment};
-use name::{Model, Service};
+use name::{Instance, Model, Service};
 use place::{Budget, Cost, Fleet, Load, Queue, Target};
 use site::{Config, Platform, Settings};
 use slog::Logger;
@@ -50,6 +50,10 @@
     pub(crate) servers_confirmed: Option<Moment>,
     /// When a read of the store first succeeded after one that failed.
     pub(crate) store_regained: Option<Moment>,
+    /// How far this node has read the servers' feed.
+    pub(crate) servers_read: u64,
+    /// How far the planner had read it when it told of a server's entry.
+    pub(crate) servers_heard: HashMap<Instance, u64>,
     pub(crate) fleet: Fleet,
     pub(crate) targets: Arc<Vec<Target>>,
     pub(crate) costs: HashMap<Service, HashMap<Model, Arc<Cost>>>,
@@ -68,6 +72,8 @@
             confirmed: None,
             servers_confirmed: None,
             store_regained: None,
+            servers_read: 0,
+            servers_heard: HashMap::new(),
             fleet: Fleet::default(),
             targets: Arc::default(),
             costs: HashMap::new(),
--- a/crates/edge/src/wait.rs
+++ b/crates/edge/src/wait.rs
@@ -196,7 +196,10 @@
         );
         match outlook {
             Outlook::Place(choice) => {
-                tables.load.start(&choice.target.server, want.prompt, now);
+                let first = choice.first_token;
+                tables
+                    .load
+                    .start(&choice.target.server, want.prompt, first, now);
                 Ok(Place {
                     shared: Arc::clone(self),
                     choice: *choice,
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -22,8 +22,9 @@
 /// The time after which half of an observation is forgotten.
 const FORGETTING: Duration = Duration::from_secs(3);
 
-/// The silence of a replica with requests in progress after which it is thought
-/// to stand still. Passes of a full replica take up to 0.3 s.
+/// The silence of a replica with requests in progress, beyond the time of reading
+/// their prompts, after which it is thought to stand still. Passes of a full
+/// replica take up to 0.3 s.
 const SILENCE: Duration = Duration::from_millis(450);
 
 /// The window in which requests to a cold target are counted.
@@ -59,6 +60,8 @@
     observed: Moment,
     /// When something last came, or the first request in progress was sent.
     heard: Moment,
+    /// How long the prompts that are unread may keep the target from answering.
+    reading: Duration,
     sent: VecDeque<Moment>,
 }
 
@@ -70,6 +73,7 @@
             failures: 0.0,
             observed: Moment::START,
             heard: Moment::START,
+            reading: Duration::ZERO,
             sent: VecDeque::new(),
         }
     }
@@ -79,7 +83,7 @@
     /// Returns the work with what the target's silence says of it.
     fn work(&self, now: Moment) -> Work {
         Work {
-            is_silent: self.work.requests > 0 && now.since(self.heard) > SILENCE,
+            is_silent: self.work.requests > 0 && now.since(self.heard) > SILENCE + self.reading,
             ..self.work
         }
     }
@@ -93,12 +97,15 @@
 }
 
 impl Load {
-    /// Notes that a request with `prompt` tokens is sent to a target.
-    pub fn start(&mut self, server: &Instance, prompt: u32, now: Moment) {
+    /// Notes that a request with `prompt` tokens is sent to a target, whose first
+    /// token is expected after the time `first`.
+    pub fn start(&mut self, server: &Instance, prompt: u32, first: Duration, now: Moment) {
         let own = self.own.entry(server.clone()).or_default();
         if own.work.requests == 0 {
             own.heard = now;
+            own.reading = Duration::ZERO;
         }
+        own.reading = own.reading.max(first);
         own.work.requests += 1;
         own.work.unread = own.work.unread.saturating_add(prompt);
         let is_old = |sent: &Moment| now.since(*sent) >= SENT_WINDOW;
@@ -126,6 +133,9 @@
     pub fn heard(&mut self, server: &Instance, now: Moment) {
         if let Some(own) = self.own.get_mut(server) {
             own.heard = now;
+            if own.work.unread == 0 {
+                own.reading = Duration::ZERO;
+            }
         }
     }
 
--- a/crates/site/src/server.rs
+++ b/crates/site/src/server.rs
@@ -4,7 +4,7 @@
 use std::{net::SocketAddr, time::Duration};
 
 /// The latest entry of a backend server.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[common::value]
 pub struct Server {
     /// The server.
     pub id: Instance,
@@ -27,7 +27,8 @@
 }
 
 /// What a model engine says of itself.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[common::value]
+#[derive(Default)]
 pub struct Engine {
     /// The fabric domain.
     pub fabric: Option<Fabric>,
@@ -40,7 +41,7 @@
 }
 
 /// A membership in a replica.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[common::value]
 pub struct Member {
     /// The replica.
     pub replica: Replica,
@@ -88,10 +89,34 @@
 }
 
 /// A change of one backend server's entry.
-#[derive(Debug, Clone)]
+#[common::value]
 pub enum Change {
     /// The entry is this one now.
     Is(Box<Server>),
     /// There is no usable entry any more.
     Gone(Instance),
 }
+
+impl Change {
+    /// Returns the server whose entry changed.
+    pub fn id(&self) -> &Instance {
+        match self {
+            Self::Is(server) => &server.id,
+            Self::Gone(id) => id,
+        }
+    }
+}
+
+impl Server {
+    /// Returns whether another entry says the same, except for how long the
+    /// server stays cold, which every renewal counts down.
+    pub fn is_alike(&self, other: &Self) -> bool {
+        let is_cold = |server: &Self| !server.cold_for.is_zero();
+        is_cold(self) == is_cold(other)
+            && *self
+                == Self {
+                    cold_for: self.cold_for,
+                    ..other.clone()
+                }
+    }
+}
