--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -172,6 +172,8 @@
     incomplete: HashMap<(Replica, u64), Moment>,
     /// The highest generation that was reported.
     highest: u64,
+    /// The replicas that were closed for the sake of a scarcer model.
+    given_up: HashSet<(Replica, u64)>,
     /// When heads were last told to open.
     opened: HashMap<(Replica, u64), Moment>,
     /// What hosts were told to stage, and when that should end.
@@ -220,19 +222,18 @@
             scarcity.add(&formation.model);
         }
         let mut serving = Vec::new();
-        self.opened.retain(|key, _| {
-            replicas
-                .iter()
-                .any(|r| (&r.replica, r.generation) == (&key.0, key.1))
-        });
-        self.incomplete.retain(|key, _| {
-            replicas
-                .iter()
-                .any(|r| (&r.replica, r.generation) == (&key.0, key.1))
-        });
+        let is_reported = |key: &(Replica, u64)| {
+            let mut keys = replicas.iter().map(|r| (&r.replica, r.generation));
+            keys.any(|reported| reported == (&key.0, key.1))
+        };
+        self.opened.retain(|key, _| is_reported(key));
+        self.incomplete.retain(|key, _| is_reported(key));
+        self.given_up.retain(is_reported);
         for replica in &replicas {
             self.look_at(replica, engines, rates, now, &mut wanted, &mut free);
-            let is_serving = matches!(replica.head, Some(Phase::Open | Phase::Ready));
+            let is_serving = replica.is_allowed
+                && !self.is_given_up(replica)
+                && matches!(replica.head, Some(Phase::Open | Phase::Ready));
             if let (true, true, true, Some(model)) = (
                 is_serving,
                 replica.is_sound && replica.is_complete(rates.engine),
@@ -368,7 +369,8 @@
         }
         let (name, generation) = (replica.replica.clone(), replica.generation);
         let head = replica.members.get(&0);
-        if replica.is_sound && replica.is_complete(rates.engine) {
+        let is_given_up = self.is_given_up(replica);
+        if replica.is_sound && replica.is_complete(rates.engine) && !is_given_up {
             let is_openable = replica.head == Some(Phase::Ready) && replica.is_ready;
             if let (true, Some(head)) = (is_openable, head) {
                 let open = Command::Open {
@@ -386,7 +388,8 @@
             .incomplete
             .entry((name.clone(), generation))
             .or_insert(now);
-        let is_growing = matches!(replica.head, None | Some(Phase::Joining | Phase::Ready))
+        let is_growing = !is_given_up
+            && matches!(replica.head, None | Some(Phase::Joining | Phase::Ready))
             && !replica.has_dead
             && replica.is_sound;
         if is_growing && now.since(since) < INHERITED {
@@ -397,6 +400,7 @@
                 let close = Command::Close {
                     replica: name,
                     generation,
+                    // A replica that is given up finishes what it has.
                     is_abrupt: replica.has_dead || !replica.is_complete(rates.engine),
                 };
                 wanted.push((head.clone(), close));
@@ -437,6 +441,12 @@
         }
     }
 
+    /// Returns whether a replica was closed for the sake of a scarcer model.
+    fn is_given_up(&self, replica: &Reported) -> bool {
+        let key = (replica.replica.clone(), replica.generation);
+        self.given_up.contains(&key)
+    }
+
     /// Returns whether a head may be open though it is not reported so: an order
     /// to open may still be under way, and reports are some hundred ms old.
     fn may_have_opened(
@@ -641,6 +651,8 @@
                 is_abrupt: false,
             };
             wanted.push((head.clone(), close));
+            self.given_up
+                .insert((replica.replica.clone(), replica.generation));
             self.notes.push(Note::GiveUp {
                 replica: replica.replica.clone(),
                 scarcer: scarcest.model.clone(),
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -20,6 +20,8 @@
     pub(crate) is_ready: bool,
     /// Whether all members are sound.
     pub(crate) is_sound: bool,
+    /// Whether requests may be sent to it, as far as failure domains go.
+    pub(crate) is_allowed: bool,
     /// Whether a member died.
     pub(crate) has_dead: bool,
 }
@@ -52,11 +54,13 @@
             head: None,
             is_ready: true,
             is_sound: true,
+            is_allowed: true,
             has_dead: false,
         });
         seen.members.insert(member.rank, engine.id().clone());
         seen.is_ready &= member.phase != Phase::Joining;
         seen.is_sound &= engine.is_sound();
+        seen.is_allowed &= engine.is_allowed;
         seen.has_dead |= !engine.is_alive;
         let model = engine.server.engine.models.first().cloned();
         if member.rank == 0 {
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -60,6 +60,8 @@
     engines: BTreeMap<Instance, Engine>,
     ordered: Vec<(Moment, Instance, Command)>,
     joining: HashMap<Instance, Moment>,
+    /// The joins that load from the weight store, and when they end.
+    loading: HashMap<Instance, Moment>,
     staging: HashMap<Instance, (Model, Moment)>,
     now: Moment,
     demand: Demand,
@@ -109,6 +111,7 @@
             engines,
             ordered: Vec::new(),
             joining: HashMap::new(),
+            loading: HashMap::new(),
             staging: HashMap::new(),
             now: Moment::from_millis(10_000),
             demand: Demand::default(),
@@ -193,6 +196,11 @@
             self.check_join(id);
         }
         let is_traffic = !self.demand.replicas.is_empty();
+        // A join waits for a staging of its model that is under way.
+        let staged_at = self.staging.get(id).filter(
+            |(staged, _)| matches!(command, Command::Join { model, .. } if model == staged),
+        );
+        let staged_at = staged_at.map(|(_, at)| *at);
         let engine = self.engines.get_mut(id).expect("a known engine");
         engine.sequence = engine.sequence.map(|s| s + 1);
         match command {
@@ -203,8 +211,11 @@
                 members,
             } => {
                 let weights = self.costs.weights(model).expect("a known model");
-                let is_load = engine.needs_load(model);
-                let time = engine.join_time(weights, self.now);
+                let is_load = engine.needs_load(model) && staged_at.is_none();
+                let time = match staged_at {
+                    Some(at) => self.now.until(at) + weights.warm,
+                    None => engine.join_time(weights, self.now),
+                };
                 let time = if is_load && !is_traffic {
                     time / 10
                 } else {
@@ -217,12 +228,11 @@
                     phase: Phase::Joining,
                 });
                 engine.server.engine.models = vec![model.clone()];
+                self.joining.insert(id.clone(), self.now + time);
                 if is_load {
                     engine.server.engine.staged = vec![model.clone()];
-                    self.joining.insert(id.clone(), self.now + time);
+                    self.loading.insert(id.clone(), self.now + time);
                     self.count_loads();
-                } else {
-                    self.joining.insert(id.clone(), self.now + time);
                 }
             }
             Command::Open { .. } => set(engine, Phase::Open),
@@ -256,9 +266,11 @@
 
     /// Notes how many loads run at once.
     fn count_loads(&mut self) {
-        let is_load = |id: &&Instance| self.joining[*id].since(self.now) > Duration::from_secs(2);
-        let joins = self.joining.keys().filter(is_load).count();
-        self.most_loads = self.most_loads.max(joins + self.staging.len());
+        let (now, engines) = (self.now, &self.engines);
+        self.loading
+            .retain(|id, at| now < *at && engines[id].is_alive);
+        let loads = self.loading.len() + self.staging.len();
+        self.most_loads = self.most_loads.max(loads);
     }
 
     /// Returns how many replicas of a model serve with all their members.
@@ -453,3 +465,45 @@
         "{to_survivor:?}"
     );
 }
+
+/// A replica that was given up for a scarcer model was complete and was opened
+/// again at once, and given up again, several times a second.
+#[test]
+fn a_replica_that_is_given_up_is_not_opened_again() {
+    let (mut world, mut planner) = formed();
+    // The small model's engines stage the large one's weights meanwhile.
+    world.ask(1.0, 1.0);
+    world.run(&mut planner, Duration::from_secs(90));
+    world.notes.clear();
+    world.ask(12.0, 0.3);
+    world.run(&mut planner, Duration::from_secs(30));
+    let mut given_up: HashMap<String, u32> = HashMap::new();
+    for note in &world.notes {
+        if let Note::GiveUp { replica, .. } = note {
+            *given_up.entry(replica.to_string()).or_default() += 1;
+        }
+    }
+    assert!(!given_up.is_empty(), "nothing was given up");
+    assert!(given_up.values().all(|n| *n == 1), "{given_up:?}");
+    assert!(world.serving("large") > 6, "{}", world.serving("large"));
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
+/// Replicas in a failure domain that is taken out counted as serving.
+#[test]
+fn replicas_that_get_no_requests_do_not_count_as_serving() {
+    let (mut world, mut planner) = formed();
+    world.ask(4.0, 1.0);
+    world.run(&mut planner, Duration::from_secs(2));
+    let before = world.notes.len();
+    for engine in world.engines.values_mut() {
+        engine.is_allowed = engine.fabric().map(ToString::to_string) != Some("f0".into());
+    }
+    world.run(&mut planner, Duration::from_secs(1));
+    let counts = world.notes[before..].iter().find_map(|note| match note {
+        Note::Serving { replicas, .. } => Some(replicas.iter().map(|(_, n)| n).sum::<usize>()),
+        _ => None,
+    });
+    let all = world.serving("large") + world.serving("small");
+    assert!(counts.is_some_and(|n| n < all), "{counts:?} of {all}");
+}
