--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -11,7 +11,7 @@
 use net::Connection;
 use place::Rank;
 use rand::Rng;
-use site::call::{Addition, Head, Urgency};
+use site::call::{Addition, Head};
 use slog::info;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
@@ -269,7 +269,6 @@
             account: self.account.clone(),
             time_left: shared.now().until(self.deadline),
             last_event: self.call.last_event,
-            urgency: Urgency::Usual,
         };
         let request = (shared.platform.request)(&self.outgoing, &addition);
         tally.sent += 1;
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -9,10 +9,20 @@
 ///
 /// Some keep it three times as long, and a node that stops must stay reachable
 /// for that time within the grace that it has.
-pub(crate) const KEEP: Duration = Duration::from_secs(2);
+const KEEP: Duration = Duration::from_secs(2);
 
-/// How many times longer than [`KEEP`] some callers keep an answer.
-pub(crate) const KEEP_FACTOR: u32 = 3;
+/// How many times longer than they are told some callers keep an answer.
+const KEEP_FACTOR: u32 = 3;
+
+/// Returns how long callers are told to keep an answer.
+pub(crate) fn keep(shared: &Shared) -> Duration {
+    KEEP.min(shared.settings.bounds.max_answer_age)
+}
+
+/// Returns how long callers may still have an answer.
+pub(crate) fn longest_kept(shared: &Shared) -> Duration {
+    keep(shared) * KEEP_FACTOR
+}
 
 /// Returns the addresses for a caller, nodes of its own failure domain first.
 ///
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -12,29 +12,33 @@
 use std::{collections::HashSet, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
-/// How long a read of the operators' feed waits for a change.
+/// The part of the bound on configurations that a read of the operators' feed
+/// waits for a change.
 ///
-/// Each read confirms the configuration as of its start, so that the wait and
-/// the time of an answer must stay well below the bound on revoked secrets.
-const OPERATOR_WAIT: Duration = Duration::from_millis(900);
+/// A read confirms the configuration as of its start, so that a view is up to
+/// two waits old.
+const WAIT_PART_OF_CONFIG: f64 = 0.45;
 
-/// The time between two reads of the servers' feed, part of the time within
+/// The same of the bound on revoked secrets.
+const WAIT_PART_OF_REVOKE: f64 = 0.18;
+
+/// The time between two reads of the servers' feed, as a part of the time within
 /// which a server that leaves must get no more requests.
-const SERVER_STEP: Duration = Duration::from_millis(800);
+const STEP_PART: f64 = 0.4;
 
 /// The same while a planner tells what it reads. What it tells may be lost, so
 /// that this alone must keep the bound.
-const TOLD_STEP: Duration = Duration::from_millis(1_350);
+const TOLD_STEP_PART: f64 = 0.62;
+
+/// How long a read of the servers' feed waits for a change, likewise.
+const WAIT_PART: f64 = 0.12;
 
-/// The same at the node that plans.
+/// The time between two reads of the servers' feed at the node that plans.
 const PLANNER_STEP: Duration = Duration::from_millis(150);
 
 /// How often a node looks whether it has become the planner.
 const LOOK_STEP: Duration = Duration::from_millis(50);
 
-/// How long a read of the servers' feed waits for a change.
-const SERVER_WAIT: Duration = Duration::from_millis(300);
-
 /// The pause after a read that failed.
 const PAUSE: Duration = Duration::from_millis(200);
 
@@ -103,9 +107,13 @@
         feed: "operators",
         is_lost: false,
     };
+    let bounds = &shared.settings.bounds;
+    let of_config = bounds.config.mul_f64(WAIT_PART_OF_CONFIG);
+    let of_revoke = bounds.revoke.map(|r| r.mul_f64(WAIT_PART_OF_REVOKE));
+    let wait = of_revoke.map_or(of_config, |of_revoke| of_config.min(of_revoke));
     loop {
         let asked = shared.now();
-        match (shared.platform.operators)(cursor, OPERATOR_WAIT).await {
+        match (shared.platform.operators)(cursor, wait).await {
             Ok(batch) => {
                 contact.succeed(&shared);
                 faults.log(&shared, "operators", &batch.faults);
@@ -170,9 +178,10 @@
         feed: "servers",
         is_lost: false,
     };
+    let wait = shared.settings.bounds.leaving.mul_f64(WAIT_PART);
     loop {
         let asked = shared.now();
-        match (shared.platform.servers)(cursor, SERVER_WAIT).await {
+        match (shared.platform.servers)(cursor, wait).await {
             Ok(batch) => {
                 contact.succeed(&shared);
                 faults.log(&shared, "servers", &batch.faults);
@@ -201,6 +210,7 @@
 /// Waits until the servers' feed is to be read again.
 async fn rest(shared: &Shared) {
     let begin = shared.now();
+    let leaving = shared.settings.bounds.leaving;
     loop {
         sleep(LOOK_STEP).await;
         let waited = shared.now().since(begin);
@@ -208,9 +218,9 @@
         let step = if tables.peers.own_token.is_some() {
             PLANNER_STEP
         } else if tables.peers.has_planner(shared.now()) {
-            TOLD_STEP
+            leaving.mul_f64(TOLD_STEP_PART)
         } else {
-            SERVER_STEP
+            leaving.mul_f64(STEP_PART)
         };
         if waited >= step {
             return;
--- a/crates/edge/src/front.rs
+++ b/crates/edge/src/front.rs
@@ -141,7 +141,8 @@
     if addresses.is_empty() {
         return text(StatusCode::SERVICE_UNAVAILABLE, String::new());
     }
-    (shared.platform.directory)(&addresses, directory::KEEP).map(whole)
+    let keep = directory::keep(shared);
+    (shared.platform.directory)(&addresses, keep).map(whole)
 }
 
 /// Returns an answer with a text.
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -108,7 +108,7 @@
         let last = begin + grace.saturating_sub(END_MARGIN);
         sleep_until(begin + grace.mul_f64(TAKING_PART)).await;
         self.shared.refuse();
-        let known_until = begin + directory::KEEP * directory::KEEP_FACTOR;
+        let known_until = begin + directory::longest_kept(&self.shared);
         sleep_until(known_until.min(last)).await;
         self.closing.send_replace(true);
         while Instant::now() < last && self.is_busy() {
--- a/crates/place/tests/placing.rs
+++ b/crates/place/tests/placing.rs
@@ -34,10 +34,8 @@
         config: Duration::from_secs(2),
         revoke: Some(Duration::from_secs(5)),
         grace: Duration::from_secs(8),
-        stall: Duration::from_secs(6),
         retry_ratio: 0.2,
         retry_slack: 136.0,
-        retry_window: Duration::from_secs(10),
         load_window: Duration::from_secs(5),
         max_answer_age: Duration::from_secs(5),
     }
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -64,17 +64,6 @@
     pub time_left: Duration,
     /// The last event that the caller has, if the answer is taken up midway.
     pub last_event: Option<u64>,
-    /// The urgency among the server's requests.
-    pub urgency: Urgency,
-}
-
-/// How urgent a request is at a backend server.
-#[common::key]
-pub enum Urgency {
-    /// Before the usual ones.
-    High,
-    /// As usual.
-    Usual,
 }
 
 /// What the head of a backend server's answer says.
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -1,6 +1,6 @@
 //! The settings that the platform gives a process.
 
-use name::{Domain, Node, Region};
+use name::{Domain, Node};
 use std::{net::SocketAddr, time::Duration};
 
 /// The settings of one entry node.
@@ -10,8 +10,6 @@
     pub node: Node,
     /// The failure domain.
     pub domain: Domain,
-    /// The region.
-    pub region: Region,
     /// The address for callers.
     pub front: SocketAddr,
     /// The address for the platform's checks of readiness.
@@ -22,8 +20,6 @@
     pub peer: SocketAddr,
     /// The address of the platform's store.
     pub store: SocketAddr,
-    /// The interval at which backend servers renew their entries.
-    pub renewal: Duration,
     /// The bounds that the deployment promises.
     pub bounds: Bounds,
 }
@@ -39,14 +35,10 @@
     pub revoke: Option<Duration>,
     /// The time from SIGTERM to SIGKILL.
     pub grace: Duration,
-    /// The time after which a replica that lost a member breaks by itself.
-    pub stall: Duration,
     /// The further attempts that are allowed for each request.
     pub retry_ratio: f64,
     /// The further attempts that are allowed besides, in each window.
     pub retry_slack: f64,
-    /// The window in which further attempts are counted.
-    pub retry_window: Duration,
     /// The window in which loads of weights are counted.
     pub load_window: Duration,
     /// The longest time that callers keep an answer of the directory.
--- a/src/logs.rs
+++ b/src/logs.rs
@@ -3,6 +3,13 @@
 use slog::{Drain, Logger, o};
 use std::io::{self, IsTerminal};
 
+/// The events that wait for the output.
+const MAX_QUEUED: usize = 128;
+
+/// The same for nodes that write several lines a request; a burst of a few
+/// hundred requests fits.
+const MAX_QUEUED_LINES: usize = 4_096;
+
 /// The shape of the log lines.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Format {
@@ -33,7 +40,7 @@
 /// Returns a logger that writes JSON lines at `level` and above to standard output.
 pub(crate) fn lines(level: slog::Level) -> Logger {
     let json = slog_json::Json::default(io::stdout());
-    asynchronous(std::sync::Mutex::new(json).fuse(), level)
+    queued(std::sync::Mutex::new(json).fuse(), level, MAX_QUEUED_LINES)
 }
 
 /// Returns a logger that discards everything.
@@ -46,6 +53,15 @@
 where
     D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
 {
-    let queue = slog_async::Async::new(drain).build().fuse();
-    Logger::root(queue.filter_level(level).fuse(), o!())
+    queued(drain, level, MAX_QUEUED)
+}
+
+/// Wraps a drain in a queue of `most` events; what does not fit is dropped, and
+/// an event says how many were.
+fn queued<D>(drain: D, level: slog::Level, most: usize) -> Logger
+where
+    D: Drain<Ok = (), Err = slog::Never> + Send + 'static,
+{
+    let queue = slog_async::Async::new(drain).chan_size(most).build();
+    Logger::root(queue.fuse().filter_level(level).fuse(), o!())
 }
