--- a/crates/form/src/begin.rs
+++ b/crates/form/src/begin.rs
@@ -106,7 +106,9 @@
             let reserve = if is_scarce {
                 0
             } else {
-                (sizes[fabric] as f64 * RESERVE_PART).round() as usize
+                // A replica that needs nearly the whole domain leaves none.
+                let reserve = (sizes[fabric] as f64 * RESERVE_PART).round() as usize;
+                reserve.min(sizes[fabric].saturating_sub(weights.size))
             };
             if ids.len() < weights.size + reserve || (fabric.is_none() && weights.size > 1) {
                 continue;
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -561,3 +561,16 @@
         );
     }
 }
+
+/// On a deployment with replicas as large as a fabric domain, none was formed:
+/// with the reserve, none had room.
+#[test]
+fn a_replica_as_large_as_its_domain_is_formed() {
+    let mut world = World::new(6, 8);
+    world.costs.models[0].size = 8;
+    world.costs.models[1].size = 1;
+    let mut planner = Planner::new(1);
+    world.run(&mut planner, Duration::from_secs(15));
+    assert!(world.serving("large") >= 2, "{}", world.serving("large"));
+    assert!(world.serving("small") >= 2, "{}", world.serving("small"));
+}
