--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -415,8 +415,7 @@
     );
 }
 
-/// A staging that an engine refused was counted as under way for ever, and no
-/// load began any more.
+/// A new planner knows nothing but what engines report.
 #[test]
 fn a_successor_goes_on_from_reports_alone() {
     let (mut world, mut planner) = formed();
