Add other nodes' load up when it is told; leave targets alone when an entry is only renewed

A choice looked at each of up to 85 nodes for each of some 40 targets, several times a request, and again for every request that waits at each datagram (about 100 a second). Each renewal of an entry, 40 a second and more, worked out all targets and woke every stream, and a server that the planner told of stayed in the set of lapsed entries.

Change: Load keeps a total for each target, which a node's new share replaces; entries that are alike refresh nothing; lapsed entries are in the tables, so that news of the planner takes a server out of them. The test of forgetting a silent node calls expire, which the node does with each datagram that it sends.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -173,7 +173,6 @@
 pub(crate) async fn servers(shared: Arc<Shared>) {
     let mut cursor = Cursor::Start;
     let mut faults = Faults::default();
-    let mut lapsed = HashSet::new();
     let mut contact = Contact {
         feed: "servers",
         is_lost: false,
@@ -194,7 +193,7 @@
                     .collect();
                 if let Cursor::At(offset) = cursor {
                     let is_snapshot = batch.is_snapshot;
-                    apply_servers(&shared, changes, is_snapshot, offset, &mut lapsed);
+                    apply_servers(&shared, changes, is_snapshot, offset);
                 }
                 shared.tables().servers_confirmed = Some(asked);
             }
@@ -234,22 +233,22 @@
     changes: Vec<Change>,
     is_snapshot: bool,
     offset: u64,
-    lapsed: &mut HashSet<Instance>,
 ) {
     let now = shared.now();
-    let mut tables = shared.tables();
+    let mut guard = shared.tables();
+    let tables = &mut *guard;
     let held_until = tables.store_regained.map(|at| at + LAPSE_GRACE);
     let is_held = held_until.is_some_and(|until| now < until);
     let due: Vec<Instance> = if is_held {
         Vec::new()
     } else {
-        std::mem::take(lapsed).into_iter().collect()
+        std::mem::take(&mut tables.lapsed).into_iter().collect()
     };
     let mut is_changed = !due.is_empty() || is_snapshot;
     tables.servers_read = offset;
     if is_snapshot {
         tables.servers_heard.clear();
-        lapsed.clear();
+        tables.lapsed.clear();
         tables.fleet.replace(changes);
     } else {
         for change in changes {
@@ -258,24 +257,28 @@
             if heard.is_some_and(|heard| *heard > offset) {
                 continue;
             }
-            tell(&mut tables, &change, offset, now);
+            let is_news = is_news(tables, &change);
+            if is_news {
+                tell(tables, &change, offset, now);
+            }
             match &change {
                 Change::Gone(id) if is_held => {
                     info!(shared.log, "entry lapsed after an outage"; "server" => %id);
-                    lapsed.insert(id.clone());
+                    tables.lapsed.insert(id.clone());
                     continue;
                 }
                 Change::Gone(id) => {
-                    if tables.fleet.server(id).is_some() {
+                    if is_news {
                         info!(shared.log, "server gone"; "server" => %id);
                     }
                 }
                 Change::Is(server) => {
-                    lapsed.remove(&server.id);
+                    tables.lapsed.remove(&server.id);
                     log_change(shared, tables.fleet.server(&server.id), server);
                 }
             }
-            is_changed = true;
+            // Most records only renew an entry; targets stay as they are.
+            is_changed |= is_news;
             tables.fleet.apply(change);
         }
     }
@@ -285,21 +288,22 @@
     }
     tables.servers_heard.retain(|_, heard| *heard > offset);
     if is_changed {
-        shared.refresh(&mut tables);
+        shared.refresh(tables);
     }
 }
 
-/// Lets other nodes know of a change, if this node plans and the change matters.
-fn tell(tables: &mut Tables, change: &Change, offset: u64, now: Moment) {
-    if tables.peers.own_token.is_none() {
-        return;
-    }
+/// Returns whether a change says more than that an entry was renewed.
+fn is_news(tables: &Tables, change: &Change) -> bool {
     let known = tables.fleet.server(change.id());
-    let is_news = match change {
+    match change {
         Change::Is(server) => known.is_none_or(|known| !known.is_alike(server)),
         Change::Gone(_) => known.is_some(),
-    };
-    if is_news {
+    }
+}
+
+/// Lets other nodes know of a change, if this node plans.
+fn tell(tables: &mut Tables, change: &Change, offset: u64, now: Moment) {
+    if tables.peers.own_token.is_some() {
         tables.peers.own_news.add(offset, change.clone(), now);
     }
 }
@@ -319,6 +323,8 @@
     }
     log_change(shared, tables.fleet.server(&server.id), server);
     tables.servers_heard.insert(server.id.clone(), offset);
+    // What was held back as lapsed is back.
+    tables.lapsed.remove(&server.id);
     tables.fleet.apply(change);
     true
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -263,6 +263,7 @@
             let now = shared.now();
             let mut tables = shared.tables();
             tables.peers.now = now;
+            tables.load.expire(now);
             let beat = Beat {
                 card: card.clone(),
                 number,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -7,7 +7,7 @@
 use site::{Config, Platform, Settings};
 use slog::Logger;
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
         atomic::{AtomicBool, Ordering},
@@ -50,6 +50,8 @@
     pub(crate) servers_confirmed: Option<Moment>,
     /// When a read of the store first succeeded after one that failed.
     pub(crate) store_regained: Option<Moment>,
+    /// The servers whose entries lapsed lately, while the store was away.
+    pub(crate) lapsed: HashSet<Instance>,
     /// How far this node has read the servers' feed.
     pub(crate) servers_read: u64,
     /// How far the planner had read it when it told of a server's entry.
@@ -72,6 +74,7 @@
             confirmed: None,
             servers_confirmed: None,
             store_regained: None,
+            lapsed: HashSet::new(),
             servers_read: 0,
             servers_heard: HashMap::new(),
             fleet: Fleet::default(),
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -89,11 +89,40 @@
     }
 }
 
+/// What other nodes say of one target, added up.
+#[derive(Debug, Clone, Default, PartialEq)]
+struct Total {
+    requests: u64,
+    unread: u64,
+    /// The nodes to which it is silent.
+    silent: u64,
+}
+
+impl Total {
+    /// Adds one node's work.
+    fn add(&mut self, work: Work) {
+        self.requests += u64::from(work.requests);
+        self.unread += u64::from(work.unread);
+        self.silent += u64::from(work.is_silent);
+    }
+
+    /// Takes back what was added.
+    fn take_back(&mut self, work: Work) {
+        self.requests -= u64::from(work.requests);
+        self.unread -= u64::from(work.unread);
+        self.silent -= u64::from(work.is_silent);
+    }
+}
+
 /// The work in progress at all targets.
+///
+/// What other nodes say is added up when they say it: a choice looks at every
+/// target, and would otherwise look at every node for each of them.
 #[derive(Debug, Clone, Default)]
 pub struct Load {
     own: HashMap<Instance, Own>,
-    others: HashMap<Node, (Moment, HashMap<Instance, Work>)>,
+    others: HashMap<Node, (Moment, Vec<Share>)>,
+    totals: HashMap<Instance, Total>,
 }
 
 impl Load {
@@ -158,8 +187,42 @@
 
     /// Takes over what another node says that it has in progress.
     pub fn share(&mut self, node: Node, shares: impl IntoIterator<Item = Share>, now: Moment) {
-        let shares = shares.into_iter().map(|s| (s.server, s.work)).collect();
-        self.others.insert(node, (now, shares));
+        let shares: Vec<Share> = shares.into_iter().collect();
+        for share in &shares {
+            self.totals
+                .entry(share.server.clone())
+                .or_default()
+                .add(share.work);
+        }
+        if let Some((_, before)) = self.others.insert(node, (now, shares)) {
+            self.take_back(&before);
+        }
+        self.expire(now);
+    }
+
+    /// Forgets what nodes said that have not been heard for a while.
+    pub fn expire(&mut self, now: Moment) {
+        let is_old = |(heard, _): &(Moment, Vec<Share>)| now.since(*heard) > SHARE_AGE;
+        let old: Vec<Vec<Share>> = self
+            .others
+            .extract_if(|_, said| is_old(said))
+            .map(|(_, (_, shares))| shares)
+            .collect();
+        for shares in &old {
+            self.take_back(shares);
+        }
+    }
+
+    /// Takes what a node said out of the totals.
+    fn take_back(&mut self, shares: &[Share]) {
+        for share in shares {
+            if let Some(total) = self.totals.get_mut(&share.server) {
+                total.take_back(share.work);
+                if *total == Total::default() {
+                    self.totals.remove(&share.server);
+                }
+            }
+        }
     }
 
     /// Returns this node's work, for other nodes.
@@ -175,15 +238,13 @@
     pub fn work(&self, server: &Instance, now: Moment) -> Work {
         let own = self.own.get(server);
         let mut work = own.map(|own| own.work(now)).unwrap_or_default();
-        for (heard, shares) in self.others.values() {
-            if now.since(*heard) > SHARE_AGE {
-                continue;
-            }
-            if let Some(share) = shares.get(server) {
-                work.requests += share.requests;
-                work.unread = work.unread.saturating_add(share.unread);
-                work.is_silent |= share.is_silent;
-            }
+        if let Some(total) = self.totals.get(server) {
+            let sum = |own: u32, others: u64| {
+                u32::try_from(u64::from(own) + others).unwrap_or(u32::MAX)
+            };
+            work.requests = sum(work.requests, total.requests);
+            work.unread = sum(work.unread, total.unread);
+            work.is_silent |= total.silent > 0;
         }
         work
     }
--- a/crates/place/tests/placing.rs
+++ b/crates/place/tests/placing.rs
@@ -360,6 +360,7 @@
     load.share("other".parse().expect("a name"), shares, at(1_000));
     assert_eq!(name_of(&pick(&targets, &load, &[], at(1_000))), Some("a"));
     // It is forgotten when the node falls silent.
+    load.expire(at(9_000));
     assert_eq!(name_of(&pick(&targets, &load, &[], at(9_000))), Some("b"));
 }
 
