Trial: deal free places among nodes, form by places before traffic, tell what matters to requests

Test: nodes_that_choose_at_once_do_not_overfill_a_target. - Before traffic the scarcest model waits for a load instead of letting others take its place, a domain is chosen by the places it loses, and the largest model stops at its share. Test first: '12 domains: 9 large, 30 small'. - Loads during traffic are bounded by what runs at once, not by two for joins and one for each 0.35 of use. Test first: '30 before, 30 after'. - The planner tells only of what matters to requests; a new one lists all entries and tells the difference. An order of an earlier office that is refused does not end a later one.

Open: planners still follow each other while engines register.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -3,9 +3,10 @@
 use crate::{
     peers::Marks,
     state::{Shared, Tables},
-    vouch::{self, News},
+    vouch,
 };
 use clock::Moment;
+use name::Instance;
 use site::{
     config,
     feed::{Batch, Cursor, Fault},
@@ -342,6 +343,7 @@
         let waited = now.since(begin);
         let tables = shared.tables();
         let is_due = match reader(&tables, now) {
+            _ if tables.servers_read.is_none() => true,
             Reader::Planner => waited >= PLANNER_STEP,
             Reader::Alone => waited >= leaving.mul_f64(STEP_PART),
             Reader::Told => {
@@ -368,22 +370,25 @@
     let mut guard = shared.tables();
     let tables = &mut *guard;
     let mut is_changed = release_lapsed(shared, tables, offset, now);
-    if batch.is_snapshot {
-        is_changed = true;
-        tables.servers_heard.clear();
-        tables.lapsed.clear();
-        tables.fleet.replace(changes);
-        tables.peers.own_news = News::starting_at(offset);
+    let known = tables.servers_read;
+    let is_news = known.is_none_or(|known| known < offset);
+    if batch.is_snapshot && is_news {
+        let listed: HashSet<&Instance> = changes.iter().map(Change::id).collect();
+        let servers = tables.fleet.servers().map(|s| &s.id);
+        let missing = servers.filter(|id| !listed.contains(id));
+        let missing: Vec<Change> = missing.cloned().map(Change::Gone).collect();
+        for change in changes.into_iter().chain(missing) {
+            is_changed |= apply_server(shared, tables, change, offset, now);
+        }
         tables.servers_read = Some(offset);
-        tables.servers_confirmed = None;
-    } else if tables.servers_read.is_some_and(|read| read < offset) {
+    } else if known.is_some() && is_news {
         for change in changes {
             is_changed |= apply_server(shared, tables, change, offset, now);
         }
         tables.servers_read = Some(offset);
     }
     tables.servers_heard.retain(|_, heard| *heard > offset);
-    if batch.is_at_end {
+    if batch.is_at_end && tables.servers_read.is_some() {
         tables.is_behind.servers = false;
         tables.servers_confirmed = tables.servers_confirmed.max(Some(asked));
         tables.peers.note_read(marks, |echo| &mut echo.servers);
@@ -448,16 +453,15 @@
     if is_news {
         tell(tables, &change, offset);
     }
-    // Most records only renew an entry; targets stay as they are.
     tables.fleet.apply(change);
     is_news
 }
 
-/// Returns whether a change says more than that an entry was renewed.
+/// Returns whether a change matters to requests; most only renew an entry.
 fn is_news(tables: &Tables, change: &Change) -> bool {
     let known = tables.fleet.server(change.id());
     match change {
-        Change::Is(server) => known.is_none_or(|known| !known.is_alike(server)),
+        Change::Is(server) => known.is_none_or(|known| !known.is_alike_to_callers(server)),
         Change::Gone(_) => known.is_some(),
     }
 }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -124,15 +124,13 @@
 }
 
 impl Peers {
-    /// Returns the time between two datagrams to the same node.
+    /// Returns the time between two datagrams of this node to the same node.
     fn interval(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        let per_peer = if self.own_token.is_some() {
-            PLANNER_INTERVAL_PER_PEER
+        if self.own_token.is_some() {
+            self.planner_interval()
         } else {
-            INTERVAL_PER_PEER
-        };
-        MIN_INTERVAL.max(per_peer * peers)
+            self.round()
+        }
     }
 
     /// Returns the time between two datagrams of a node that plans.
@@ -207,10 +205,15 @@
         self.peers.values().filter(is_counted)
     }
 
+    /// Returns the time between two datagrams of a node that does not plan.
+    pub(crate) fn round(&self) -> Duration {
+        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
+        MIN_INTERVAL.max(INTERVAL_PER_PEER * peers)
+    }
+
     /// Returns how long a node may be silent before it counts as gone.
     fn patience(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        MIN_INTERVAL.max(INTERVAL_PER_PEER * peers) * SILENT_INTERVALS
+        self.round() * SILENT_INTERVALS
     }
 
     /// Returns how old a planner's word may be before it counts as gone.
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -62,9 +62,9 @@
     loop {
         sleep(STEP).await;
         let now = shared.now();
-        if is_planning(&desk) {
-            if let Some(reason) = reason_to_step_down(&shared, &desk, now) {
-                step_down(&shared, &desk, reason);
+        if let Some(token) = office_token(&desk) {
+            if let Some(reason) = reason_to_step_down(&shared, token, now) {
+                step_down(&shared, &desk, token, reason);
                 quiet_since = now;
             } else {
                 step(&shared, &desk, now);
@@ -106,11 +106,10 @@
     Unknown,
 }
 
-/// Returns whether this node plans.
-fn is_planning(desk: &Desk) -> bool {
-    desk.lock()
-        .unwrap_or_else(PoisonError::into_inner)
-        .is_some()
+/// Returns the token with which this node plans, if it does.
+fn office_token(desk: &Desk) -> Option<u64> {
+    let desk = desk.lock().unwrap_or_else(PoisonError::into_inner);
+    desk.as_ref().map(|office| office.token)
 }
 
 /// Returns whether another node plans.
@@ -128,12 +127,10 @@
 }
 
 /// Returns why this node must stop to plan, if it must.
-fn reason_to_step_down(shared: &Shared, desk: &Desk, now: Moment) -> Option<&'static str> {
-    let desk = desk.lock().unwrap_or_else(PoisonError::into_inner);
-    let office = desk.as_ref()?;
+fn reason_to_step_down(shared: &Shared, token: u64, now: Moment) -> Option<&'static str> {
     let tables = shared.tables();
     let seen = tables.servers_confirmed;
-    if tables.peers.newest_token() > office.token {
+    if tables.peers.newest_token() > token {
         Some("a newer planner was heard")
     } else if shared.is_stopping() {
         Some("the node stops")
@@ -145,14 +142,18 @@
 }
 
 /// Stops to plan.
-fn step_down(shared: &Arc<Shared>, desk: &Desk, reason: &str) {
-    let office = desk.lock().unwrap_or_else(PoisonError::into_inner).take();
+fn step_down(shared: &Arc<Shared>, desk: &Desk, token: u64, reason: &str) {
+    let mut guard = desk.lock().unwrap_or_else(PoisonError::into_inner);
+    // An answer to an order of an earlier office says nothing of a later one.
+    if guard.take_if(|office| office.token == token).is_none() {
+        return;
+    }
+    drop(guard);
     let mut tables = shared.tables();
     tables.peers.own_token = None;
     tables.peers.own_lost.clear();
     vouch::hurry(shared);
-    info!(shared.log, "planner steps down"; "token" => office.map(|o| o.token),
-        "reason" => reason);
+    info!(shared.log, "planner steps down"; "token" => token, "reason" => reason);
 }
 
 /// Begins to plan.
@@ -160,7 +161,11 @@
     info!(shared.log, "planner begins"; "token" => token);
     let mut tables = shared.tables();
     tables.peers.own_token = Some(token);
-    tables.peers.own_news = News::starting_at(tables.servers_read.unwrap_or(0));
+    // What this node was told leaves out what matters to the planner only, so
+    // that it lists all entries anew. The news begin where it knew the feed, so
+    // that the others need not read it.
+    let known = tables.servers_read.take();
+    tables.peers.own_news = News::starting_at(known.unwrap_or(0));
     drop(tables);
     vouch::hurry(shared);
     let office = Office {
@@ -223,7 +228,7 @@
 
 /// Makes one step: asks engines, decides, sends orders.
 fn step(shared: &Arc<Shared>, desk: &Desk, now: Moment) {
-    let (config, servers, demand) = {
+    let (config, servers, demand, is_listed) = {
         let tables = shared.tables();
         let mut demand = tables.peers.demand(now);
         for (model, replicas) in tables.demand.replicas(now) {
@@ -234,9 +239,10 @@
             .servers()
             .map(|s| (s.clone(), !tables.fleet.is_taken_out(&s.domain)))
             .collect();
-        (tables.config.clone(), servers, demand)
+        let is_listed = tables.servers_read.is_some();
+        (tables.config.clone(), servers, demand, is_listed)
     };
-    let Some(config) = config else {
+    let (Some(config), true) = (config, is_listed) else {
         return;
     };
     let has_traffic = !demand.is_empty();
@@ -376,6 +382,6 @@
     }
     drop(guard);
     if outcome == Outcome::Fenced {
-        step_down(&shared, &desk, "an engine has seen a newer planner");
+        step_down(&shared, &desk, token, "an engine has seen a newer planner");
     }
 }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -148,9 +148,8 @@
         if is_changed {
             tables.targets = Arc::new(targets);
             let listed = Arc::clone(&tables.targets);
-            tables
-                .load
-                .retain(|id| listed.iter().any(|t| t.server == *id));
+            let servers = listed.iter().map(|target| &target.server);
+            tables.load.list(servers, self.now());
         }
         self.changes.send_modify(|count| *count += 1);
         if is_changed {
--- a/crates/edge/src/wait.rs
+++ b/crates/edge/src/wait.rs
@@ -3,7 +3,7 @@
 use crate::state::{Shared, Tables};
 use clock::Moment;
 use name::{Instance, Model, Service};
-use place::{Ask, Choice, Outlook, Rank, choose, cold_part};
+use place::{Ask, Choice, Crowd, Outlook, Rank, choose, cold_part};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -45,7 +45,7 @@
         if !self.is_read {
             tables.load.read(server, self.prompt);
         }
-        tables.load.end(server);
+        tables.load.end(server, self.shared.now());
     }
 
     /// Notes that something has come.
@@ -100,7 +100,8 @@
         let waiting = {
             let mut tables = self.tables();
             let now = self.now();
-            match self.try_place(&mut tables, &want, now) {
+            let has_waiting = !tables.queue.is_empty();
+            match self.try_place(&mut tables, &want, has_waiting, now) {
                 Ok(place) => return Ok(place),
                 Err(outlook) => {
                     let expected = self.expected_wait(&tables, &want, rank, outlook, now);
@@ -142,7 +143,7 @@
             if waiter.told.as_ref().is_none_or(oneshot::Sender::is_closed) {
                 return true;
             }
-            let Ok(place) = self.try_place(tables, &waiter.want, now) else {
+            let Ok(place) = self.try_place(tables, &waiter.want, true, now) else {
                 return false;
             };
             if let Some(told) = waiter.told.take()
@@ -162,6 +163,7 @@
         self: &Arc<Self>,
         tables: &mut Tables,
         want: &Want,
+        has_waiting: bool,
         now: Moment,
     ) -> Result<Place, Lack> {
         let config = tables.config.as_ref().ok_or(Lack::Nowhere)?;
@@ -176,6 +178,12 @@
             prompt: want.prompt,
             excluded: &want.excluded,
             domain: &self.settings.domain,
+            crowd: Crowd {
+                own: self.settings.node.as_str(),
+                nodes: tables.peers.count(),
+                round: tables.peers.round(),
+                has_waiting,
+            },
         };
         let outlook = choose(
             &ask,
--- a/crates/form/src/begin.rs
+++ b/crates/form/src/begin.rs
@@ -21,9 +21,9 @@
 /// the time there is.
 const PRIMARY_PART: f64 = 0.6;
 
-/// The use of a model's replicas for each load from the weight store that
-/// another replica may take.
-const SCARCE_FOR_LOAD: f64 = 0.35;
+/// The use of a model's replicas at which another one may take all the loads from
+/// the weight store that run at once; below it, a part of them.
+const SCARCE_FOR_LOADS: f64 = 2.1;
 
 /// What a formation without a load costs, in loads.
 const LOAD_COST: f64 = 0.25;
@@ -32,6 +32,11 @@
 /// is scarce, so that a replica that loses a member is formed again at once.
 const RESERVE_PART: f64 = 0.2;
 
+/// What speaks against a domain, the weightiest first: the time of the slowest
+/// join, the places of largest replicas that are lost, what is left, and the time
+/// again.
+type Preference = (Duration, usize, usize, Duration);
+
 impl Planner {
     /// Begins formations for the scarcest models.
     pub(crate) fn form(
@@ -56,26 +61,30 @@
                 // replica only now may have room for a large one soon.
                 let largest = order.iter().map(|w| w.size).max();
                 order.retain(|w| Some(w.size) == largest);
+                order.retain(|w| !self.has_its_share(engines, w, rates));
             }
-            // What a replica is worth, for each load that it takes. Before traffic
-            // loads are fast, and engines are what is shared out.
-            let worth = |weights: &config::Weights, members: &[Instance]| {
-                let loads = loads_for(engines, members, weights);
-                let price = if rates.has_traffic {
-                    LOAD_COST + loads as f64
-                } else {
-                    1.0
+            let found = order.into_iter().filter_map(|weights| {
+                let use_now = scarcity.with(&weights.model, 0);
+                let members = self.pick(engines, free, weights, use_now, rates, now)?;
+                Some((weights, members))
+            });
+            let found = if rates.has_traffic {
+                // What a replica is worth, for each load that it takes.
+                let worth = |weights: &config::Weights, members: &[Instance]| {
+                    let loads = loads_for(engines, members, weights);
+                    scarcity.with(&weights.model, 0) / (LOAD_COST + loads as f64)
                 };
-                scarcity.with(&weights.model, 0) / price
+                let mut found: Vec<_> = found.collect();
+                found.sort_by(|a, b| worth(b.0, &b.1).total_cmp(&worth(a.0, &a.1)));
+                found.into_iter().next()
+            } else {
+                // Loads are fast, and engines are what is shared out: a model that
+                // is used less does not go first for want of a load.
+                let mut found = found;
+                let left = self.loads_left(engines, rates, now);
+                let next = found.next();
+                next.filter(|(weights, ids)| loads_for(engines, ids, weights) <= left)
             };
-            let found = order
-                .into_iter()
-                .filter_map(|weights| {
-                    let use_now = scarcity.with(&weights.model, 0);
-                    let members = self.pick(engines, free, weights, use_now, rates, now)?;
-                    Some((weights, members))
-                })
-                .max_by(|a, b| worth(a.0, &a.1).total_cmp(&worth(b.0, &b.1)));
             let Some((weights, members)) = found else {
                 return;
             };
@@ -88,6 +97,28 @@
         }
     }
 
+    /// Returns whether a model's replicas have the part of all engines, less the
+    /// reserve, that the configuration expects.
+    fn has_its_share(
+        &self,
+        engines: &HashMap<Instance, Engine>,
+        weights: &config::Weights,
+        rates: &Rates<'_>,
+    ) -> bool {
+        let total: f64 = rates.engine.models.iter().map(|w| w.share).sum();
+        let formations = self.formations.iter();
+        let forming = formations.filter(|f| f.model == weights.model);
+        let members = forming.map(|f| f.members.len()).sum::<usize>();
+        let serving = engines.values().filter(|e| {
+            e.member().is_some()
+                && e.holds(&weights.model)
+                && !self.formations.iter().any(|f| f.members.contains(e.id()))
+        });
+        let used = (members + serving.count()) as f64;
+        let usable = engines.len() as f64 * (1.0 - RESERVE_PART);
+        used >= weights.share / total.max(f64::MIN_POSITIVE) * usable
+    }
+
     /// Picks the members of a new replica of a model.
     fn pick(
         &self,
@@ -99,15 +130,17 @@
         now: Moment,
     ) -> Option<Vec<Instance>> {
         let is_scarce = scarcity >= SCARCE;
-        let left = self.loads_left(engines, rates, now);
         let room = if rates.has_traffic {
-            left.min((scarcity / SCARCE_FOR_LOAD) as usize)
+            let left = self.loads_left(engines, rates, now);
+            let loads = scarcity / SCARCE_FOR_LOADS * f64::from(rates.engine.loads_at_once);
+            left.min(loads as usize)
         } else {
-            left
+            usize::MAX
         };
         let sizes = domain_sizes(engines);
         let is_largest = rates.engine.models.iter().all(|w| w.size <= weights.size);
-        let mut best: Option<(Duration, usize, Vec<Instance>)> = None;
+        let largest = rates.engine.models.iter().map(|w| w.size).max();
+        let mut best: Option<(Preference, Vec<Instance>)> = None;
         for (fabric, ids) in free {
             let reserve = if is_scarce {
                 0
@@ -133,22 +166,28 @@
                 .iter()
                 .map(|id| engines[id].join_time(weights, now))
                 .max()?;
-            // Among equally fast domains, the largest model takes the one with
-            // most engines left, and others the one with fewest: a small
-            // replica must not take the last place of a large one.
-            let rest = if is_largest {
-                usize::MAX - free[fabric].len()
+            let left = free[fabric].len();
+            // How many replicas of the largest model fewer have room then.
+            let fitting = |left: usize| left.saturating_sub(reserve) / largest.unwrap_or(1);
+            let taken = fitting(left) - fitting(left - weights.size);
+            // The largest model takes the domain with most engines left, and
+            // others the one with fewest: a small replica must not take the last
+            // place of a large one.
+            let rest = if is_largest { usize::MAX - left } else { left };
+            // Before traffic loads are fast, and places matter more.
+            let preference = if rates.has_traffic {
+                (slowest, taken, rest, Duration::ZERO)
             } else {
-                free[fabric].len()
+                (Duration::ZERO, taken, rest, slowest)
             };
             let is_better = best
                 .as_ref()
-                .is_none_or(|(time, left, first)| (slowest, rest, &ids) < (*time, *left, first));
+                .is_none_or(|(found, first)| (preference, &ids) < (*found, first));
             if is_better {
-                best = Some((slowest, rest, ids));
+                best = Some((preference, ids));
             }
         }
-        best.map(|(_, _, ids)| ids)
+        best.map(|(_, ids)| ids)
     }
 
     /// Begins a formation.
--- a/crates/form/src/loads.rs
+++ b/crates/form/src/loads.rs
@@ -10,8 +10,8 @@
 use site::order::Command;
 use std::{collections::HashMap, time::Duration};
 
-/// The loads at once that are left to joins, which complete a replica.
-const LOADS_FOR_JOINS: usize = 2;
+/// The part of the loads at once that is left to joins, which complete a replica.
+const PART_FOR_JOINS: f64 = 0.34;
 
 /// How much longer than expected a staging may take.
 const STAGING_GRACE: Duration = Duration::from_secs(8);
@@ -55,7 +55,7 @@
                 || self.formations.iter().any(|f| f.members.contains(id))
         };
         let for_joins = if rates.has_traffic {
-            LOADS_FOR_JOINS
+            (f64::from(rates.engine.loads_at_once) * PART_FOR_JOINS) as usize
         } else {
             0
         };
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -575,26 +575,78 @@
 }
 
 /// In domains of 19 engines a third of all stood idle before traffic, beside a
-/// large model that was used twice as much as the small one.
+/// large model that was used twice as much as the small one. On twelve such
+/// domains the large one then took the place of the small one.
 #[test]
 fn before_traffic_models_are_used_alike_and_few_engines_stand_idle() {
-    let mut world = World::new(9, 19);
-    world.costs.loads_at_once = 21;
+    struct Case {
+        domains: usize,
+        loads_at_once: u32,
+    }
+    let cases = [
+        Case {
+            domains: 9,
+            loads_at_once: 21,
+        },
+        Case {
+            domains: 12,
+            loads_at_once: 28,
+        },
+        Case {
+            domains: 12,
+            loads_at_once: 60,
+        },
+    ];
+    for Case {
+        domains,
+        loads_at_once,
+    } in cases
+    {
+        let mut world = World::new(domains, 19);
+        world.costs.loads_at_once = loads_at_once;
+        world.costs.models = vec![weights("large", 8, 0.5), weights("small", 4, 0.5)];
+        let mut planner = Planner::new(1);
+        world.run(&mut planner, Duration::from_secs(15));
+        let (large, small) = (world.serving("large"), world.serving("small"));
+        let what = format!("{domains} domains: {large} large, {small} small");
+        // The small model is expected to fill twice as many replicas.
+        let ratio = (2.0 / small as f64) / (1.0 / large as f64);
+        assert!((0.7..1.4).contains(&ratio), "{what}");
+        let idle = domains * 19 - large * 8 - small * 4;
+        assert!(
+            (domains * 2..=domains * 4).contains(&idle),
+            "{what}, {idle} idle"
+        );
+    }
+}
+
+/// With 28 loads at once, a small replica that took four was never formed: two
+/// loads were left to joins, and a use of 0.9 was worth two.
+#[test]
+fn loads_are_used_as_far_as_the_weight_store_serves_them() {
+    let mut world = World::new(12, 19);
+    world.costs.loads_at_once = 28;
+    world.costs.loads_per_s = 19.0;
     world.costs.models = vec![weights("large", 8, 0.5), weights("small", 4, 0.5)];
     let mut planner = Planner::new(1);
     world.run(&mut planner, Duration::from_secs(15));
-    let (large, small) = (world.serving("large"), world.serving("small"));
-    // The small model is expected to fill twice as many replicas.
-    let use_of_large = 1.0 / large as f64;
-    let use_of_small = 2.0 / small as f64;
-    assert!(
-        use_of_large < use_of_small * 1.3,
-        "{large} large, {small} small"
-    );
-    let idle = 9 * 19 - large * 8 - small * 4;
-    assert!(idle <= 9 * 4, "{idle} idle: {large} large, {small} small");
-    assert!(
-        idle >= 9 * 2,
-        "{idle} in reserve: {large} large, {small} small"
-    );
+    let before = world.serving("small");
+    // All that is in reserve holds the large model's weights.
+    for engine in world.engines.values_mut() {
+        if engine.member().is_none() {
+            engine.server.engine.staged = vec![model("large")];
+        }
+    }
+    // One engine of each of three domains more than the reserve has stood idle
+    // since a loss; the small model is wanted.
+    let lost: Vec<Instance> = (0..3)
+        .map(|_| {
+            world.kill(|e| e.holds(&model("large")) && e.member().is_some_and(|m| m.rank == 3))
+        })
+        .collect();
+    assert_eq!(lost.len(), 3);
+    world.ask(4.0, 0.95 * before as f64);
+    world.run(&mut planner, Duration::from_secs(25));
+    let after = world.serving("small");
+    assert!(after > before, "{before} before, {after} after");
 }
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -30,6 +30,54 @@
     pub excluded: &'a [Instance],
     /// The failure domain of this node.
     pub domain: &'a Domain,
+    /// The nodes that choose at the same time.
+    pub crowd: Crowd<'a>,
+}
+
+/// The nodes that choose among the same targets, and how late each learns what
+/// the others chose.
+///
+/// Answers the load of many nodes with requests that wait: each sees the same
+/// free places, and all would take them at once. While requests wait here, or
+/// right after a target came, this node takes only its part of the places that
+/// are free, beside those that it gave back itself.
+#[derive(Debug, Clone, Copy)]
+pub struct Crowd<'a> {
+    /// This node.
+    pub own: &'a str,
+    /// How many there are, this one included.
+    pub nodes: usize,
+    /// The time between two datagrams of a node.
+    pub round: Duration,
+    /// Whether requests wait at this node.
+    pub has_waiting: bool,
+}
+
+impl Crowd<'_> {
+    /// Returns whether this node may take one more of the free places of a target.
+    fn may_take(&self, target: &Target, load: &Load, now: Moment) -> bool {
+        let server = &target.server;
+        // A change reaches all nodes within about a round, and what they then
+        // choose within another.
+        let is_dealt = self.has_waiting || load.is_new(server, self.round * 2, now);
+        if !is_dealt || self.nodes <= 1 {
+            return true;
+        }
+        let growth = load.growth(server, self.round, now);
+        let free = target.slots.saturating_sub(load.work(server, now).requests) as usize;
+        // What grew here within the round was free at its beginning.
+        let part = (free + growth) as f64 / self.nodes as f64;
+        growth < (part + self.draw(server, now)) as usize
+    }
+
+    /// Returns a number from 0 to 1 that stays the same for a round, so that on
+    /// average as many places are taken as are free.
+    fn draw(&self, server: &Instance, now: Moment) -> f64 {
+        let round = self.round.as_millis().max(1);
+        let number = now.since(Moment::START).as_millis() / round;
+        let score = name::score(server.as_str(), &format!("{}/{number}", self.own));
+        score as f64 / u64::MAX as f64
+    }
 }
 
 /// A target for a request.
@@ -81,6 +129,7 @@
         .copied()
         .filter(|t| !ask.excluded.contains(&t.server))
         .filter(|t| load.work(&t.server, now).requests < t.slots)
+        .filter(|t| ask.crowd.may_take(t, load, now))
         .filter(|t| !t.is_cold || load.sent_lately(&t.server, now) < cold_per_s(t))
         .collect();
     // A replica that lost a member takes requests and does not answer them.
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -16,7 +16,7 @@
 mod queue;
 
 pub use budget::Budget;
-pub use choice::{Ask, Choice, Outlook, choose, cold_part};
+pub use choice::{Ask, Choice, Crowd, Outlook, choose, cold_part};
 pub use cost::Cost;
 pub use fleet::{Fleet, Target};
 pub use load::{Load, Share, Work};
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -27,8 +27,9 @@
 /// replica take up to 0.3 s.
 const SILENCE: Duration = Duration::from_millis(450);
 
-/// The window in which requests to a cold target are counted.
-const SENT_WINDOW: Duration = Duration::from_secs(1);
+/// How long the times of requests are remembered: the window in which those to
+/// a cold target are counted, and the longest round of datagrams that is made up for.
+const WINDOW: Duration = Duration::from_secs(1);
 
 /// A part of the work in progress at a target.
 #[common::plain]
@@ -67,6 +68,7 @@
     /// How long the prompts that are unread may keep the target from answering.
     reading: Duration,
     sent: VecDeque<Moment>,
+    ended: VecDeque<Moment>,
 }
 
 impl Default for Own {
@@ -80,10 +82,26 @@
             since: Moment::START,
             reading: Duration::ZERO,
             sent: VecDeque::new(),
+            ended: VecDeque::new(),
         }
     }
 }
 
+/// Adds a moment, and forgets those before the window.
+fn remember(times: &mut VecDeque<Moment>, now: Moment) {
+    let is_old = |at: &Moment| now.since(*at) >= WINDOW;
+    while times.front().is_some_and(is_old) {
+        times.pop_front();
+    }
+    times.push_back(now);
+}
+
+/// Counts the moments within a span before now.
+fn lately(times: &VecDeque<Moment>, span: Duration, now: Moment) -> usize {
+    let newest = times.iter().rev();
+    newest.take_while(|at| now.since(**at) < span).count()
+}
+
 impl Own {
     /// Returns the work with what the target's silence says of it.
     fn work(&self, now: Moment) -> Work {
@@ -136,6 +154,8 @@
     totals: HashMap<Instance, Total>,
     /// When other nodes last heard something from a target.
     heard: HashMap<Instance, Moment>,
+    /// The present targets, and since when each has been one.
+    seen: HashMap<Instance, Moment>,
 }
 
 impl Load {
@@ -150,11 +170,7 @@
         own.reading = own.reading.max(first);
         own.work.requests += 1;
         own.work.unread = own.work.unread.saturating_add(prompt);
-        let is_old = |sent: &Moment| now.since(*sent) >= SENT_WINDOW;
-        while own.sent.front().is_some_and(is_old) {
-            own.sent.pop_front();
-        }
-        own.sent.push_back(now);
+        remember(&mut own.sent, now);
     }
 
     /// Notes that the first token of a request has come.
@@ -165,9 +181,10 @@
     }
 
     /// Notes that a request has ended.
-    pub fn end(&mut self, server: &Instance) {
+    pub fn end(&mut self, server: &Instance, now: Moment) {
         if let Some(own) = self.own.get_mut(server) {
             own.work.requests = own.work.requests.saturating_sub(1);
+            remember(&mut own.ended, now);
         }
     }
 
@@ -298,15 +315,33 @@
 
     /// Returns how many requests this node sent to a target in the last second.
     pub fn sent_lately(&self, server: &Instance, now: Moment) -> usize {
-        let is_late = |sent: &&Moment| now.since(**sent) < SENT_WINDOW;
         let own = self.own.get(server);
-        own.map_or(0, |own| own.sent.iter().filter(is_late).count())
+        own.map_or(0, |own| lately(&own.sent, WINDOW, now))
     }
 
-    /// Forgets targets that are idle and for which `is_kept` is false.
-    pub fn retain(&mut self, is_kept: impl Fn(&Instance) -> bool) {
+    /// Returns by how much this node's requests at a target grew within a span,
+    /// of which it remembers one second at most.
+    pub fn growth(&self, server: &Instance, span: Duration, now: Moment) -> usize {
+        self.own.get(server).map_or(0, |own| {
+            lately(&own.sent, span, now).saturating_sub(lately(&own.ended, span, now))
+        })
+    }
+
+    /// Returns whether a target came within a span.
+    pub fn is_new(&self, server: &Instance, span: Duration, now: Moment) -> bool {
+        let seen = self.seen.get(server);
+        seen.is_some_and(|seen| now.since(*seen) < span)
+    }
+
+    /// Notes the present targets, and forgets others that are idle.
+    pub fn list<'a>(&mut self, targets: impl Iterator<Item = &'a Instance>, now: Moment) {
+        let before = std::mem::take(&mut self.seen);
+        self.seen = targets
+            .map(|id| (id.clone(), before.get(id).copied().unwrap_or(now)))
+            .collect();
+        let seen = &self.seen;
         self.own
-            .retain(|server, own| own.work.requests > 0 || is_kept(server));
-        self.heard.retain(|server, _| is_kept(server));
+            .retain(|server, own| own.work.requests > 0 || seen.contains_key(server));
+        self.heard.retain(|server, _| seen.contains_key(server));
     }
 }
--- a/crates/place/tests/placing.rs
+++ b/crates/place/tests/placing.rs
@@ -3,7 +3,8 @@
 use clock::Moment;
 use name::{Domain, Instance, Model, Service};
 use place::{
-    Ask, Budget, Cost, Fleet, Load, Outlook, Queue, Rank, Share, Target, Work, choose, cold_part,
+    Ask, Budget, Cost, Crowd, Fleet, Load, Outlook, Queue, Rank, Share, Target, Work, choose,
+    cold_part,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -316,6 +317,14 @@
     }
 }
 
+/// No other node chooses.
+const ALONE: Crowd<'_> = Crowd {
+    own: "own",
+    nodes: 1,
+    round: Duration::from_millis(200),
+    has_waiting: false,
+};
+
 /// Chooses among targets for a request with a usual prompt.
 fn pick(targets: &[Target], load: &Load, excluded: &[Instance], now: Moment) -> Outlook {
     let service: Service = "llm".parse().expect("a name");
@@ -328,6 +337,7 @@
         prompt: 1_000,
         excluded,
         domain: &domain,
+        crowd: ALONE,
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     choose(&ask, targets, Some(&cost), load, |_| 1, now, &mut rng)
@@ -379,7 +389,7 @@
         load.start(&id("a"), 10, FIRST, at(0));
     }
     assert!(matches!(pick(&targets, &load, &[], at(0)), Outlook::Full));
-    load.end(&id("a"));
+    load.end(&id("a"), at(0));
     assert_eq!(name_of(&pick(&targets, &load, &[], at(0))), Some("a"));
 }
 
@@ -469,6 +479,131 @@
     }
 }
 
+/// Returns how many of `nodes` nodes send to one target at the same time, each
+/// with some requests that wait and none that knows what the others do.
+fn crowd(nodes: usize, has_waiting: bool, known: u32, is_new: bool) -> usize {
+    let targets = [target("a")];
+    let service: Service = "llm".parse().expect("a name");
+    let model: Model = "m".parse().expect("a name");
+    let domain: Domain = "d".parse().expect("a name");
+    let cost = Cost::new(&engine(), &engine().models[0]);
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let (now, before) = (at(60_000), at(if is_new { 59_990 } else { 1_000 }));
+    let mut sent = 0;
+    for n in 0..nodes {
+        let name = format!("node-{n}");
+        let mut load = Load::default();
+        load.list([id("a")].iter(), before);
+        let share = Share {
+            server: id("a"),
+            work: Work {
+                requests: known,
+                ..Work::default()
+            },
+            heard: None,
+        };
+        load.share("other".parse().expect("a name"), [share], now);
+        for _ in 0..5 {
+            let ask = Ask {
+                service: &service,
+                model: Some(&model),
+                prompt: 1_000,
+                excluded: &[],
+                domain: &domain,
+                crowd: Crowd {
+                    own: &name,
+                    nodes,
+                    round: Duration::from_millis(200).max(Duration::from_millis(10 * nodes as u64)),
+                    has_waiting,
+                },
+            };
+            let found = choose(&ask, &targets, Some(&cost), &load, |_| 1, now, &mut rng);
+            if matches!(found, Outlook::Place(_)) {
+                load.start(&id("a"), 1_000, FIRST, now);
+                sent += 1;
+            }
+        }
+    }
+    sent
+}
+
+/// When a replica opened on a deployment of 72 nodes, all sent it what waited
+/// within 15 ms, and it stood still over their prompts.
+#[test]
+fn nodes_that_choose_at_once_do_not_overfill_a_target() {
+    struct Case {
+        what: &'static str,
+        nodes: usize,
+        has_waiting: bool,
+        known: u32,
+        is_new: bool,
+    }
+    let cases = [
+        Case {
+            what: "a new target, nothing waits",
+            nodes: 72,
+            has_waiting: false,
+            known: 0,
+            is_new: true,
+        },
+        Case {
+            what: "a new target, requests wait",
+            nodes: 72,
+            has_waiting: true,
+            known: 0,
+            is_new: true,
+        },
+        Case {
+            what: "a place became free",
+            nodes: 72,
+            has_waiting: true,
+            known: SLOTS - 1,
+            is_new: false,
+        },
+        Case {
+            what: "few nodes, requests wait",
+            nodes: 6,
+            has_waiting: true,
+            known: 5,
+            is_new: false,
+        },
+    ];
+    for case in cases {
+        let sent = crowd(case.nodes, case.has_waiting, case.known, case.is_new);
+        let free = (SLOTS - case.known) as usize;
+        // Whole requests are dealt by lot.
+        assert!(sent <= free + 10, "{}: {sent} for {free} places", case.what);
+        assert!(
+            sent * 10 >= free * 4 || free < 5,
+            "{}: {sent} for {free} places",
+            case.what
+        );
+    }
+    let calm = crowd(6, false, 5, false);
+    assert_eq!(calm, 6 * 5, "nothing is dealt while nothing waits");
+}
+
+/// A node that gave a place back may take it again, whatever the others do.
+#[test]
+fn a_node_replaces_what_ended() {
+    let mut load = Load::default();
+    for _ in 0..10 {
+        load.start(&id("a"), 0, FIRST, at(1_000));
+    }
+    for _ in 0..4 {
+        load.end(&id("a"), at(4_950));
+    }
+    assert_eq!(
+        load.growth(&id("a"), Duration::from_millis(700), at(5_000)),
+        0
+    );
+    for n in 0..6 {
+        let growth = load.growth(&id("a"), Duration::from_millis(700), at(5_000));
+        assert_eq!(growth, usize::from(n == 5), "{n}");
+        load.start(&id("a"), 0, FIRST, at(5_000));
+    }
+}
+
 /// After a restart of all nodes, replicas that read a second's worth of prompts
 /// were taken for ones that stand still, and the credit for retries was used up.
 #[test]
--- a/crates/site/src/server.rs
+++ b/crates/site/src/server.rs
@@ -108,6 +108,23 @@
 }
 
 impl Server {
+    /// Returns whether another entry means the same for requests: what the host
+    /// keeps, and how far a member is that does not serve, matters to the planner
+    /// only.
+    pub fn is_alike_to_callers(&self, other: &Self) -> bool {
+        let plain = |server: &Self| {
+            let mut plain = server.clone();
+            plain.engine.staged.clear();
+            if let Some(member) = &mut plain.engine.member
+                && member.phase == Phase::Joining
+            {
+                member.phase = Phase::Ready;
+            }
+            plain
+        };
+        plain(self).is_alike(&plain(other))
+    }
+
     /// Returns whether another entry says the same, except for how long the
     /// server stays cold, which every renewal counts down.
     pub fn is_alike(&self, other: &Self) -> bool {
