Let the planner add up what nodes have in progress; credit by service

Nodes learned of each other's requests up to 0.85 s late, since each told all 84 others, and sent too many; the credit of a failing plain service was the same as that of the models. While engines registered, planners still followed each other on links of 20 Mbit/s.

Change: nodes tell the planner their load five times a second and it tells all the sum, from which each takes out what it had told; while there is no planner, each tells all, as before. The credit is counted for each service, and 0.85 of the allowance is given out instead of 0.7. A node with a slow link claims 0.3 s later. A node that lacks a change reads it after a quarter of the bound rather than at once. An inherited member that still joins counts for the largest model's share.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -131,7 +131,7 @@
 ) -> Result<Answer, Error> {
     note_demand(shared, job, tally);
     loop {
-        if tally.sent > 0 && !shared.tables().budget.take() {
+        if tally.sent > 0 && !job.take_credit(shared) {
             shared.metrics.count("retries_refused", "budget");
             return Err(job.error(tally, Kind::Upstream, "no credit for a further attempt"));
         }
@@ -178,7 +178,9 @@
     }
     let now = shared.now();
     let mut tables = shared.tables();
-    tables.budget.request();
+    tables
+        .budget(&job.service, &shared.settings.bounds)
+        .request();
     let cost = tables.cost(&job.service, job.call.model.as_ref());
     if let (Some(cost), Some(model)) = (cost, &job.call.model) {
         /// The requests beside which an answer is usually written.
@@ -196,6 +198,12 @@
         self.route.kind.is_repeatable()
     }
 
+    /// Takes the credit for one further attempt, if there is enough.
+    fn take_credit(&self, shared: &Shared) -> bool {
+        let bounds = &shared.settings.bounds;
+        shared.tables().budget(&self.service, bounds).take()
+    }
+
     /// Returns the deadline for timers.
     pub(crate) fn deadline_instant(&self) -> Instant {
         self.until
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -55,6 +55,10 @@
 /// which a node reads by itself.
 const TOLD_STEP_PART: f64 = 0.62;
 
+/// The same if the planner has told of a change that this node lacks. Changes come
+/// in bursts, so that a read at once would soon be followed by another one.
+const BEHIND_STEP_PART: f64 = 0.25;
+
 /// How long a read of the servers' feed waits for a change, likewise.
 const WAIT_PART: f64 = 0.12;
 
@@ -348,8 +352,12 @@
             Reader::Alone => waited >= leaving.mul_f64(STEP_PART),
             Reader::Told => {
                 let age = tables.servers_confirmed.map(|at| now.since(at));
-                tables.is_behind.servers
-                    || age.is_none_or(|age| age >= leaving.mul_f64(TOLD_STEP_PART))
+                let part = if tables.is_behind.servers {
+                    BEHIND_STEP_PART
+                } else {
+                    TOLD_STEP_PART
+                };
+                age.is_none_or(|age| age >= leaving.mul_f64(part))
             }
         };
         if is_due {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -21,13 +21,17 @@
 };
 use tokio::{net::UdpSocket, time::sleep};
 
-/// The shortest time between two datagrams to the same node.
-const MIN_INTERVAL: Duration = Duration::from_millis(200);
+/// The shortest time between two datagrams that a node sends to all others.
+const MIN_ROUND: Duration = Duration::from_millis(400);
 
-/// The time that each other node adds to the interval.
+/// The time that each other node adds to it.
 ///
 /// It bounds what a node sends and reads to about a hundred datagrams a second.
-const INTERVAL_PER_PEER: Duration = Duration::from_millis(10);
+const ROUND_PER_PEER: Duration = Duration::from_millis(10);
+
+/// The shortest time between two datagrams from and to the planner, which adds
+/// up what the others have in progress and tells them.
+const MIN_BEAT: Duration = Duration::from_millis(200);
 
 /// How many intervals a node may be silent before it is thought gone.
 const SILENT_INTERVALS: u32 = 4;
@@ -38,15 +42,25 @@
 /// How long datagrams are sent to a node that never answers.
 const TRIED_FOR: Duration = Duration::from_secs(30);
 
-/// The same for the planner, on whose word the others act.
-const PLANNER_INTERVAL_PER_PEER: Duration = Duration::from_millis(2);
+/// The time that each other node adds to it.
+///
+/// It bounds what the planner sends and reads to about five hundred datagrams a
+/// second.
+const BEAT_PER_PEER: Duration = Duration::from_millis(2);
+
+/// The part of the time between two datagrams after which an urgent one may follow.
+const URGENT_PART: f64 = 0.4;
 
-/// The part of the interval after which an urgent datagram may follow.
-const URGENT_PART: f64 = 0.3;
+/// The datagrams of a new planner that leave out the sum, since not all others
+/// have told it yet what they have in progress.
+const BEATS_WITHOUT_SUM: u32 = 3;
 
 /// The datagrams whose time of sending is remembered: those of some seconds.
 const MAX_SENT: usize = 128;
 
+/// The datagrams to the planner of which it is remembered what they told.
+const MAX_TOLD: usize = 16;
+
 /// The first byte of a datagram, which names its format.
 const FORMAT: u8 = 1;
 
@@ -65,15 +79,29 @@
     planner: Option<u64>,
     /// The engines that the planner found dead, with their lives.
     lost: Vec<(Instance, u64)>,
-    /// Requests in progress, unread prompt tokens, silence, and how many
-    /// milliseconds ago something came, by target.
-    shares: Vec<(Instance, u32, u32, bool, Option<u32>)>,
+    /// What is in progress.
+    load: ToldLoad,
     /// The replicas that this node's callers would fill, by model.
     demand: Vec<(Model, f64)>,
     /// What the planner has read.
     told: Option<Told>,
 }
 
+/// Requests in progress, unread prompt tokens, silence, and how many milliseconds
+/// ago something came, by target.
+type ToldShares = Vec<(Instance, u32, u32, bool, Option<u32>)>;
+
+/// What a datagram tells of requests in progress.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum ToldLoad {
+    /// Nothing.
+    Nothing,
+    /// The sender's own.
+    Own(ToldShares),
+    /// Those of all nodes.
+    Sum(ToldShares),
+}
+
 /// Another node.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -121,22 +149,71 @@
     pub(crate) own_life: u64,
     /// The last datagrams that this node sent, and when.
     sent: VecDeque<(u64, Moment)>,
+    /// The last datagrams that told the planner of this node's load, and what.
+    told: VecDeque<(u64, Vec<Share>)>,
 }
 
 impl Peers {
-    /// Returns the time between two datagrams of this node to the same node.
-    fn interval(&self) -> Duration {
+    /// Returns how many other nodes are known.
+    fn others(&self) -> u32 {
+        u32::try_from(self.peers.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the time between two datagrams that a node sends to all others.
+    pub(crate) fn round(&self) -> Duration {
+        MIN_ROUND.max(ROUND_PER_PEER * self.others())
+    }
+
+    /// Returns the time between two datagrams from and to the planner.
+    fn beat(&self) -> Duration {
+        MIN_BEAT.max(BEAT_PER_PEER * self.others())
+    }
+
+    /// Returns how late this node learns what the others choose.
+    pub(crate) fn lag(&self, now: Moment) -> Duration {
         if self.own_token.is_some() {
-            self.planner_interval()
+            self.beat()
+        } else if self.is_vouched(now) {
+            self.beat() * 2
         } else {
             self.round()
         }
     }
 
-    /// Returns the time between two datagrams of a node that plans.
-    fn planner_interval(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        MIN_INTERVAL.max(PLANNER_INTERVAL_PER_PEER * peers)
+    /// Returns where the planner is heard, if another node plans.
+    fn planner_at(&self, now: Moment) -> Option<(SocketAddr, Echo)> {
+        if self.own_token.is_some() || !self.has_planner(now) {
+            return None;
+        }
+        let heard = self.planner.as_ref()?;
+        let peer = self.peers.get(&heard.node)?;
+        Some((peer.card.peer, peer.echo))
+    }
+
+    /// Notes what this node told of its own load with a datagram.
+    fn note_told(&mut self, number: u64, shares: Vec<Share>) {
+        self.told.push_back((number, shares));
+        if self.told.len() > MAX_TOLD {
+            self.told.pop_front();
+        }
+    }
+
+    /// Returns the work of all nodes but this one, from a sum that holds what this
+    /// node told with a datagram; `None` if that is no longer known.
+    fn without_own(&self, sum: Vec<Share>, number: u64) -> Option<Vec<Share>> {
+        let (_, own) = self.told.iter().rev().find(|(known, _)| *known == number)?;
+        let part = |server: &Instance| {
+            let share = own.iter().find(|share| share.server == *server);
+            share.map_or_else(Work::default, |share| share.work)
+        };
+        let sum = sum.into_iter();
+        Some(
+            sum.map(|share| {
+                let part = part(&share.server);
+                share.without(part)
+            })
+            .collect(),
+        )
     }
 
     /// Notes that a datagram is sent.
@@ -169,12 +246,7 @@
             let Some(peer) = self.peers.get_mut(node) else {
                 continue;
             };
-            if peer.echo.life != *life {
-                peer.echo = Echo {
-                    life: *life,
-                    ..Echo::default()
-                };
-            }
+            peer.echo.note_life(*life);
             *place(&mut peer.echo) = *number;
         }
     }
@@ -182,7 +254,7 @@
     /// Returns whether a planner has told lately what it read.
     pub(crate) fn is_vouched(&self, now: Moment) -> bool {
         let patience = self.planner_patience();
-        self.vouched.is_some_and(|at| now.since(at) < patience)
+        self.own_token.is_none() && self.vouched.is_some_and(|at| now.since(at) < patience)
     }
 
     /// Returns the nodes among which allowances are divided, this one included.
@@ -205,12 +277,6 @@
         self.peers.values().filter(is_counted)
     }
 
-    /// Returns the time between two datagrams of a node that does not plan.
-    pub(crate) fn round(&self) -> Duration {
-        let peers = u32::try_from(self.peers.len()).unwrap_or(u32::MAX);
-        MIN_INTERVAL.max(INTERVAL_PER_PEER * peers)
-    }
-
     /// Returns how long a node may be silent before it counts as gone.
     fn patience(&self) -> Duration {
         self.round() * SILENT_INTERVALS
@@ -218,7 +284,7 @@
 
     /// Returns how old a planner's word may be before it counts as gone.
     pub(crate) fn planner_patience(&self) -> Duration {
-        self.planner_interval() * SILENT_INTERVALS
+        self.beat() * SILENT_INTERVALS
     }
 
     /// Returns whether a planner was heard lately and has not stepped down.
@@ -296,6 +362,11 @@
         if is_old {
             return false;
         }
+        let mut echo = known.map_or_else(Echo::default, |peer| peer.echo);
+        if matches!(beat.load, ToldLoad::Own(_)) {
+            echo.note_life(beat.card.life);
+            echo.told = beat.number;
+        }
         let peer = Peer {
             card: beat.card.clone(),
             number: beat.number,
@@ -304,7 +375,7 @@
             is_ready: beat.is_ready,
             is_stopping: beat.is_stopping,
             demand: beat.demand.clone(),
-            echo: known.map_or_else(Echo::default, |peer| peer.echo),
+            echo,
         };
         self.peers.insert(peer.card.node.clone(), peer);
         match (beat.planner, &mut self.planner) {
@@ -322,75 +393,117 @@
     }
 }
 
+/// To whom a datagram goes.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Audience {
+    Planner,
+    All,
+}
+
 /// Tells the other nodes, for as long as the node runs.
+///
+/// What is in progress goes to the planner, which tells all nodes the sum; while
+/// there is none, it goes to all.
 pub(crate) async fn tell(shared: Arc<Shared>, socket: Arc<UdpSocket>, card: Card) {
     let mut number = 0;
+    let mut beats_of_office = 0;
+    let mut last_round: Option<(Moment, bool)> = None;
     loop {
-        number += 1;
-        let (addresses, interval, beat) = {
-            let is_ready = shared.is_ready();
-            let now = shared.now();
+        let now = shared.now();
+        let is_stopping = shared.is_stopping();
+        let (beat, planner, is_planning, is_round_due) = {
             let mut tables = shared.tables();
             tables.peers.now = now;
             tables.load.expire(now);
-            let beat = Beat {
-                card: card.clone(),
-                number,
-                is_ready,
-                is_stopping: shared.is_stopping(),
-                planner: tables.peers.own_token,
-                lost: tables.peers.own_lost.clone(),
-                shares: tables
-                    .load
-                    .shares(now)
-                    .map(|s| told_share(s, now))
-                    .collect(),
-                demand: tables.demand.replicas(now).into_iter().collect(),
-                told: vouch::tell(&mut tables),
-            };
-            tables.peers.note_sent(number, now);
-            let addresses = tables.peers.addresses(now);
             let nodes = tables.peers.count();
-            tables.budget.divide(&shared.settings.bounds, nodes);
-            (addresses, tables.peers.interval(), beat)
+            for budget in tables.budgets.values_mut() {
+                budget.divide(&shared.settings.bounds, nodes);
+            }
+            let round = tables.peers.round();
+            // That a node stops is told at once.
+            let is_round_due = last_round
+                .is_none_or(|(at, stopping)| now.since(at) >= round || stopping != is_stopping);
+            let peers = &tables.peers;
+            (
+                peers.beat(),
+                peers.planner_at(now),
+                peers.own_token.is_some(),
+                is_round_due,
+            )
         };
-        match postcard::to_extend(&beat, vec![FORMAT]) {
-            Ok(bytes) => send(&socket, bytes, &addresses, beat.told.is_some()).await,
-            Err(error) => warn!(shared.log, "beat not written"; "error" => %error),
+        beats_of_office = if is_planning { beats_of_office + 1 } else { 0 };
+        let has_sum = beats_of_office > BEATS_WITHOUT_SUM;
+        if let Some(planner) = planner {
+            number += 1;
+            let beat = write(&shared, &card, number, Audience::Planner, has_sum);
+            send(&shared, &socket, &beat, &[planner]).await;
+        }
+        if is_planning || is_round_due {
+            number += 1;
+            let beat = write(&shared, &card, number, Audience::All, has_sum);
+            let addresses = shared.tables().peers.addresses(now);
+            send(&shared, &socket, &beat, &addresses).await;
+            last_round = Some((now, is_stopping));
         }
-        let urgent = interval.mul_f64(URGENT_PART);
+        let urgent = beat.mul_f64(URGENT_PART);
         sleep(urgent).await;
         tokio::select! {
-            () = sleep(interval.saturating_sub(urgent)) => {}
+            () = sleep(beat.saturating_sub(urgent)) => {}
             () = shared.urgent.notified() => {}
         }
     }
 }
 
-/// Returns a share as a datagram bears it.
-fn told_share(share: Share, now: Moment) -> (Instance, u32, u32, bool, Option<u32>) {
-    let Work {
-        requests,
-        unread,
-        is_silent,
-    } = share.work;
-    let ago = share.heard.map(|heard| now.since(heard).as_millis());
-    let ago = ago.and_then(|ago| u32::try_from(ago).ok());
-    (share.server, requests, unread, is_silent, ago)
+/// Writes the next datagram.
+fn write(shared: &Shared, card: &Card, number: u64, audience: Audience, has_sum: bool) -> Beat {
+    let is_ready = shared.is_ready();
+    let now = shared.now();
+    let mut tables = shared.tables();
+    let is_planning = tables.peers.own_token.is_some();
+    let load = if is_planning {
+        match has_sum {
+            true => ToldLoad::Sum(told_shares(tables.load.sum(now), now)),
+            false => ToldLoad::Nothing,
+        }
+    } else if audience == Audience::Planner {
+        let shares: Vec<Share> = tables.load.shares(now).collect();
+        tables.peers.note_told(number, shares.clone());
+        ToldLoad::Own(told_shares(shares, now))
+    } else if tables.peers.has_planner(now) {
+        ToldLoad::Nothing
+    } else {
+        ToldLoad::Own(told_shares(tables.load.shares(now), now))
+    };
+    tables.peers.note_sent(number, now);
+    Beat {
+        card: card.clone(),
+        number,
+        is_ready,
+        is_stopping: shared.is_stopping(),
+        planner: tables.peers.own_token,
+        lost: tables.peers.own_lost.clone(),
+        load,
+        demand: tables.demand.replicas(now).into_iter().collect(),
+        told: vouch::tell(&mut tables),
+    }
 }
 
 /// Sends one datagram to each address, with what was heard from there if this
 /// node tells what it has read.
-async fn send(
-    socket: &UdpSocket,
-    mut bytes: Vec<u8>,
-    addresses: &[(SocketAddr, Echo)],
-    is_telling: bool,
-) {
+async fn send(shared: &Shared, socket: &UdpSocket, beat: &Beat, addresses: &[(SocketAddr, Echo)]) {
+    let mut bytes = match postcard::to_extend(beat, vec![FORMAT]) {
+        Ok(bytes) => bytes,
+        Err(error) => {
+            warn!(shared.log, "beat not written"; "error" => %error);
+            return;
+        }
+    };
     let length = bytes.len();
     for (address, echo) in addresses {
         bytes.truncate(length);
-        if is_telling && let Ok(echo) = postcard::to_stdvec(echo) {
+        if beat.told.is_some()
+            && let Ok(echo) = postcard::to_stdvec(echo)
+        {
             bytes.extend(echo);
         }
         // A datagram that cannot be sent is as good as a lost one; the next
@@ -412,6 +525,23 @@
     Ok((beat, echo))
 }
 
+/// Returns shares as a datagram bears them.
+fn told_shares(shares: impl IntoIterator<Item = Share>, now: Moment) -> ToldShares {
+    shares.into_iter().map(|s| told_share(s, now)).collect()
+}
+
+/// Returns a share as a datagram bears it.
+fn told_share(share: Share, now: Moment) -> (Instance, u32, u32, bool, Option<u32>) {
+    let Work {
+        requests,
+        unread,
+        is_silent,
+    } = share.work;
+    let ago = share.heard.map(|heard| now.since(heard).as_millis());
+    let ago = ago.and_then(|ago| u32::try_from(ago).ok());
+    (share.server, requests, unread, is_silent, ago)
+}
+
 /// Hears the other nodes, for as long as the node runs.
 pub(crate) async fn hear(shared: Arc<Shared>, socket: Arc<UdpSocket>, own: Node) {
     let mut buffer = vec![0; MAX_BYTES];
@@ -432,6 +562,20 @@
     }
 }
 
+/// Returns the shares that a datagram bears.
+fn shares_of(shares: ToldShares, now: Moment) -> impl Iterator<Item = Share> {
+    let shares = shares.into_iter();
+    shares.map(move |(server, requests, unread, is_silent, ago)| Share {
+        server,
+        work: Work {
+            requests,
+            unread,
+            is_silent,
+        },
+        heard: ago.map(|ago| now - Duration::from_millis(ago.into())),
+    })
+}
+
 /// Takes one datagram into the tables.
 fn take_in(shared: &Arc<Shared>, beat: Beat, echo: Option<Echo>) {
     let now = shared.now();
@@ -447,22 +591,26 @@
     if !was_known {
         info!(shared.log, "node heard"; "node" => %beat.card.node, "front" => %beat.card.front);
     }
-    let shares = beat.shares.into_iter();
-    let shares = shares.map(|(server, requests, unread, is_silent, ago)| Share {
-        server,
-        work: Work {
-            requests,
-            unread,
-            is_silent,
-        },
-        heard: ago.map(|ago| now - Duration::from_millis(ago.into())),
-    });
-    tables.load.share(beat.card.node, shares, now);
     let is_newest = beat.planner == Some(tables.peers.newest_token());
+    let is_planner = beat.planner.is_some() && is_newest && tables.peers.own_token.is_none();
+    let echo = echo.filter(|echo| echo.life == tables.peers.own_life);
+    match beat.load {
+        ToldLoad::Own(shares) if !tables.peers.is_vouched(now) => {
+            let shares = shares_of(shares, now);
+            tables.load.share(beat.card.node, shares, now);
+        }
+        ToldLoad::Sum(shares) if is_planner => {
+            let shares = shares_of(shares, now).collect();
+            let others = echo.and_then(|echo| tables.peers.without_own(shares, echo.told));
+            if let Some(others) = others {
+                tables.load.share_sum(beat.card.node, others, now);
+            }
+        }
+        _ => {}
+    }
     let mut is_changed = false;
-    if beat.planner.is_some() && is_newest && tables.peers.own_token.is_none() {
+    if is_planner {
         is_changed |= tables.fleet.set_lost(beat.lost);
-        let echo = echo.filter(|echo| echo.life == tables.peers.own_life);
         if let Some(told) = beat.told {
             is_changed |= vouch::take_over(&shared.log, &mut tables, told, echo, now);
         }
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -1,8 +1,9 @@
 //! What a node believes of others, by the datagrams that it heard.
 
-use super::{Beat, COUNTED_FOR, FORMAT, Peers, decode};
+use super::{Beat, COUNTED_FOR, FORMAT, Peers, ToldLoad, decode};
 use crate::vouch::Echo;
 use clock::Moment;
+use place::{Share, Work};
 use site::node::Card;
 use std::time::Duration;
 
@@ -24,7 +25,7 @@
         is_stopping: false,
         planner,
         lost: Vec::new(),
-        shares: Vec::new(),
+        load: ToldLoad::Nothing,
         demand: Vec::new(),
         told: None,
     }
@@ -145,8 +146,8 @@
     let echo = |peers: &Peers, node: &str| peers.peers[&node.parse().expect("a name")].echo;
     let of_a = Echo {
         life: 1,
-        operators: 0,
         servers: 7,
+        ..Echo::default()
     };
     assert_eq!(echo(&peers, "a"), of_a);
     // The node compares the life, so that this says nothing to its new one.
@@ -156,11 +157,35 @@
     let of_b = Echo {
         life: 2,
         operators: 1,
-        servers: 0,
+        ..Echo::default()
     };
     assert_eq!(echo(&peers, "b"), of_b);
 }
 
+/// The sum that the planner tells holds what this node told it some datagrams ago.
+#[test]
+fn of_a_sum_only_the_work_of_others_counts() {
+    let share = |server: &str, requests: u32, unread: u32| Share {
+        server: server.parse().expect("a name"),
+        work: Work {
+            requests,
+            unread,
+            is_silent: false,
+        },
+        heard: None,
+    };
+    let mut peers = Peers::default();
+    peers.note_told(5, vec![share("a", 3, 100)]);
+    peers.note_told(6, vec![share("a", 4, 0), share("b", 1, 50)]);
+    let sum = || vec![share("a", 10, 300), share("b", 2, 60), share("c", 7, 0)];
+    let others = |number| peers.without_own(sum(), number);
+    let of_five = vec![share("a", 7, 200), share("b", 2, 60), share("c", 7, 0)];
+    assert_eq!(others(5), Some(of_five));
+    let of_six = vec![share("a", 6, 300), share("b", 1, 10), share("c", 7, 0)];
+    assert_eq!(others(6), Some(of_six));
+    assert_eq!(others(4), None, "told too long ago");
+}
+
 #[test]
 fn datagrams_of_another_format_or_cut_short_are_refused() {
     let whole = postcard::to_extend(&beat("a", 1, 7, Some(2)), vec![FORMAT]).expect("bytes");
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -41,6 +41,14 @@
 /// The longest pause before a node claims, so that not all claim at once.
 const MAX_CLAIM_PAUSE_MS: u64 = 150;
 
+/// How much longer a node with a slow link waits, so that one with a fast link
+/// plans if there is any.
+const SLOW_LINK_PAUSE: Duration = Duration::from_millis(300);
+
+/// The rate below which a link is slow. The planner sends some hundred datagrams
+/// of about two kilobytes in a second, and asks all engines.
+const SLOW_LINK_MBIT_PER_S: f64 = 50.0;
+
 /// What the planner of one node has in hand.
 #[derive(Debug)]
 struct Office {
@@ -203,8 +211,15 @@
     if is_news {
         return Claim::Another;
     }
-    let pause = rand::random_range(0..=MAX_CLAIM_PAUSE_MS);
-    sleep(Duration::from_millis(pause)).await;
+    let pause = Duration::from_millis(rand::random_range(0..=MAX_CLAIM_PAUSE_MS));
+    let link = shared.settings.link_mbit_per_s;
+    let is_slow = link.is_some_and(|rate| rate < SLOW_LINK_MBIT_PER_S);
+    sleep(if is_slow {
+        pause + SLOW_LINK_PAUSE
+    } else {
+        pause
+    })
+    .await;
     if is_heard(shared, shared.now()) {
         return Claim::Another;
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -74,7 +74,8 @@
     pub(crate) costs: HashMap<Service, HashMap<Model, Arc<Cost>>>,
     pub(crate) load: Load,
     pub(crate) queue: Queue<Waiter>,
-    pub(crate) budget: Budget,
+    /// The credit for further attempts, which is counted for each service.
+    pub(crate) budgets: HashMap<Service, Budget>,
     pub(crate) peers: Peers,
     pub(crate) demand: Demand,
 }
@@ -82,7 +83,7 @@
 impl Shared {
     /// Returns the state of a node that knows nothing yet.
     pub(crate) fn new(settings: Settings, platform: Platform, clock: Clock, log: Logger) -> Self {
-        let tables = Tables::new(&settings.bounds);
+        let tables = Tables::new();
         Self {
             settings,
             platform,
@@ -160,7 +161,7 @@
 
 impl Tables {
     /// Returns the tables of a node that knows nothing yet.
-    pub(crate) fn new(bounds: &Bounds) -> Self {
+    pub(crate) fn new() -> Self {
         Self {
             config: None,
             confirmed: None,
@@ -176,7 +177,7 @@
             costs: HashMap::new(),
             load: Load::default(),
             queue: Queue::default(),
-            budget: Budget::new(bounds, 1),
+            budgets: HashMap::new(),
             peers: Peers::default(),
             demand: Demand::default(),
         }
@@ -212,6 +213,14 @@
         self.config = Some(Arc::new(config));
     }
 
+    /// Returns the credit for further attempts at a service.
+    pub(crate) fn budget(&mut self, service: &Service, bounds: &Bounds) -> &mut Budget {
+        let nodes = self.peers.count();
+        self.budgets
+            .entry(service.clone())
+            .or_insert_with(|| Budget::new(bounds, nodes))
+    }
+
     /// Returns the costs of a model.
     pub(crate) fn cost(&self, service: &Service, model: Option<&Model>) -> Option<Arc<Cost>> {
         self.costs.get(service)?.get(model?).cloned()
--- a/crates/edge/src/vouch.rs
+++ b/crates/edge/src/vouch.rs
@@ -24,7 +24,7 @@
 const TIMES_TOLD: u32 = 2;
 
 /// The most changes in one datagram.
-const MAX_NEWS: usize = 32;
+const MAX_NEWS: usize = 16;
 
 /// What the planner says that it has read.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -49,6 +49,20 @@
     pub(crate) operators: u64,
     /// The last datagram before the read of the servers' feed.
     pub(crate) servers: u64,
+    /// The last datagram that told of the node's load.
+    pub(crate) told: u64,
+}
+
+impl Echo {
+    /// Forgets what was heard of an earlier life.
+    pub(crate) fn note_life(&mut self, life: u64) {
+        if self.life != life {
+            *self = Self {
+                life,
+                ..Self::default()
+            };
+        }
+    }
 }
 
 /// Changes of servers' entries, kept for as long as other nodes may lack them.
--- a/crates/edge/src/vouch/tests.rs
+++ b/crates/edge/src/vouch/tests.rs
@@ -4,7 +4,7 @@
 use crate::state::Tables;
 use clock::Moment;
 use name::Instance;
-use site::{Server, server, server::Change, settings::Bounds};
+use site::{Server, server, server::Change};
 use slog::{Discard, Logger, o};
 use std::time::Duration;
 
@@ -33,17 +33,7 @@
 /// Returns a node that knows both feeds up to offset 100, and sent datagram `n`
 /// at `n` seconds.
 fn tables() -> Tables {
-    let bounds = Bounds {
-        leaving: Duration::from_secs(2),
-        config: Duration::from_secs(2),
-        revoke: None,
-        grace: Duration::from_secs(8),
-        retry_ratio: 0.2,
-        retry_slack: 100.0,
-        load_window: Duration::from_secs(5),
-        max_answer_age: Duration::from_secs(5),
-    };
-    let mut tables = Tables::new(&bounds);
+    let mut tables = Tables::new();
     tables.operators_read = Some(100);
     tables.servers_read = Some(100);
     for number in 1..=9 {
@@ -78,6 +68,7 @@
             life: 1,
             operators,
             servers,
+            told: 0,
         })
     };
     let cases = [
@@ -168,6 +159,7 @@
             life: 1,
             operators: number,
             servers: number,
+            told: 0,
         })
     };
     let leaving = vec![(110, entry("known", true))];
--- a/crates/edge/src/wait.rs
+++ b/crates/edge/src/wait.rs
@@ -181,7 +181,7 @@
             crowd: Crowd {
                 own: self.settings.node.as_str(),
                 nodes: tables.peers.count(),
-                round: tables.peers.round(),
+                round: tables.peers.lag(now),
                 has_waiting,
             },
         };
--- a/crates/form/src/begin.rs
+++ b/crates/form/src/begin.rs
@@ -111,7 +111,8 @@
         let members = forming.map(|f| f.members.len()).sum::<usize>();
         let serving = engines.values().filter(|e| {
             e.member().is_some()
-                && e.holds(&weights.model)
+                // One that still joins may not say what it will hold.
+                && (e.holds(&weights.model) || e.server.engine.models.is_empty())
                 && !self.formations.iter().any(|f| f.members.contains(e.id()))
         });
         let used = (members + serving.count()) as f64;
--- a/crates/place/src/budget.rs
+++ b/crates/place/src/budget.rs
@@ -4,10 +4,11 @@
 
 /// The part of the allowance that is given out.
 ///
-/// The rest covers windows that begin between a request and its attempts.
-const USED_PART: f64 = 0.7;
+/// The rest covers windows that begin between a request and its attempts, and
+/// nodes that start with a full part while others still use theirs.
+const USED_PART: f64 = 0.85;
 
-/// A node's credit for sending a request to a further server.
+/// A node's credit for sending requests for one service to a further server.
 ///
 /// The credit holds at most this node's part of the allowance, and each request
 /// adds a fraction of one. In any window all nodes together thus make at most
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -127,6 +127,16 @@
     silent: u64,
 }
 
+impl Share {
+    /// Returns the share without the part of one node.
+    #[must_use]
+    pub fn without(mut self, part: Work) -> Self {
+        self.work.requests = self.work.requests.saturating_sub(part.requests);
+        self.work.unread = self.work.unread.saturating_sub(part.unread);
+        self
+    }
+}
+
 impl Total {
     /// Adds one node's work.
     fn add(&mut self, work: Work) {
@@ -151,6 +161,8 @@
 pub struct Load {
     own: HashMap<Instance, Own>,
     others: HashMap<Node, (Moment, Vec<Share>)>,
+    /// The node that tells the sum of all others, if one does.
+    summed_by: Option<Node>,
     totals: HashMap<Instance, Total>,
     /// When other nodes last heard something from a target.
     heard: HashMap<Instance, Moment>,
@@ -216,7 +228,35 @@
     }
 
     /// Takes over what another node says that it has in progress.
+    ///
+    /// A sum that was told before ends, since it held this node's share as well.
     pub fn share(&mut self, node: Node, shares: impl IntoIterator<Item = Share>, now: Moment) {
+        if let Some(summed_by) = self.summed_by.take() {
+            self.forget(&summed_by);
+        }
+        self.replace(node, shares, now);
+    }
+
+    /// Takes over what one node says that all nodes but this one have in progress,
+    /// in the place of what each says.
+    pub fn share_sum(&mut self, node: Node, shares: impl IntoIterator<Item = Share>, now: Moment) {
+        if self.summed_by.as_ref() != Some(&node) {
+            let others: Vec<Node> = self.others.keys().cloned().collect();
+            others.iter().for_each(|other| self.forget(other));
+            self.summed_by = Some(node.clone());
+        }
+        self.replace(node, shares, now);
+    }
+
+    /// Forgets what a node said.
+    fn forget(&mut self, node: &Node) {
+        if let Some((_, shares)) = self.others.remove(node) {
+            self.take_back(&shares);
+        }
+    }
+
+    /// Replaces what a node said.
+    fn replace(&mut self, node: Node, shares: impl IntoIterator<Item = Share>, now: Moment) {
         let shares: Vec<Share> = shares.into_iter().collect();
         for share in &shares {
             self.totals
@@ -270,6 +310,23 @@
         })
     }
 
+    /// Returns the work of all nodes, this one included.
+    pub fn sum(&self, now: Moment) -> Vec<Share> {
+        let others = self.totals.keys().filter(|id| !self.own.contains_key(*id));
+        let share = |server: &Instance| {
+            let own = self.own.get(server).and_then(|own| own.heard);
+            let heard = own.max(self.heard.get(server).copied());
+            Share {
+                server: server.clone(),
+                work: self.work(server, now),
+                heard: heard.filter(|heard| now.since(*heard) <= SILENCE),
+            }
+        };
+        let all = self.own.keys().chain(others).map(share);
+        all.filter(|share| share.work != Work::default() || share.heard.is_some())
+            .collect()
+    }
+
     /// Returns whether this node has requests in progress anywhere.
     pub fn is_busy(&self) -> bool {
         self.own.values().any(|own| own.work.requests > 0)
--- a/crates/place/tests/placing.rs
+++ b/crates/place/tests/placing.rs
@@ -604,6 +604,41 @@
     }
 }
 
+/// One node tells the sum of all; while none does, each tells its own.
+#[test]
+fn a_sum_replaces_what_each_node_says_and_the_other_way_round() {
+    let share = |requests| Share {
+        server: id("a"),
+        work: Work {
+            requests,
+            ..Work::default()
+        },
+        heard: None,
+    };
+    let node = |name: &str| name.parse().expect("a name");
+    let mut load = Load::default();
+    load.start(&id("a"), 0, FIRST, at(1_000));
+    let requests = |load: &Load| load.work(&id("a"), at(1_000)).requests;
+    load.share(node("x"), [share(2)], at(1_000));
+    load.share(node("y"), [share(3)], at(1_000));
+    assert_eq!(requests(&load), 1 + 2 + 3);
+    let sum = load.sum(at(1_000));
+    assert_eq!(sum, [share(6)]);
+    // What is told with the sum leaves this node's own part out.
+    load.share_sum(node("planner"), [share(9)], at(1_000));
+    assert_eq!(requests(&load), 1 + 9);
+    load.share_sum(node("planner"), [share(8)], at(1_000));
+    assert_eq!(requests(&load), 1 + 8);
+    load.share_sum(node("next"), [share(7)], at(1_000));
+    assert_eq!(requests(&load), 1 + 7);
+    load.share(node("x"), [share(2)], at(1_000));
+    assert_eq!(requests(&load), 1 + 2, "the sum held x as well");
+    load.share(node("y"), [share(3)], at(1_000));
+    assert_eq!(requests(&load), 1 + 2 + 3);
+    load.expire(at(9_000));
+    assert_eq!(requests(&load), 1);
+}
+
 /// After a restart of all nodes, replicas that read a second's worth of prompts
 /// were taken for ones that stand still, and the credit for retries was used up.
 #[test]
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -20,6 +20,8 @@
     pub peer: SocketAddr,
     /// The address of the platform's store.
     pub store: SocketAddr,
+    /// The rate of the machine's link, if the platform names one.
+    pub link_mbit_per_s: Option<f64>,
     /// The bounds that the deployment promises.
     pub bounds: Bounds,
 }
