Let the reserve join while survivors are set free; ask silent replicas at once

The join of the reserve waited for the survivors.

Change: a formation takes members of a replica whose head is being closed, or is dead, and holds back only their joins. Members of a replica that is silent to all nodes are asked at once, and one question without an answer is enough. A planner with a fast link tells up to 64 changes at once; cards are read again after 60 s instead of 15.

Tests first: the_reserve_joins_while_the_survivors_are_set_free ('left: 0, right: 1'); one_question_is_enough_for_an_engine_whose_replica_is_silent.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -78,7 +78,10 @@
 const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
 /// The time between two readings of the other nodes' cards.
-const CARD_STEP: Duration = Duration::from_secs(15);
+///
+/// Nodes that start tell all others of themselves; a later reading only finds
+/// those that were cut off for so long that they were forgotten.
+const CARD_STEP: Duration = Duration::from_secs(60);
 
 /// The distinct faults that are remembered so that each is logged once.
 const MAX_FAULTS: usize = 1_000;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -484,7 +484,7 @@
         lost: tables.peers.own_lost.clone(),
         load,
         demand: tables.demand.replicas(now).into_iter().collect(),
-        told: vouch::tell(&mut tables),
+        told: vouch::tell(&mut tables, shared.has_slow_link()),
     }
 }
 
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -7,7 +7,7 @@
 
 use crate::{
     probe::Probes,
-    state::Shared,
+    state::{Shared, Tables},
     vouch::{self, News},
 };
 use clock::Moment;
@@ -21,7 +21,7 @@
 };
 use slog::{info, warn};
 use std::{
-    collections::HashMap,
+    collections::{HashMap, HashSet},
     sync::{Arc, Mutex, PoisonError},
     time::Duration,
 };
@@ -45,10 +45,6 @@
 /// plans if there is any.
 const SLOW_LINK_PAUSE: Duration = Duration::from_millis(300);
 
-/// The rate below which a link is slow. The planner sends some hundred datagrams
-/// of about two kilobytes in a second, and asks all engines.
-const SLOW_LINK_MBIT_PER_S: f64 = 50.0;
-
 /// What the planner of one node has in hand.
 #[derive(Debug)]
 struct Office {
@@ -212,9 +208,7 @@
         return Claim::Another;
     }
     let pause = Duration::from_millis(rand::random_range(0..=MAX_CLAIM_PAUSE_MS));
-    let link = shared.settings.link_mbit_per_s;
-    let is_slow = link.is_some_and(|rate| rate < SLOW_LINK_MBIT_PER_S);
-    sleep(if is_slow {
+    sleep(if shared.has_slow_link() {
         pause + SLOW_LINK_PAUSE
     } else {
         pause
@@ -243,7 +237,7 @@
 
 /// Makes one step: asks engines, decides, sends orders.
 fn step(shared: &Arc<Shared>, desk: &Desk, now: Moment) {
-    let (config, servers, demand, is_listed) = {
+    let (config, servers, demand, suspects, is_listed) = {
         let tables = shared.tables();
         let mut demand = tables.peers.demand(now);
         for (model, replicas) in tables.demand.replicas(now) {
@@ -255,7 +249,8 @@
             .map(|s| (s.clone(), !tables.fleet.is_taken_out(&s.domain)))
             .collect();
         let is_listed = tables.servers_read.is_some();
-        (tables.config.clone(), servers, demand, is_listed)
+        let suspects = suspects(&tables, now);
+        (tables.config.clone(), servers, demand, suspects, is_listed)
     };
     let (Some(config), true) = (config, is_listed) else {
         return;
@@ -278,7 +273,7 @@
         .collect();
     let planners = &office.planners;
     let is_watched = |id: &Instance| planners.values().any(|p| p.is_watched(id));
-    for question in office.probes.due(&engines, is_watched, now) {
+    for question in office.probes.due(&engines, is_watched, &suspects, now) {
         tokio::spawn(ask(
             Arc::clone(shared),
             Arc::clone(desk),
@@ -332,6 +327,14 @@
     }
 }
 
+/// Returns the members of the replicas that answer nobody.
+fn suspects(tables: &Tables, now: Moment) -> HashSet<Instance> {
+    let replicas = tables.targets.iter().filter(|t| t.model.is_some());
+    let silent = replicas.filter(|t| tables.load.work(&t.server, now).is_silent);
+    let members = silent.flat_map(|t| t.members.iter().map(|(id, _)| id.clone()));
+    members.collect()
+}
+
 /// Logs a decision of the planner.
 fn log_note(shared: &Shared, token: u64, note: &Note) {
     match note {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -3,7 +3,10 @@
 use clock::Moment;
 use name::Instance;
 use site::{Server, feed::Error, server::Report};
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 /// The time between two questions to a member of a replica.
 ///
@@ -57,6 +60,9 @@
 pub(crate) struct Question {
     pub(crate) server: Server,
     pub(crate) asked: Moment,
+    /// Whether the engine's replica answers nobody, so that one question without
+    /// an answer is enough.
+    pub(crate) is_suspect: bool,
 }
 
 impl Probes {
@@ -65,6 +71,7 @@
         &mut self,
         servers: &HashMap<Instance, Server>,
         is_watched: impl Fn(&Instance) -> bool,
+        suspects: &HashSet<Instance>,
         now: Moment,
     ) -> Vec<Question> {
         let buried = &mut self.buried;
@@ -90,7 +97,8 @@
             if probe.entry.1 != *server {
                 probe.entry = (now, server.clone());
             }
-            let step = if is_watched(id) {
+            let is_suspect = suspects.contains(id);
+            let step = if is_suspect || is_watched(id) {
                 WATCHED_STEP
             } else if server.engine.member.is_some() {
                 STEP
@@ -106,6 +114,7 @@
                 questions.push(Question {
                     server: server.clone(),
                     asked: now,
+                    is_suspect,
                 });
             }
         }
@@ -131,6 +140,10 @@
                 probe.unanswered = 0;
                 probe.report = Some((question.asked, report));
             }
+            _ if question.is_suspect => {
+                probe.unanswered = probe.unanswered.max(MAX_UNANSWERED - 1) + 1;
+                probe.next = now + AGAIN;
+            }
             _ => {
                 probe.unanswered += 1;
                 probe.next = now + AGAIN;
--- a/crates/edge/src/probe/tests.rs
+++ b/crates/edge/src/probe/tests.rs
@@ -8,7 +8,10 @@
     feed::Error,
     server::{Engine, Report},
 };
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 fn server(name: &str, born: u64) -> Server {
     Server {
@@ -55,7 +58,18 @@
     now: Moment,
     answer: impl Fn(&Question) -> Result<Report, Error>,
 ) -> usize {
-    let questions = probes.due(servers, |_| true, now);
+    ask_of(probes, servers, &HashSet::new(), now, answer)
+}
+
+/// The same, with engines of which nothing has come lately.
+fn ask_of(
+    probes: &mut Probes,
+    servers: &HashMap<Instance, Server>,
+    suspects: &HashSet<Instance>,
+    now: Moment,
+    answer: impl Fn(&Question) -> Result<Report, Error>,
+) -> usize {
+    let questions = probes.due(servers, |_| true, suspects, now);
     for question in &questions {
         probes.answered(question, answer(question), now);
     }
@@ -76,6 +90,22 @@
     assert!(probes.dead().is_empty(), "it answers again");
 }
 
+/// Members of a replica that stands still were asked twice, as those of one that
+/// works, and found dead 0.45 s later than need be.
+#[test]
+fn one_question_is_enough_for_an_engine_whose_replica_is_silent() {
+    let suspects: HashSet<Instance> = ["a".parse().expect("a name")].into();
+    let mut probes = Probes::default();
+    let now = Moment::from_millis(1_000);
+    ask_of(&mut probes, &servers(1), &suspects, now, |_| silence());
+    assert_eq!(probes.dead().len(), 1);
+    let mut probes = Probes::default();
+    ask_of(&mut probes, &servers(1), &suspects, now, |q| {
+        report(q.server.born)
+    });
+    assert!(probes.dead().is_empty(), "it answers");
+}
+
 #[test]
 fn an_answer_of_another_life_is_none() {
     let mut probes = Probes::default();
@@ -96,9 +126,14 @@
         ask(&mut probes, &servers(1), now, |_| silence());
     }
     let gone = Moment::from_millis(2_000);
-    probes.due(&HashMap::new(), |_| true, gone);
+    probes.due(&HashMap::new(), |_| true, &HashSet::new(), gone);
     assert_eq!(probes.dead().len(), 1);
-    probes.due(&HashMap::new(), |_| true, gone + BURIED_FOR);
+    probes.due(
+        &HashMap::new(),
+        |_| true,
+        &HashSet::new(),
+        gone + BURIED_FOR,
+    );
     assert!(probes.dead().is_empty());
 }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -24,6 +24,12 @@
 /// The time in which half of the demand that was seen is forgotten.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(4);
 
+/// The rate below which a link is slow.
+///
+/// The planner of eighty nodes sends them some 4 Mbit/s, and more while many
+/// engines change.
+const SLOW_LINK_MBIT_PER_S: f64 = 50.0;
+
 /// What all tasks share.
 #[derive(Debug)]
 pub(crate) struct Shared {
@@ -109,6 +115,12 @@
         self.clock.now()
     }
 
+    /// Returns whether the link is too slow to tell many nodes of many changes.
+    pub(crate) fn has_slow_link(&self) -> bool {
+        let rate = self.settings.link_mbit_per_s;
+        rate.is_some_and(|rate| rate < SLOW_LINK_MBIT_PER_S)
+    }
+
     /// Returns whether the node has begun to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         self.is_stopping.load(Ordering::Relaxed)
--- a/crates/edge/src/vouch.rs
+++ b/crates/edge/src/vouch.rs
@@ -23,8 +23,11 @@
 /// fill the link of a small machine.
 const TIMES_TOLD: u32 = 2;
 
-/// The most changes in one datagram.
-const MAX_NEWS: usize = 16;
+/// The most changes in one datagram over a slow link.
+pub(crate) const MAX_NEWS_SLOW: usize = 16;
+
+/// The same over a fast one: some seven kilobytes.
+pub(crate) const MAX_NEWS: usize = 64;
 
 /// What the planner says that it has read.
 #[derive(Debug, Clone, Serialize, Deserialize)]
@@ -110,8 +113,8 @@
 
     /// Returns what the next datagram tells, and forgets what has been told
     /// often enough.
-    pub(crate) fn tell(&mut self, operators: u64) -> Told {
-        let excess = self.changes.len().saturating_sub(MAX_NEWS);
+    pub(crate) fn tell(&mut self, operators: u64, most: usize) -> Told {
+        let excess = self.changes.len().saturating_sub(most);
         let mut from = self.from;
         let mut index = 0;
         self.changes.retain_mut(|item| {
@@ -173,10 +176,15 @@
 }
 
 /// Makes the planner's word to the other nodes, if this node plans.
-pub(crate) fn tell(tables: &mut Tables) -> Option<Told> {
+pub(crate) fn tell(tables: &mut Tables, has_slow_link: bool) -> Option<Told> {
     tables.peers.own_token?;
     let operators = tables.operators_read?;
-    Some(tables.peers.own_news.tell(operators))
+    let most = if has_slow_link {
+        MAX_NEWS_SLOW
+    } else {
+        MAX_NEWS
+    };
+    Some(tables.peers.own_news.tell(operators, most))
 }
 
 /// Sends the next datagram now, since something changed that others act on.
--- a/crates/edge/src/vouch/tests.rs
+++ b/crates/edge/src/vouch/tests.rs
@@ -224,16 +224,16 @@
     news.add(60, entry("a", false));
     news.read(60);
     for _ in 0..TIMES_TOLD {
-        let told = news.tell(7);
+        let told = news.tell(7, MAX_NEWS);
         assert_eq!((told.from, told.to, told.changes.len()), (50, 60, 1));
     }
-    let told = news.tell(7);
+    let told = news.tell(7, MAX_NEWS);
     assert_eq!((told.from, told.to, told.changes.len()), (60, 60, 0));
     // A later change of the same entry replaces the earlier one.
     news.add(70, entry("a", true));
     news.add(80, entry("a", false));
     news.read(80);
-    let told = news.tell(7);
+    let told = news.tell(7, MAX_NEWS);
     assert_eq!(told.changes, [(80, entry("a", false))]);
     assert_eq!((told.operators, told.from, told.to), (7, 60, 80));
 }
@@ -245,7 +245,7 @@
         news.add(n, entry(&format!("s{n}"), false));
     }
     news.read(100);
-    let told = news.tell(0);
+    let told = news.tell(0, MAX_NEWS);
     assert_eq!(told.changes.len(), MAX_NEWS);
     // Who knows the feed up to the fifth change lacks nothing.
     assert_eq!(told.from, 5);
--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -39,6 +39,20 @@
     Hopeless,
 }
 
+/// Returns whether an engine is a member of another replica that it must not be
+/// taken from yet: its head serves, or is gone, so that nothing says whether it does.
+fn is_bound(engine: &Engine, engines: &HashMap<Instance, Engine>) -> bool {
+    let Some(member) = engine.member() else {
+        return false;
+    };
+    let is_head = |other: &&Member| {
+        other.rank == 0 && other.replica == member.replica && other.generation == member.generation
+    };
+    let alive = engines.values().filter(|e| e.is_alive);
+    let head = alive.filter_map(Engine::member).find(is_head);
+    head.is_none_or(|head| matches!(head.phase, Phase::Open | Phase::Closing))
+}
+
 impl Formation {
     /// Returns a formation that begins.
     pub(crate) fn new(
@@ -75,6 +89,7 @@
                 return Next::Hopeless;
             };
             match engine.member().filter(|m| self.is_own(m)) {
+                None if is_bound(engine, engines) => {}
                 None => orders.push((id.clone(), self.join())),
                 Some(member) if member.rank != rank => return Next::Hopeless,
                 Some(member) => match member.phase {
--- a/crates/form/src/upkeep.rs
+++ b/crates/form/src/upkeep.rs
@@ -86,6 +86,9 @@
                     is_abrupt: replica.has_dead,
                 };
                 wanted.push((head.clone(), close));
+                if replica.has_dead {
+                    self.set_free(replica, engines, free);
+                }
             }
             (Some(Phase::Closing), Some(head)) if replica.has_dead || is_overdue => {
                 let close = Command::Close {
@@ -99,14 +102,7 @@
             (Some(_), Some(head)) if self.may_have_opened(head, replica, engines) => {}
             (Some(_), _) => {
                 // A join replaces the membership of a replica that does not serve.
-                let is_taken =
-                    |e: &&Engine| self.formations.iter().any(|f| f.members.contains(e.id()));
-                let members = replica.members.values().map(|id| &engines[id]);
-                let usable = members.filter(|e| e.is_sound() && e.is_allowed && !is_taken(e));
-                for engine in usable {
-                    let fabric = engine.fabric().cloned();
-                    free.entry(fabric).or_default().push(engine.id().clone());
-                }
+                self.set_free(replica, engines, free);
             }
             (None, _) => {
                 // The head is gone, and nothing says whether it still serves:
@@ -119,10 +115,27 @@
                     };
                     wanted.push((id.clone(), leave));
                 }
+                if replica.has_dead {
+                    self.set_free(replica, engines, free);
+                }
             }
         }
     }
 
+    /// Adds the members of a replica to the engines that can form another one.
+    ///
+    /// Their joins are held back while the head may serve, but other members of
+    /// the new replica can begin.
+    fn set_free(&self, replica: &Reported, engines: &HashMap<Instance, Engine>, free: &mut Free) {
+        let is_taken = |e: &&Engine| self.formations.iter().any(|f| f.members.contains(e.id()));
+        let members = replica.members.values().map(|id| &engines[id]);
+        let usable = members.filter(|e| e.is_sound() && e.is_allowed && !is_taken(e));
+        for engine in usable {
+            let fabric = engine.fabric().cloned();
+            free.entry(fabric).or_default().push(engine.id().clone());
+        }
+    }
+
     /// Returns whether a replica was closed for the sake of a scarcer model.
     pub(crate) fn is_given_up(&self, replica: &Reported) -> bool {
         let key = (replica.replica.clone(), replica.generation);
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -574,6 +574,47 @@
     assert!(world.serving("small") >= 2, "{}", world.serving("small"));
 }
 
+/// The engine in reserve takes longest to join, from its host; it began only once
+/// the closed head had been seen, 0.3 s later.
+#[test]
+fn the_reserve_joins_while_the_survivors_are_set_free() {
+    struct Case {
+        what: &'static str,
+        rank: usize,
+    }
+    let cases = [
+        Case {
+            what: "a member is lost, and the head is closed",
+            rank: 1,
+        },
+        Case {
+            what: "the head is lost, and the others leave it",
+            rank: 0,
+        },
+    ];
+    for case in cases {
+        let (mut world, mut planner) = formed();
+        world.ask(4.0, 4.0);
+        world.run(&mut planner, Duration::from_secs(20));
+        let lost = world
+            .kill(|e| e.holds(&model("large")) && e.member().is_some_and(|m| m.rank == case.rank));
+        let replica = world.engines[&lost].member().map(|m| m.replica.clone());
+        world.run(&mut planner, STEP);
+        let joins: Vec<&Instance> = world
+            .ordered
+            .iter()
+            .filter(|(_, _, command)| matches!(command, Command::Join { .. }))
+            .map(|(_, id, _)| id)
+            .collect();
+        assert_eq!(joins.len(), 1, "{}", case.what);
+        let is_survivor = world.engines[joins[0]].member().map(|m| m.replica.clone()) == replica;
+        assert!(!is_survivor, "{}: a survivor joins too early", case.what);
+        world.run(&mut planner, Duration::from_secs(5));
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.what);
+        assert!(world.serving("large") >= 5, "{}", case.what);
+    }
+}
+
 /// In domains of 19 engines a third of all stood idle before traffic, beside a
 /// large model that was used twice as much as the small one. On twelve such
 /// domains the large one then took the place of the small one.
