--- a/src/commands/mod.rs
+++ b/src/commands/mod.rs
@@ -6,6 +6,7 @@
 mod edge;
 mod entry;
 mod matrix;
+mod soak;
 mod standin;
 
 use crate::Exit;
@@ -37,6 +38,7 @@
     Edge(edge::Edge),
     Entry(entry::Entry),
     Matrix(matrix::Matrix),
+    Soak(soak::Soak),
     Standin(standin::Standin),
     Config(Config),
     TakeOut(TakeOut),
@@ -89,6 +91,7 @@
             Self::Demo(command) => command.run(),
             Self::Edge(command) => command.run(),
             Self::Matrix(command) => command.run(),
+            Self::Soak(command) => command.run(),
             Self::Entry(command) => command.run(),
             Self::Standin(command) => command.run(),
             Self::Config(command) => command.run(out),
--- /dev/null
+++ b/src/commands/soak.rs
@@ -0,0 +1,86 @@
+//! `arbutusford soak`: entry nodes as processes, under faults from outside.
+
+use crate::{Exit, Failure};
+use argh::FromArgs;
+use soak::{Plan, USUAL_TIME};
+use std::time::{Duration, Instant};
+
+/// The entry nodes of a run that names no number.
+const PROCESSES: usize = 5;
+
+/// Runs entry nodes as processes between stand-ins of the platform, and lets
+/// series of faults strike that are drawn from a seed.
+#[derive(Debug, FromArgs)]
+#[argh(subcommand, name = "soak")]
+pub(crate) struct Soak {
+    /// the first seed; drawn afresh if not given
+    #[argh(option)]
+    seed: Option<u64>,
+    /// how many seeds follow each other; 1 if not given
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// begins no further seed after this many minutes
+    #[argh(option)]
+    minutes: Option<f64>,
+    /// the entry nodes, each a process; 5 if not given
+    #[argh(option, default = "PROCESSES")]
+    processes: usize,
+    /// the seconds of faults in each run; 20 if not given
+    #[argh(option)]
+    seconds: Option<f64>,
+}
+
+impl Soak {
+    /// Runs the command.
+    pub(crate) fn run(self) -> Result<(), Failure> {
+        let failed = |error: &dyn std::fmt::Display| Failure::new(Exit::Failed, error.to_string());
+        let program = std::env::current_exe().map_err(|error| failed(&error))?;
+        let time = span("--seconds", self.seconds)?.unwrap_or(USUAL_TIME);
+        let most = span("--minutes", self.minutes.map(|m| m * 60.0))?;
+        let first = self
+            .seed
+            .unwrap_or_else(|| rand::random_range(1..1_000_000_000));
+        let runtime = super::runtime()?;
+        let begin = Instant::now();
+        let mut broken = 0;
+        for seed in first..first.saturating_add(self.seeds) {
+            if most.is_some_and(|most| begin.elapsed() >= most) {
+                break;
+            }
+            let plan = Plan {
+                seed,
+                time,
+                nodes: self.processes.max(1),
+            };
+            let report = runtime
+                .block_on(soak::run(&plan, &program))
+                .map_err(|error| failed(&error))?;
+            let (asked, served) = report.requests;
+            println!(
+                "seed {seed}: {} series of faults, {served} of {asked} requests served, {} broken promises",
+                report.faults.len(),
+                report.broken.len()
+            );
+            if !report.broken.is_empty() {
+                broken += 1;
+                for line in report.faults.iter().chain(&report.broken) {
+                    println!("    {line}");
+                }
+                if let Some(logs) = &report.logs {
+                    println!("    logs: {}", logs.display());
+                }
+            }
+        }
+        match broken {
+            0 => Ok(()),
+            count => Err(failed(&format!("{count} seeds broke a promise"))),
+        }
+    }
+}
+
+/// Returns a positive span of seconds.
+fn span(option: &str, seconds: Option<f64>) -> Result<Option<Duration>, Failure> {
+    let refused = || Failure::new(Exit::Usage, format!("{option} is not a positive time"));
+    let span = seconds.map(|s| Duration::try_from_secs_f64(s).map_err(|_| refused()));
+    span.transpose()
+}
