Keep replicas whose members are cut off from the store only

Ruled out: engines that fail (nothing stood still but the two that crashed), loads (16 to 32 engines were idle).

Change: a member whose entry is gone, without having said that it leaves, counts as long as it answers the planner, which tells the nodes which do; a head without an entry still gets nothing. Such a replica is formed without the member when that takes no load, one replica after the other.

A short run is in the tests.

--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -79,6 +79,8 @@
     planner: Option<u64>,
     /// The engines that the planner found dead, with their lives.
     lost: Vec<(Instance, u64)>,
+    /// The members without an entry that the planner finds alive, with their lives.
+    unlisted: Vec<(Instance, u64)>,
     /// What is in progress.
     load: ToldLoad,
     /// The replicas that this node's callers would fill, by model.
@@ -482,6 +484,11 @@
         is_stopping: shared.is_stopping(),
         planner: tables.peers.own_token,
         lost: tables.peers.own_lost.clone(),
+        unlisted: if is_planning {
+            tables.fleet.unlisted()
+        } else {
+            Vec::new()
+        },
         load,
         demand: tables.demand.replicas(now).into_iter().collect(),
         told: vouch::tell(&mut tables, shared.has_slow_link()),
@@ -611,6 +618,7 @@
     let mut is_changed = false;
     if is_planner {
         is_changed |= tables.fleet.set_lost(beat.lost);
+        is_changed |= tables.fleet.set_unlisted(beat.unlisted);
         if let Some(told) = beat.told {
             is_changed |= vouch::take_over(&shared.log, &mut tables, told, echo, now);
         }
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -25,6 +25,7 @@
         is_stopping: false,
         planner,
         lost: Vec::new(),
+        unlisted: Vec::new(),
         load: ToldLoad::Nothing,
         demand: Vec::new(),
         told: None,
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -53,6 +53,16 @@
     token: u64,
 }
 
+/// A server as the tables have it.
+#[derive(Debug, Clone)]
+struct Seen {
+    server: Server,
+    /// Whether its failure domain may get requests.
+    is_allowed: bool,
+    /// Whether it has an entry.
+    is_listed: bool,
+}
+
 /// The office, shared with the tasks that wait for engines.
 type Desk = Arc<Mutex<Option<Office>>>;
 
@@ -243,10 +253,15 @@
         for (model, replicas) in tables.demand.replicas(now) {
             *demand.entry(model).or_default() += replicas;
         }
-        let servers: Vec<(Server, bool)> = tables
-            .fleet
-            .servers()
-            .map(|s| (s.clone(), !tables.fleet.is_taken_out(&s.domain)))
+        let fleet = &tables.fleet;
+        let listed = fleet.servers().map(|s| (s, true));
+        let servers: Vec<Seen> = listed
+            .chain(fleet.gone().map(|s| (s, false)))
+            .map(|(server, is_listed)| Seen {
+                server: server.clone(),
+                is_allowed: !fleet.is_taken_out(&server.domain),
+                is_listed,
+            })
             .collect();
         let is_listed = tables.servers_read.is_some();
         let suspects = suspects(&tables, now);
@@ -263,13 +278,12 @@
     };
     let engines: HashMap<Instance, Server> = servers
         .iter()
-        .filter(|(s, _)| {
-            config
-                .services
-                .get(&s.service)
-                .is_some_and(|s| s.engine.is_some())
+        .map(|seen| &seen.server)
+        .filter(|s| {
+            let spec = config.services.get(&s.service);
+            spec.is_some_and(|spec| spec.engine.is_some())
         })
-        .map(|(server, _)| (server.id.clone(), server.clone()))
+        .map(|server| (server.id.clone(), server.clone()))
         .collect();
     let planners = &office.planners;
     let is_watched = |id: &Instance| planners.values().any(|p| p.is_watched(id));
@@ -287,7 +301,12 @@
     let dead = office.probes.dead();
     let mut tables = shared.tables();
     tables.peers.own_lost.clone_from(&dead);
-    if tables.fleet.set_lost(dead) {
+    let unlisted = servers.iter().filter(|seen| !seen.is_listed);
+    let unlisted = unlisted.filter(|seen| office.probes.is_member(&seen.server));
+    let unlisted = unlisted.map(|seen| (seen.server.id.clone(), seen.server.born));
+    let mut is_changed = tables.fleet.set_unlisted(unlisted);
+    is_changed |= tables.fleet.set_lost(dead);
+    if is_changed {
         shared.refresh(&mut tables);
         vouch::hurry(shared);
     }
@@ -295,8 +314,14 @@
     for (service, engine) in config.engines() {
         let seen: HashMap<Instance, form::Engine> = servers
             .iter()
-            .filter(|(s, _)| s.service == *service)
-            .filter_map(|(s, is_allowed)| office.probes.engine(s, *is_allowed))
+            .filter(|seen| seen.server.service == *service)
+            .filter_map(|seen| {
+                let engine = office.probes.engine(&seen.server, seen.is_allowed)?;
+                Some(form::Engine {
+                    is_listed: seen.is_listed,
+                    ..engine
+                })
+            })
             .map(|e| (e.id().clone(), e))
             .collect();
         let rates = Rates {
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -169,6 +169,23 @@
             .collect()
     }
 
+    /// Returns whether an engine answers and says that it is a member of the replica
+    /// of which its last entry said so; before it was asked, it is thought to be.
+    pub(crate) fn is_member(&self, server: &Server) -> bool {
+        let probe = self.probes.get(&server.id);
+        let Some(probe) = probe.filter(|p| p.born == server.born) else {
+            return true;
+        };
+        let Some((_, report)) = &probe.report else {
+            return probe.unanswered < MAX_UNANSWERED;
+        };
+        let key = |engine: &site::server::Engine| {
+            let member = engine.member.as_ref();
+            member.map(|m| (m.replica.clone(), m.generation))
+        };
+        probe.unanswered < MAX_UNANSWERED && key(&report.engine) == key(&server.engine)
+    }
+
     /// Returns an engine as the planner sees it: its entry, and its report where
     /// that is newer.
     pub(crate) fn engine(&self, server: &Server, is_allowed: bool) -> Option<form::Engine> {
@@ -176,6 +193,7 @@
         let mut engine = form::Engine {
             server: server.clone(),
             is_alive: probe.unanswered < MAX_UNANSWERED,
+            is_listed: true,
             is_allowed,
             is_busy: false,
             sequence: None,
--- a/crates/form/src/engine.rs
+++ b/crates/form/src/engine.rs
@@ -15,6 +15,8 @@
     pub server: Server,
     /// Whether it answers.
     pub is_alive: bool,
+    /// Whether it has an entry in the store; one without may be cut off from it.
+    pub is_listed: bool,
     /// Whether it may get new requests, as far as its failure domain goes.
     pub is_allowed: bool,
     /// Whether an order is in progress, as it reports.
@@ -47,7 +49,7 @@
 
     /// Returns whether it can be a member of a replica that is to last.
     pub fn is_sound(&self) -> bool {
-        self.is_alive && !self.server.is_leaving
+        self.is_alive && self.is_listed && !self.server.is_leaving
     }
 
     /// Returns whether it holds or has held `model` as its last one.
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -60,6 +60,9 @@
     pub(crate) given_up: HashSet<(Replica, u64)>,
     /// When heads were last told to open.
     pub(crate) opened: HashMap<(Replica, u64), Moment>,
+    /// The replica that was last closed to be formed without members that have no
+    /// entry, and when.
+    pub(crate) replaced: Option<((Replica, u64), Moment)>,
     /// What hosts were told to stage, and when that should end.
     pub(crate) staging: HashMap<Instance, (Model, Moment)>,
     /// When most engines should have been seen.
@@ -120,7 +123,7 @@
                 && matches!(replica.head, Some(Phase::Open | Phase::Ready));
             if let (true, true, true, Some(model)) = (
                 is_serving,
-                replica.is_sound && replica.is_complete(rates.engine),
+                (replica.is_sound || replica.is_unlisted) && replica.is_complete(rates.engine),
                 !self.formations.iter().any(|f| f.replica == replica.replica),
                 &replica.model,
             ) {
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -24,6 +24,8 @@
     pub(crate) is_allowed: bool,
     /// Whether a member died.
     pub(crate) has_dead: bool,
+    /// Whether all that is wrong is that members other than the head have no entry.
+    pub(crate) is_unlisted: bool,
 }
 
 impl Reported {
@@ -56,12 +58,16 @@
             is_sound: true,
             is_allowed: true,
             has_dead: false,
+            is_unlisted: true,
         });
         seen.members.insert(member.rank, engine.id().clone());
         seen.is_ready &= member.phase != Phase::Joining;
         seen.is_sound &= engine.is_sound();
         seen.is_allowed &= engine.is_allowed;
         seen.has_dead |= !engine.is_alive;
+        let is_whole =
+            engine.is_sound() || (engine.is_alive && !engine.server.is_leaving && member.rank != 0);
+        seen.is_unlisted &= is_whole;
         let model = engine.server.engine.models.first().cloned();
         if member.rank == 0 {
             seen.head = engine.is_alive.then_some(member.phase);
@@ -70,5 +76,8 @@
             seen.model = model;
         }
     }
+    for replica in replicas.values_mut() {
+        replica.is_unlisted &= !replica.is_sound;
+    }
     replicas.into_values().collect()
 }
--- a/crates/form/src/upkeep.rs
+++ b/crates/form/src/upkeep.rs
@@ -19,6 +19,10 @@
 /// How long a replica that an earlier planner began may stay incomplete.
 const INHERITED: Duration = Duration::from_millis(1_500);
 
+/// The time from the order to close a replica until its members are formed anew,
+/// so that no other one is closed meanwhile for the same reason.
+const CLOSING: Duration = Duration::from_millis(1_000);
+
 /// How long a replica may finish what it has after a member's entry went.
 ///
 /// Usual streams end within two to four seconds.
@@ -30,6 +34,25 @@
 /// The hysteresis keeps engines from moving to and fro with the demand.
 const DONOR_FACTOR: f64 = 1.6;
 
+/// Returns whether a replica could be formed anew from the sound ones of its
+/// members and of the free engines beside them, without a load.
+fn can_replace(
+    replica: &Reported,
+    engines: &HashMap<Instance, Engine>,
+    rates: &Rates<'_>,
+    free: &Free,
+) -> bool {
+    let Some(weights) = replica.model.as_ref().and_then(|m| rates.engine.weights(m)) else {
+        return false;
+    };
+    let members = || replica.members.values().map(|id| &engines[id]);
+    let fabric = members().next().and_then(|e| e.fabric().cloned());
+    let idle = free.get(&fabric).map_or(&[][..], Vec::as_slice);
+    let idle = idle.iter().map(|id| &engines[id]);
+    let ready = idle.filter(|e| !e.needs_load(&weights.model)).count();
+    members().filter(|e| e.is_sound()).count() + ready >= weights.size
+}
+
 impl Planner {
     /// Opens a complete replica, and takes an incomplete one apart.
     pub(crate) fn look_at(
@@ -62,6 +85,29 @@
                 return;
             }
         }
+        // Members without an entry may be cut off from the store only: while they
+        // answer, a replica that serves is kept until it can be formed without them,
+        // one such replica at a time.
+        let is_closing = |c: &(Instance, Command)| matches!(c.1, Command::Close { .. });
+        let is_closed = self
+            .replaced
+            .as_ref()
+            .is_some_and(|(_, at)| now.since(*at) < CLOSING);
+        let is_changing = is_closed || !self.formations.is_empty() || wanted.iter().any(is_closing);
+        let is_kept = replica.is_unlisted
+            && replica.head == Some(Phase::Open)
+            && replica.is_complete(rates.engine)
+            && !is_given_up;
+        if is_kept {
+            let key = (name.clone(), generation);
+            let is_replaced = self.replaced.as_ref().is_some_and(|(last, _)| *last == key);
+            if !is_replaced {
+                if is_changing || !can_replace(replica, engines, rates, free) {
+                    return;
+                }
+                self.replaced = Some((key, now));
+            }
+        }
         // Members of a replica that is still being joined report it one by one.
         let since = *self
             .incomplete
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -97,6 +97,7 @@
                 Engine {
                     server,
                     is_alive: true,
+                    is_listed: true,
                     is_allowed: true,
                     is_busy: false,
                     sequence: Some(0),
@@ -615,6 +616,79 @@
     }
 }
 
+/// Twenty engines were cut off from the store, but not from callers: all replicas
+/// of which one was a member were closed, and hardly any served.
+#[test]
+fn a_replica_whose_member_is_cut_off_from_the_store_serves_until_it_can_be_replaced() {
+    struct Case {
+        what: &'static str,
+        rank: usize,
+        has_reserve: bool,
+        is_closed: bool,
+    }
+    let cases = [
+        Case {
+            what: "a member, and no other engine",
+            rank: 1,
+            has_reserve: false,
+            is_closed: false,
+        },
+        Case {
+            what: "a member, and one in reserve",
+            rank: 1,
+            has_reserve: true,
+            is_closed: true,
+        },
+        Case {
+            what: "the head, which gets no more requests",
+            rank: 0,
+            has_reserve: false,
+            is_closed: true,
+        },
+    ];
+    for case in cases {
+        let (mut world, mut planner) = formed();
+        world.ask(4.0, 4.0);
+        world.run(&mut planner, Duration::from_secs(20));
+        let is_it = |e: &&mut Engine| {
+            e.holds(&model("large")) && e.member().is_some_and(|m| m.rank == case.rank)
+        };
+        let cut = world.engines.values_mut().find(is_it).expect("a member");
+        cut.is_listed = false;
+        let (fabric, replica) = (cut.fabric().cloned(), cut.member().cloned());
+        let replica = replica.expect("a membership").replica;
+        if !case.has_reserve {
+            world
+                .engines
+                .retain(|_, e| e.fabric() != fabric.as_ref() || e.member().is_some());
+        }
+        world.run(&mut planner, STEP);
+        let is_close = |command: &Command| matches!(command, Command::Close { replica: r, .. } if *r == replica);
+        let is_closed = world.ordered.iter().any(|(_, _, c)| is_close(c));
+        assert_eq!(is_closed, case.is_closed, "{}", case.what);
+        world.run(&mut planner, Duration::from_secs(6));
+        assert_eq!(world.violations, Vec::<String>::new(), "{}", case.what);
+    }
+}
+
+/// Replacing all replicas at once that had such a member left one of seven.
+#[test]
+fn replicas_with_members_without_an_entry_are_replaced_one_after_the_other() {
+    let (mut world, mut planner) = formed();
+    world.ask(4.0, 4.0);
+    world.run(&mut planner, Duration::from_secs(20));
+    let before = world.serving("large");
+    for engine in world.engines.values_mut() {
+        let is_second = engine.member().is_some_and(|m| m.rank == 1);
+        engine.is_listed = !(is_second && engine.holds(&model("large")));
+    }
+    for _ in 0..30 {
+        world.run(&mut planner, STEP * 2);
+        assert!(world.serving("large") + 1 >= before, "{before} before");
+    }
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// In domains of 19 engines a third of all stood idle before traffic, beside a
 /// large model that was used twice as much as the small one. On twelve such
 /// domains the large one then took the place of the small one.
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -10,6 +10,9 @@
     net::SocketAddr,
 };
 
+/// The most members without an entry of which is remembered what they said.
+const MAX_GONE: usize = 512;
+
 /// The sound members of each replica, by its name and generation.
 type Members<'a> = HashMap<(&'a str, u64), Vec<(Instance, u64)>>;
 
@@ -44,6 +47,10 @@
     servers: HashMap<Instance, Server>,
     /// Servers that were found dead in the life given, ahead of their entries.
     lost: HashMap<Instance, u64>,
+    /// The last entries of members whose entries are gone.
+    gone: HashMap<Instance, Server>,
+    /// Those of them that still answer, each in one life.
+    unlisted: HashMap<Instance, u64>,
     taken_out: HashSet<Domain>,
 }
 
@@ -64,9 +71,13 @@
     pub fn apply(&mut self, change: Change) {
         match change {
             Change::Gone(id) => {
-                self.servers.remove(&id);
+                if let Some(server) = self.servers.remove(&id) {
+                    self.presume(server);
+                }
             }
             Change::Is(server) => {
+                self.gone.remove(&server.id);
+                self.unlisted.remove(&server.id);
                 let known = self.servers.get(&server.id).map_or(0, |s| s.born);
                 if server.born >= known {
                     self.servers.insert(server.id.clone(), *server);
@@ -75,17 +86,56 @@
         }
     }
 
-    /// Replaces all entries by those of a snapshot.
-    pub fn replace(&mut self, changes: impl IntoIterator<Item = Change>) {
-        self.servers.clear();
-        for change in changes {
-            self.apply(change);
+    /// Keeps what is known of a member whose entry is gone.
+    ///
+    /// It may be cut off from the store only. As long as it answers, its replica
+    /// goes on; until the planner says whether it does, it is thought to.
+    fn presume(&mut self, server: Server) {
+        if server.engine.member.is_none() || server.is_leaving {
+            return;
+        }
+        if self.gone.len() >= MAX_GONE {
+            self.gone.clear();
+            self.unlisted.clear();
         }
+        self.unlisted.insert(server.id.clone(), server.born);
+        self.gone.insert(server.id.clone(), server);
+    }
+
+    /// Notes which members without an entry still answer, each in one life;
+    /// returns whether that is news.
+    pub fn set_unlisted(&mut self, members: impl IntoIterator<Item = (Instance, u64)>) -> bool {
+        let members: HashMap<Instance, u64> = members.into_iter().collect();
+        let is_changed = self.unlisted != members;
+        self.unlisted = members;
+        is_changed
+    }
+
+    /// Returns the members without an entry that answer, as far as is known.
+    pub fn unlisted(&self) -> Vec<(Instance, u64)> {
+        let unlisted = self.unlisted.iter();
+        unlisted.map(|(id, born)| (id.clone(), *born)).collect()
+    }
+
+    /// Returns the last entries of members whose entries are gone.
+    pub fn gone(&self) -> impl Iterator<Item = &Server> {
+        self.gone.values()
+    }
+
+    /// Returns the members without an entry that count as members.
+    fn counted(&self) -> impl Iterator<Item = &Server> {
+        let is_counted = |server: &&Server| {
+            self.unlisted.get(&server.id) == Some(&server.born) && self.is_sound(server)
+        };
+        self.gone.values().filter(is_counted)
     }
 
     /// Notes which servers were found dead, each in one life.
     pub fn set_lost(&mut self, lost: impl IntoIterator<Item = (Instance, u64)>) -> bool {
-        let lost = lost.into_iter().collect();
+        let lost: HashMap<Instance, u64> = lost.into_iter().collect();
+        // A dead member without an entry is of no more use.
+        self.gone
+            .retain(|id, server| lost.get(id) != Some(&server.born));
         let is_changed = self.lost != lost;
         self.lost = lost;
         is_changed
@@ -118,7 +168,8 @@
     /// Returns what may take new requests.
     pub fn targets(&self, config: &Config) -> Vec<Target> {
         let mut members: Members<'_> = HashMap::new();
-        for server in self.servers.values().filter(|s| self.is_sound(s)) {
+        let listed = self.servers.values().filter(|s| self.is_sound(s));
+        for server in listed.chain(self.counted()) {
             if let Some(member) = &server.engine.member {
                 let key = (member.replica.as_str(), member.generation);
                 let life = (server.id.clone(), server.born);
--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -4,6 +4,7 @@
 use argh::FromArgs;
 use soak::{Plan, USUAL_TIME};
 use std::time::{Duration, Instant};
+use tokio::signal::unix::{SignalKind, signal};
 
 /// The entry nodes of a run that names no number.
 const PROCESSES: usize = 5;
@@ -52,9 +53,19 @@
                 time,
                 nodes: self.processes.max(1),
             };
-            let report = runtime
-                .block_on(soak::run(&plan, &program))
-                .map_err(|error| failed(&error))?;
+            // Dropping the run ends its processes.
+            let report = runtime.block_on(async {
+                let mut stop = signal(SignalKind::terminate())?;
+                let mut interrupt = signal(SignalKind::interrupt())?;
+                tokio::select! {
+                    report = soak::run(&plan, &program) => report.map(Some),
+                    _ = stop.recv() => Ok(None),
+                    _ = interrupt.recv() => Ok(None),
+                }
+            });
+            let Some(report) = report.map_err(|error| failed(&error))? else {
+                return Err(failed(&"stopped before the run ended"));
+            };
             let (asked, served) = report.requests;
             println!(
                 "seed {seed}: {} series of faults, {served} of {asked} requests served, {} broken promises",
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,4 +15,5 @@
 mod matrix;
 mod routing;
 mod security;
+mod soak;
 mod stops;
