--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -36,16 +36,14 @@
 /// The same of the bound on revoked secrets.
 const TOLD_PART_OF_REVOKE: f64 = 0.4;
 
-/// How long a read of the operators' feed waits for a change while the planner
-/// vouches that there is none.
-const LONG_WAIT: Duration = Duration::from_secs(20);
-
 /// How long a read of the operators' feed waits at the node that plans, and so
 /// how old the view is that it vouches for.
 const PLANNER_WAIT: Duration = Duration::from_millis(250);
 
-/// How long after another node told of a record a waiting read may still bring it.
-const OVERDUE: Duration = Duration::from_millis(150);
+/// The time between two reads of the operators' feed while the planner tells of
+/// changes that this node lacks, as a part of the bound on configurations: many
+/// changes may follow each other.
+const BEHIND_PART_OF_CONFIG: f64 = 0.2;
 
 /// The time between two reads of the servers' feed, as a part of the time within
 /// which a server that leaves must get no more requests.
@@ -160,6 +158,8 @@
     wait: Duration,
     /// The age of a view that is vouched for at which the feed is read.
     oldest: Duration,
+    /// The time between two reads while changes are told of.
+    behind: Duration,
 }
 
 impl Pace {
@@ -173,45 +173,38 @@
         Self {
             wait: least(WAIT_PART_OF_CONFIG, WAIT_PART_OF_REVOKE),
             oldest: least(TOLD_PART_OF_CONFIG, TOLD_PART_OF_REVOKE),
+            behind: bounds.config.mul_f64(BEHIND_PART_OF_CONFIG),
         }
     }
 
-    /// Returns how long the next read waits.
-    fn next(&self, tables: &Tables, now: Moment) -> Duration {
-        match reader(tables, now) {
-            Reader::Planner => PLANNER_WAIT,
-            Reader::Alone => self.wait,
-            Reader::Told if self.is_outdated(tables, now) => Duration::ZERO,
-            Reader::Told => LONG_WAIT,
-        }
-    }
-
-    /// Returns whether the view must be confirmed by a read.
-    fn is_outdated(&self, tables: &Tables, now: Moment) -> bool {
-        let age = tables.confirmed.map(|at| now.since(at));
-        tables.is_behind.operators || age.is_none_or(|age| age >= self.oldest)
-    }
-
-    /// Waits until a read that waits for long must be given up, since nobody
-    /// vouches for the view any more or it is out of date.
-    async fn outdated(&self, shared: &Shared) {
-        let mut since = None;
+    /// Waits until the feed is to be read, and returns how long that read waits.
+    async fn next(&self, shared: &Shared, last: Option<Moment>) -> Duration {
         loop {
-            sleep(LOOK_STEP).await;
             let now = shared.now();
-            let tables = shared.tables();
-            let is_over = reader(&tables, now) != Reader::Told;
-            if is_over || self.is_outdated(&tables, now) {
-                // A record that was told of is usually on its way already.
-                let since = *since.get_or_insert(now);
-                if is_over || now.since(since) >= OVERDUE {
-                    return;
+            let wait = {
+                let tables = shared.tables();
+                match reader(&tables, now) {
+                    Reader::Planner => Some(PLANNER_WAIT),
+                    Reader::Alone => Some(self.wait),
+                    Reader::Told => self.is_due(&tables, last, now).then_some(Duration::ZERO),
                 }
-            } else {
-                since = None;
+            };
+            if let Some(wait) = wait {
+                return wait;
             }
+            sleep(LOOK_STEP).await;
         }
     }
+
+    /// Returns whether the planner's word is not enough: it tells of a change, or
+    /// the view that it vouches for is old.
+    fn is_due(&self, tables: &Tables, last: Option<Moment>, now: Moment) -> bool {
+        let age = tables.confirmed.map(|at| now.since(at));
+        let since_last = last.map(|at| now.since(at));
+        let is_behind =
+            tables.is_behind.operators && since_last.is_none_or(|since| since >= self.behind);
+        is_behind || age.is_none_or(|age| age >= self.oldest)
+    }
 }
 
 /// Follows the operators' changes, for as long as the node runs.
@@ -222,23 +215,17 @@
         is_lost: false,
     };
     let pace = Pace::new(&shared.settings.bounds);
+    let mut last = None;
     loop {
+        let wait = pace.next(&shared, last).await;
         let asked = shared.now();
-        let (cursor, wait, marks) = {
+        last = Some(asked);
+        let (cursor, marks) = {
             let tables = shared.tables();
             let cursor = tables.operators_read.map_or(Cursor::Start, Cursor::At);
-            (cursor, pace.next(&tables, asked), marks(&tables))
-        };
-        let read = (shared.platform.operators)(cursor, wait);
-        let answer = if wait == LONG_WAIT {
-            tokio::select! {
-                answer = read => answer,
-                () = pace.outdated(&shared) => continue,
-            }
-        } else {
-            read.await
+            (cursor, marks(&tables))
         };
-        match answer {
+        match (shared.platform.operators)(cursor, wait).await {
             Ok(batch) => {
                 contact.succeed(&shared);
                 faults.log(&shared, "operators", &batch.faults);
