--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -553,3 +553,6 @@
     }
     info!(shared.log, "card announced"; "node" => %card.node);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/follow/tests.rs
@@ -0,0 +1,220 @@
+//! How reads of the feeds become tables.
+
+use super::{LAPSE_GRACE, Marks, Pace, apply_servers, hear};
+use crate::state::Shared;
+use clock::{Clock, Moment, Wall};
+use name::Instance;
+use site::{
+    Server,
+    feed::{Batch, Cursor},
+    server::{self, Change},
+};
+use slog::{Discard, Logger, o};
+use std::{
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+
+const SETTINGS: &str = r#"{
+  "node": "n", "ip": "127.0.0.1", "zone": "z",
+  "listen": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
+  "port-range": [1, 1],
+  "bounds": {"drain-ms": 2000, "config-ms": 2000, "strict-revoke": true, "revoke-ms": 5000,
+             "grace-s": 8},
+  "platform": {"address": "127.0.0.1:3"}
+}"#;
+
+fn id(name: &str) -> Instance {
+    name.parse().expect("a name")
+}
+
+fn entry(name: &str) -> Change {
+    Change::Is(Box::new(Server {
+        id: id(name),
+        service: "s".parse().expect("a name"),
+        address: ([127, 0, 0, 1], 1).into(),
+        domain: "z".parse().expect("a name"),
+        born: 1,
+        slots: 4,
+        is_leaving: false,
+        cold_for: Duration::ZERO,
+        engine: server::Engine::default(),
+    }))
+}
+
+fn batch(records: Vec<Change>, next: u64, is_snapshot: bool) -> Batch<Change> {
+    Batch {
+        records,
+        next: Cursor::At(next),
+        is_snapshot,
+        is_at_end: true,
+        faults: Vec::new(),
+    }
+}
+
+/// A node whose time is set by the test.
+struct Node {
+    shared: Arc<Shared>,
+    millis: Arc<AtomicU64>,
+}
+
+impl Node {
+    fn new() -> Self {
+        let settings = platform::settings::parse(SETTINGS).expect("settings without a fault");
+        let connected = platform::connect(&settings);
+        let millis = Arc::new(AtomicU64::new(1_000));
+        let now = Arc::clone(&millis);
+        let clock = Clock::new(
+            move || Moment::from_millis(now.load(Ordering::Relaxed)),
+            || Wall::default(),
+        );
+        let log = Logger::root(Discard, o!());
+        Self {
+            shared: Arc::new(Shared::new(settings, connected, clock, log)),
+            millis,
+        }
+    }
+
+    fn pass(&self, time: Duration) {
+        let millis = u64::try_from(time.as_millis()).expect("a short time");
+        self.millis.fetch_add(millis, Ordering::Relaxed);
+    }
+
+    fn read(&self, records: Vec<Change>, next: u64, is_snapshot: bool) {
+        let asked = self.shared.now();
+        let batch = batch(records, next, is_snapshot);
+        apply_servers(&self.shared, batch, asked, &Marks::default());
+    }
+
+    fn knows(&self, name: &str) -> bool {
+        self.shared.tables().fleet.server(&id(name)).is_some()
+    }
+}
+
+/// A removal that was held back after an outage fell due only with the next
+/// record, seconds later, so that a server that had left got requests.
+#[test]
+fn removals_after_an_outage_are_held_back_and_no_longer() {
+    let node = Node::new();
+    node.read(vec![entry("a"), entry("b"), entry("c")], 10, true);
+    node.shared.tables().store_regained = Some(node.shared.now());
+    node.pass(Duration::from_millis(500));
+    let gone = ["a", "b", "c"].map(|name| Change::Gone(id(name)));
+    node.read(gone.to_vec(), 13, false);
+    assert!(node.knows("a") && node.knows("b") && node.knows("c"));
+    // One comes back by this node's own reading, one by the planner's word.
+    node.read(vec![entry("b")], 14, false);
+    let mut tables = node.shared.tables();
+    hear(&node.shared.log, &mut tables, 20, entry("c"));
+    drop(tables);
+    node.pass(LAPSE_GRACE);
+    // A read without any record is enough.
+    node.read(Vec::new(), 14, false);
+    assert!(!node.knows("a"));
+    assert!(node.knows("b") && node.knows("c"));
+}
+
+#[test]
+fn a_removal_without_an_outage_holds_at_once() {
+    let node = Node::new();
+    node.read(vec![entry("a")], 10, true);
+    node.read(vec![Change::Gone(id("a"))], 11, false);
+    assert!(!node.knows("a"));
+}
+
+/// A listing replaces all that is known, but for what the planner told of later.
+#[test]
+fn a_listing_removes_what_it_does_not_hold() {
+    let node = Node::new();
+    node.read(vec![entry("a"), entry("b")], 10, true);
+    let mut tables = node.shared.tables();
+    hear(&node.shared.log, &mut tables, 30, entry("later"));
+    drop(tables);
+    node.read(vec![entry("b")], 20, true);
+    assert!(!node.knows("a"));
+    assert!(node.knows("b") && node.knows("later"));
+}
+
+/// An answer that was under way while the planner's word went further is older
+/// than what is known.
+#[test]
+fn an_older_read_takes_nothing_back() {
+    let node = Node::new();
+    node.read(vec![entry("a")], 10, true);
+    node.shared.tables().servers_read = Some(20);
+    node.read(vec![Change::Gone(id("a"))], 15, false);
+    assert!(node.knows("a"));
+    assert_eq!(node.shared.tables().servers_read, Some(20));
+}
+
+#[test]
+fn only_a_read_to_the_end_confirms() {
+    let node = Node::new();
+    let asked = node.shared.now();
+    let unfinished = Batch {
+        is_at_end: false,
+        ..batch(vec![entry("a")], 10, true)
+    };
+    apply_servers(&node.shared, unfinished, asked, &Marks::default());
+    assert_eq!(node.shared.tables().servers_confirmed, None);
+    node.read(Vec::new(), 10, false);
+    assert_eq!(node.shared.tables().servers_confirmed, Some(asked));
+}
+
+/// While the planner vouches, a node reads for what it lacks and for its age.
+#[test]
+fn the_operators_feed_is_read_when_the_planners_word_is_not_enough() {
+    struct Case {
+        what: &'static str,
+        is_behind: bool,
+        /// Milliseconds since the view was confirmed, and since the last read.
+        age: u64,
+        since_last: u64,
+        is_due: bool,
+    }
+    let cases = [
+        Case {
+            what: "a young view",
+            is_behind: false,
+            age: 300,
+            since_last: 60_000,
+            is_due: false,
+        },
+        Case {
+            what: "an old view",
+            is_behind: false,
+            age: 1_100,
+            since_last: 1_100,
+            is_due: true,
+        },
+        Case {
+            what: "a change that it lacks",
+            is_behind: true,
+            age: 300,
+            since_last: 60_000,
+            is_due: true,
+        },
+        Case {
+            what: "another change right after a read",
+            is_behind: true,
+            age: 300,
+            since_last: 200,
+            is_due: false,
+        },
+    ];
+    let node = Node::new();
+    let pace = Pace::new(&node.shared.settings.bounds);
+    node.pass(Duration::from_secs(100));
+    let now = node.shared.now();
+    for case in cases {
+        let mut tables = node.shared.tables();
+        tables.is_behind.operators = case.is_behind;
+        tables.confirmed = Some(now - Duration::from_millis(case.age));
+        let last = now - Duration::from_millis(case.since_last);
+        let is_due = pace.is_due(&tables, Some(last), now);
+        assert_eq!(is_due, case.is_due, "{}", case.what);
+    }
+}
