--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -49,6 +49,16 @@
 /// When a request for a model without a replica may come again.
 const RETRY_NOWHERE: Duration = Duration::from_millis(1_000);
 
+/// When a request that was refused by servers, and may not be sent again for want
+/// of credit, may come again.
+const RETRY_WITHOUT_CREDIT: Duration = Duration::from_millis(300);
+
+/// Returns a time about as long: callers that were refused together should not
+/// come back together.
+fn spread(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(0.75..1.25))
+}
+
 /// What became of a request's attempts so far.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Tally {
@@ -76,6 +86,18 @@
         self.ran < job.route.attempts
     }
 
+    /// Returns the error for a request that is not sent again for want of credit.
+    ///
+    /// One that no server has run may come again, and so is told when.
+    fn out_of_credit(&self) -> Error {
+        let message = "no credit for a further attempt";
+        match self.verdict() {
+            Verdict::NotRun => Error::not_run(Kind::Unavailable, message)
+                .with_retry_after(spread(RETRY_WITHOUT_CREDIT)),
+            verdict => Error::new(Kind::Upstream, verdict, message),
+        }
+    }
+
     /// Returns what is known of the request's execution.
     fn verdict(&self) -> Verdict {
         if self.ran == 0 {
@@ -133,7 +155,7 @@
     loop {
         if tally.sent > 0 && !job.take_credit(shared) {
             shared.metrics.count("retries_refused", "budget");
-            return Err(job.error(tally, Kind::Upstream, "no credit for a further attempt"));
+            return Err(tally.out_of_credit());
         }
         let place = job.place(shared, tally).await?;
         let server = place.choice.target.server.clone();
@@ -235,9 +257,8 @@
                 Placeless::Nowhere => (Kind::Unavailable, RETRY_NOWHERE, "no server serves this"),
                 Placeless::Full(after) => (Kind::Overloaded, after, "all servers are full"),
             };
-            // Callers that were refused together should not come back together.
-            let spread = after.mul_f64(rand::rng().random_range(0.75..1.25));
-            self.error(tally, kind, message).with_retry_after(spread)
+            self.error(tally, kind, message)
+                .with_retry_after(spread(after))
         })
     }
 
@@ -392,3 +413,6 @@
             "config_version" => self.version, "view_age_ms" => self.view_age.as_millis() as u64);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -5,12 +5,14 @@
 use clock::{Clock, Moment, Wall};
 use name::Instance;
 use site::{
-    Server,
+    Platform, Server, Settings,
     feed::{Batch, Cursor},
     server::{self, Change},
+    settings::Bounds,
 };
 use slog::{Discard, Logger, o};
 use std::{
+    future::pending,
     sync::{
         Arc,
         atomic::{AtomicU64, Ordering},
@@ -18,14 +20,50 @@
     time::Duration,
 };
 
-const SETTINGS: &str = r#"{
-  "node": "n", "ip": "127.0.0.1", "zone": "z",
-  "listen": {"front": "127.0.0.1:1", "readiness": "127.0.0.1:2"},
-  "port-range": [1, 1],
-  "bounds": {"drain-ms": 2000, "config-ms": 2000, "strict-revoke": true, "revoke-ms": 5000,
-             "grace-s": 8},
-  "platform": {"address": "127.0.0.1:3"}
-}"#;
+/// Returns a platform that is never called.
+fn nowhere() -> Platform {
+    Platform {
+        operators: Arc::new(|_, _| Box::pin(pending())),
+        servers: Arc::new(|_, _| Box::pin(pending())),
+        cards: Arc::new(|_, _| Box::pin(pending())),
+        claims: Arc::new(|_, _| Box::pin(pending())),
+        announce: Arc::new(|_| Box::pin(pending())),
+        claim: Arc::new(|_| Box::pin(pending())),
+        order: Arc::new(|_| Box::pin(pending())),
+        report: Arc::new(|_| Box::pin(pending())),
+        call: |_| unreachable!("no caller"),
+        request: |_, _| unreachable!("no request"),
+        head: |_| unreachable!("no answer"),
+        refusal: |_| unreachable!("no caller"),
+        lookup: |_| None,
+        directory: |_, _| unreachable!("no caller"),
+        is_readiness: |_| false,
+    }
+}
+
+fn settings() -> Settings {
+    let address = ([127, 0, 0, 1], 1).into();
+    Settings {
+        node: "n".parse().expect("a name"),
+        domain: "z".parse().expect("a name"),
+        front: address,
+        readiness: address,
+        directory: None,
+        peer: address,
+        store: address,
+        link_mbit_per_s: None,
+        bounds: Bounds {
+            leaving: Duration::from_secs(2),
+            config: Duration::from_secs(2),
+            revoke: Some(Duration::from_secs(5)),
+            grace: Duration::from_secs(8),
+            retry_ratio: 0.2,
+            retry_slack: 100.0,
+            load_window: Duration::from_secs(5),
+            max_answer_age: Duration::from_secs(5),
+        },
+    }
+}
 
 fn id(name: &str) -> Instance {
     name.parse().expect("a name")
@@ -63,17 +101,15 @@
 
 impl Node {
     fn new() -> Self {
-        let settings = platform::settings::parse(SETTINGS).expect("settings without a fault");
-        let connected = platform::connect(&settings);
         let millis = Arc::new(AtomicU64::new(1_000));
         let now = Arc::clone(&millis);
         let clock = Clock::new(
             move || Moment::from_millis(now.load(Ordering::Relaxed)),
-            || Wall::default(),
+            Wall::default,
         );
         let log = Logger::root(Discard, o!());
         Self {
-            shared: Arc::new(Shared::new(settings, connected, clock, log)),
+            shared: Arc::new(Shared::new(settings(), nowhere(), clock, log)),
             millis,
         }
     }
