--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -226,11 +226,6 @@
         shared.tables().budget(&self.service, bounds).take()
     }
 
-    /// Returns the deadline for timers.
-    pub(crate) fn deadline_instant(&self) -> Instant {
-        self.until
-    }
-
     /// Waits for a place.
     async fn place(&self, shared: &Arc<Shared>, tally: &Tally) -> Result<Place, Error> {
         let want = Want {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -3,7 +3,8 @@
 //! An [`Edge`] runs everything a node does, over a [`site::Platform`]:
 //!
 //! - `follow` reads the operators' and servers' feeds into the [`state`] tables,
-//! - `peers` tells other nodes what this one has in progress, and hears them,
+//! - `beat` tells other nodes what this one has in progress, and hears them;
+//!   `peers` keeps what was heard,
 //! - `vouch` tells them what the planner has read, so that they need not read it,
 //! - `plan` forms replicas while this node holds the newest claim,
 //! - `front` takes connections, `serve` takes a request through `admit` and
@@ -15,6 +16,7 @@
 
 mod admit;
 mod attempt;
+mod beat;
 mod directory;
 mod events;
 mod follow;
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -1,7 +1,10 @@
 //! What a node believes of others, by the datagrams that it heard.
 
-use super::{Beat, COUNTED_FOR, FORMAT, Peers, ToldLoad, decode};
-use crate::vouch::Echo;
+use super::{COUNTED_FOR, Peers};
+use crate::{
+    beat::{Beat, FORMAT, ToldLoad, decode},
+    vouch::Echo,
+};
 use clock::Moment;
 use place::{Share, Work};
 use site::node::Card;
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,9 +1,9 @@
 //! Starting and stopping a node.
 
 use crate::{
-    directory, follow,
+    beat, directory, follow,
     front::{Role, listen},
-    peers, plan,
+    plan,
     state::Shared,
 };
 use clock::Clock;
@@ -84,8 +84,8 @@
         tasks.spawn(follow::operators(Arc::clone(&shared)));
         tasks.spawn(follow::servers(Arc::clone(&shared)));
         tasks.spawn(follow::cards(Arc::clone(&shared), card.clone()));
-        tasks.spawn(peers::hear(Arc::clone(&shared), Arc::clone(&socket), node));
-        tasks.spawn(peers::tell(Arc::clone(&shared), socket, card.clone()));
+        tasks.spawn(beat::hear(Arc::clone(&shared), Arc::clone(&socket), node));
+        tasks.spawn(beat::tell(Arc::clone(&shared), socket, card.clone()));
         tasks.spawn(plan::run(Arc::clone(&shared), card.clone()));
         info!(shared.log, "node started"; "node" => %card.node, "front" => %card.front,
             "domain" => %card.domain, "life" => card.life);
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -139,7 +139,7 @@
         let mut changes = self.shared.changes.subscribe();
         let mut is_first = true;
         let mut silent_since = tokio::time::Instant::now();
-        let deadline = self.job.deadline_instant();
+        let deadline = self.job.until;
         loop {
             let silence = silent_since + SILENCE;
             let piece = tokio::select! {
--- a/crates/form/src/begin.rs
+++ b/crates/form/src/begin.rs
@@ -48,11 +48,12 @@
         is_settled: bool,
         now: Moment,
     ) {
-        let reserves_lack = !Reserves::new(engines, rates.engine, scarcity).has_one_each();
+        let reserves_lack =
+            !rates.has_traffic && !Reserves::new(engines, rates.engine, scarcity).has_one_each();
         loop {
             let members: usize = engines.len() - free.values().map(Vec::len).sum::<usize>();
             let is_enough = members as f64 > engines.len() as f64 * PRIMARY_PART;
-            if !rates.has_traffic && is_settled && is_enough && reserves_lack {
+            if is_settled && is_enough && reserves_lack {
                 return;
             }
             let mut order = scarcity.order(rates.engine);
