Ask a bounded number of engines at a time; a planner's step that does not look at each engine for each member

The planner asked all engines at once, most questions had no answer in time, and it thought itself cut off; each member of a formation looked at all engines for its head.

Change: at most 60 questions a step, 40 of them for engines in transition and members of silent replicas, those most overdue first; heads and members of formations are looked up once a step, sizes of domains once a formation round.

Tests: of_many_engines_some_are_asked_at_a_time_and_those_in_transition_first (first tries of it showed a queue that starved the others: 700 of 3,000 asked in 6 s).

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -19,6 +19,15 @@
 /// The same for an engine that an order changes.
 const WATCHED_STEP: Duration = Duration::from_millis(150);
 
+/// The most questions of one step of the planner, so that it neither opens a
+/// thousand connections at once nor spends its processor on them. With more
+/// engines than can be asked in time, those that matter most go first, and lost
+/// members are noticed by their replicas' silence.
+const MAX_QUESTIONS: usize = 60;
+
+/// The most of them for engines in transition and members of silent replicas.
+const MAX_FIRST: usize = 40;
+
 /// The pause before a question that had no answer is asked again.
 const AGAIN: Duration = Duration::from_millis(100);
 
@@ -84,7 +93,7 @@
             }
             is_kept
         });
-        let mut questions = Vec::new();
+        let mut due_now = Vec::new();
         for (id, server) in servers {
             let probe = self.probes.entry(id.clone()).or_insert_with(|| Probe {
                 born: server.born,
@@ -98,7 +107,8 @@
                 probe.entry = (now, server.clone());
             }
             let is_suspect = suspects.contains(id);
-            let step = if is_suspect || is_watched(id) {
+            let is_first = is_suspect || is_watched(id);
+            let step = if is_first {
                 WATCHED_STEP
             } else if server.engine.member.is_some() {
                 STEP
@@ -110,15 +120,30 @@
                 _ => probe.next,
             };
             if now >= due && !probe.is_asking {
-                probe.is_asking = true;
-                questions.push(Question {
-                    server: server.clone(),
-                    asked: now,
-                    is_suspect,
-                });
+                due_now.push((!is_first, due, id));
             }
         }
-        questions
+        // Those that are overdue most go first; without a part of their own, engines
+        // in transition, which are asked more often, would leave none for others.
+        due_now.sort();
+        let (first, others): (Vec<_>, Vec<_>) =
+            due_now.into_iter().partition(|(is_other, _, _)| !is_other);
+        let first = first.into_iter().take(MAX_FIRST);
+        let due_now: Vec<Instance> = first
+            .chain(others)
+            .take(MAX_QUESTIONS)
+            .map(|(_, _, id)| id.clone())
+            .collect();
+        let question = |id: Instance| {
+            let server = servers.get(&id)?.clone();
+            self.probes.get_mut(&id)?.is_asking = true;
+            Some(Question {
+                server,
+                asked: now,
+                is_suspect: suspects.contains(&id),
+            })
+        };
+        due_now.into_iter().filter_map(question).collect()
     }
 
     /// Takes an answer in; returns whether the engine was found dead or alive by it.
--- a/crates/edge/src/probe/tests.rs
+++ b/crates/edge/src/probe/tests.rs
@@ -1,6 +1,6 @@
 //! Which engines the planner finds dead.
 
-use super::{BURIED_FOR, Probes, Question};
+use super::{BURIED_FOR, MAX_FIRST, MAX_QUESTIONS, Probes, Question};
 use clock::Moment;
 use name::Instance;
 use site::{
@@ -106,6 +106,36 @@
     assert!(probes.dead().is_empty(), "it answers");
 }
 
+/// With three thousand engines all were asked at once, most questions had no answer
+/// in time, and the planner thought itself cut off.
+#[test]
+fn of_many_engines_some_are_asked_at_a_time_and_those_in_transition_first() {
+    let names: Vec<String> = (0..3_000).map(|n| format!("e{n:04}")).collect();
+    let servers: HashMap<Instance, Server> = names
+        .iter()
+        .map(|name| (name.parse().expect("a name"), server(name, 1)))
+        .collect();
+    let mut probes = Probes::default();
+    let is_watched = |id: &Instance| id.as_str().starts_with("e29");
+    let none = HashSet::new();
+    let mut asked: HashSet<Instance> = HashSet::new();
+    for step in 0..60 {
+        let now = Moment::from_millis(1_000 + step * 100);
+        let questions = probes.due(&servers, is_watched, &none, now);
+        assert!(questions.len() <= MAX_QUESTIONS);
+        if step == 0 {
+            let first = questions.iter().filter(|q| is_watched(&q.server.id));
+            assert_eq!(first.count(), MAX_FIRST);
+        }
+        for question in &questions {
+            asked.insert(question.server.id.clone());
+            probes.answered(question, report(1), now);
+        }
+    }
+    assert!(asked.len() > 1_200, "{} asked in 6 s", asked.len());
+    assert!(!probes.is_cut_off());
+}
+
 #[test]
 fn an_answer_of_another_life_is_none() {
     let mut probes = Probes::default();
--- a/crates/form/src/begin.rs
+++ b/crates/form/src/begin.rs
@@ -48,6 +48,7 @@
         is_settled: bool,
         now: Moment,
     ) {
+        let sizes = domain_sizes(engines);
         let reserves_lack =
             !rates.has_traffic && !Reserves::new(engines, rates.engine, scarcity).has_one_each();
         loop {
@@ -66,7 +67,7 @@
             }
             let found = order.into_iter().filter_map(|weights| {
                 let use_now = scarcity.with(&weights.model, 0);
-                let members = self.pick(engines, free, weights, use_now, rates, now)?;
+                let members = self.pick(engines, free, &sizes, weights, use_now, rates, now)?;
                 Some((weights, members))
             });
             let found = if rates.has_traffic {
@@ -122,10 +123,15 @@
     }
 
     /// Picks the members of a new replica of a model.
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "what a choice depends on; there is no state to keep it in"
+    )]
     fn pick(
         &self,
         engines: &HashMap<Instance, Engine>,
         free: &Free,
+        sizes: &HashMap<Option<Fabric>, usize>,
         weights: &config::Weights,
         scarcity: f64,
         rates: &Rates<'_>,
@@ -139,7 +145,6 @@
         } else {
             usize::MAX
         };
-        let sizes = domain_sizes(engines);
         let is_largest = rates.engine.models.iter().all(|w| w.size <= weights.size);
         let largest = rates.engine.models.iter().map(|w| w.size).max();
         let mut best: Option<(Preference, Vec<Instance>)> = None;
@@ -148,8 +153,9 @@
                 0
             } else {
                 // A replica that needs nearly the whole domain leaves none.
-                let reserve = ((sizes[fabric] as f64 * RESERVE_PART) as usize).max(1);
-                reserve.min(sizes[fabric].saturating_sub(weights.size))
+                let size = sizes.get(fabric).copied().unwrap_or(0);
+                let reserve = ((size as f64 * RESERVE_PART) as usize).max(1);
+                reserve.min(size.saturating_sub(weights.size))
             };
             if ids.len() < weights.size + reserve || (fabric.is_none() && weights.size > 1) {
                 continue;
--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -39,18 +39,26 @@
     Hopeless,
 }
 
+/// How far the heads are that answer, by replica and generation.
+pub(crate) type Heads<'a> = HashMap<(&'a Replica, u64), Phase>;
+
+/// Returns the heads that answer.
+pub(crate) fn heads(engines: &HashMap<Instance, Engine>) -> Heads<'_> {
+    let alive = engines.values().filter(|e| e.is_alive);
+    let heads = alive.filter_map(Engine::member).filter(|m| m.rank == 0);
+    heads
+        .map(|m| ((&m.replica, m.generation), m.phase))
+        .collect()
+}
+
 /// Returns whether an engine is a member of another replica that it must not be
 /// taken from yet: its head serves, or is gone, so that nothing says whether it does.
-fn is_bound(engine: &Engine, engines: &HashMap<Instance, Engine>) -> bool {
+fn is_bound(engine: &Engine, heads: &Heads<'_>) -> bool {
     let Some(member) = engine.member() else {
         return false;
     };
-    let is_head = |other: &&Member| {
-        other.rank == 0 && other.replica == member.replica && other.generation == member.generation
-    };
-    let alive = engines.values().filter(|e| e.is_alive);
-    let head = alive.filter_map(Engine::member).find(is_head);
-    head.is_none_or(|head| matches!(head.phase, Phase::Open | Phase::Closing))
+    let head = heads.get(&(&member.replica, member.generation));
+    head.is_none_or(|phase| matches!(phase, Phase::Open | Phase::Closing))
 }
 
 impl Formation {
@@ -78,7 +86,12 @@
     ///
     /// The head is told to open only after every member has reported itself
     /// ready in this generation, since no engine checks the others.
-    pub(crate) fn next(&self, engines: &HashMap<Instance, Engine>, now: Moment) -> Next {
+    pub(crate) fn next(
+        &self,
+        engines: &HashMap<Instance, Engine>,
+        heads: &Heads<'_>,
+        now: Moment,
+    ) -> Next {
         if now > self.until {
             return Next::Hopeless;
         }
@@ -89,7 +102,7 @@
                 return Next::Hopeless;
             };
             match engine.member().filter(|m| self.is_own(m)) {
-                None if is_bound(engine, engines) => {}
+                None if is_bound(engine, heads) => {}
                 None => orders.push((id.clone(), self.join())),
                 Some(member) if member.rank != rank => return Next::Hopeless,
                 Some(member) => match member.phase {
--- a/crates/form/src/loads.rs
+++ b/crates/form/src/loads.rs
@@ -8,7 +8,10 @@
 use clock::Moment;
 use name::Instance;
 use site::order::Command;
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
 
 /// The part of the loads at once that is left to joins, which complete a replica.
 const PART_FOR_JOINS: f64 = 0.34;
@@ -49,10 +52,10 @@
         now: Moment,
         wanted: &mut Vec<(Instance, Command)>,
     ) {
+        let ordered: HashSet<&Instance> = wanted.iter().map(|(id, _)| id).collect();
+        let forming: HashSet<&Instance> = self.formations.iter().flat_map(|f| &f.members).collect();
         let is_taken = |id: &Instance| {
-            self.sent.contains_key(id)
-                || wanted.iter().any(|(other, _)| other == id)
-                || self.formations.iter().any(|f| f.members.contains(id))
+            self.sent.contains_key(id) || ordered.contains(id) || forming.contains(id)
         };
         let for_joins = if rates.has_traffic {
             (f64::from(rates.engine.loads_at_once) * PART_FOR_JOINS) as usize
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     Engine, Note, Rates, Send, Step,
-    formation::{Formation, Next},
+    formation::{Formation, Next, heads},
     need::Scarcity,
     replica::{Reported, reported},
 };
@@ -188,8 +188,9 @@
         wanted: &mut Vec<(Instance, Command)>,
     ) {
         let notes = &mut self.notes;
+        let heads = heads(engines);
         self.formations.retain(|formation| {
-            let next = formation.next(engines, now);
+            let next = formation.next(engines, &heads, now);
             if let Next::Orders(orders) = next {
                 for order in orders {
                     if !wanted.contains(&order) {
