Tell of no feed further than it was listed; take word and echo under one lock

Found by reading. A node that had just become the planner, and lists all entries anew, told that it had read as far as a read that it had left out; test first: a_new_planner_tells_only_of_what_it_has_listed ('left: (10, 15, 0), right: (10, 10, 0)'). What was heard from a node was taken after the word that it goes with; on one thread nothing comes between, on several a node could have taken its view for younger than it was.

--- a/crates/edge/src/beat.rs
+++ b/crates/edge/src/beat.rs
@@ -110,13 +110,12 @@
         let has_sum = beats_of_office > BEATS_WITHOUT_SUM;
         if let Some(planner) = planner {
             number += 1;
-            let beat = write(&shared, &card, number, Audience::Planner, has_sum);
+            let (beat, _) = write(&shared, &card, number, Audience::Planner, has_sum);
             send(&shared, &socket, &beat, &[planner]).await;
         }
         if is_planning || is_round_due {
             number += 1;
-            let beat = write(&shared, &card, number, Audience::All, has_sum);
-            let addresses = shared.tables().peers.addresses(now);
+            let (beat, addresses) = write(&shared, &card, number, Audience::All, has_sum);
             send(&shared, &socket, &beat, &addresses).await;
             last_round = Some((now, is_stopping));
         }
@@ -146,16 +145,27 @@
         "config_age_ms" => age(tables.confirmed), "servers_age_ms" => age(tables.servers_confirmed));
 }
 
-/// Writes the next datagram.
-fn write(shared: &Shared, card: &Card, number: u64, audience: Audience, has_sum: bool) -> Beat {
+/// Writes the next datagram, and returns where the other nodes are, with what was
+/// heard from there.
+///
+/// Both are taken under one lock: a later echo beside an earlier word would vouch
+/// for what the word does not hold.
+fn write(
+    shared: &Shared,
+    card: &Card,
+    number: u64,
+    audience: Audience,
+    has_sum: bool,
+) -> (Beat, Vec<(SocketAddr, Echo)>) {
     let is_ready = shared.is_ready();
     let now = shared.now();
     let mut tables = shared.tables();
     let is_planning = tables.peers.own_token.is_some();
     let load = if is_planning {
-        match has_sum {
-            true => ToldLoad::Sum(told_shares(tables.load.sum(now), now)),
-            false => ToldLoad::Nothing,
+        if has_sum {
+            ToldLoad::Sum(told_shares(tables.load.sum(now), now))
+        } else {
+            ToldLoad::Nothing
         }
     } else if audience == Audience::Planner {
         let shares: Vec<Share> = tables.load.shares(now).collect();
@@ -167,7 +177,7 @@
         ToldLoad::Own(told_shares(tables.load.shares(now), now))
     };
     tables.peers.note_sent(number, now);
-    Beat {
+    let beat = Beat {
         card: card.clone(),
         number,
         is_ready,
@@ -182,7 +192,8 @@
         load,
         demand: tables.demand.replicas(now).into_iter().collect(),
         told: vouch::tell(&mut tables, shared.has_slow_link()),
-    }
+    };
+    (beat, tables.peers.addresses(now))
 }
 
 /// Sends one datagram to each address, with what was heard from there if this
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -391,7 +391,10 @@
         tables.servers_confirmed = tables.servers_confirmed.max(Some(asked));
         tables.peers.note_read(marks, |echo| &mut echo.servers);
     }
-    tables.peers.own_news.read(offset);
+    // What was left out, as older or as no listing, is not told of either.
+    if let Some(read) = tables.servers_read {
+        tables.peers.own_news.read(read);
+    }
     if is_changed {
         shared.refresh(tables);
         vouch::hurry(shared);
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -1,7 +1,10 @@
 //! How reads of the feeds become tables.
 
 use super::{LAPSE_GRACE, Marks, Pace, apply_servers, hear};
-use crate::state::Shared;
+use crate::{
+    state::Shared,
+    vouch::{self, News},
+};
 use clock::{Clock, Moment, Wall};
 use name::Instance;
 use site::{
@@ -186,6 +189,28 @@
     assert_eq!(node.shared.tables().servers_read, Some(20));
 }
 
+/// A node that has just become the planner lists all entries anew. A read that was
+/// under way before then is left out, and must not be told of as known.
+#[test]
+fn a_new_planner_tells_only_of_what_it_has_listed() {
+    let node = Node::new();
+    node.read(vec![entry("a"), entry("b")], 10, true);
+    let mut tables = node.shared.tables();
+    tables.operators_read = Some(1);
+    tables.peers.own_token = Some(1);
+    tables.peers.own_news = News::starting_at(10);
+    tables.servers_read = None;
+    drop(tables);
+    node.read(vec![Change::Gone(id("a"))], 15, false);
+    let told = vouch::tell(&mut node.shared.tables(), false).expect("a planner's word");
+    assert_eq!((told.from, told.to, told.changes.len()), (10, 10, 0));
+    node.read(vec![entry("b"), entry("c")], 20, true);
+    let told = vouch::tell(&mut node.shared.tables(), false).expect("a planner's word");
+    assert_eq!((told.from, told.to), (10, 20));
+    let named: Vec<&str> = told.changes.iter().map(|(_, c)| c.id().as_str()).collect();
+    assert_eq!(named, ["c", "a"]);
+}
+
 #[test]
 fn only_a_read_to_the_end_confirms() {
     let node = Node::new();
--- a/crates/edge/src/vouch.rs
+++ b/crates/edge/src/vouch.rs
@@ -33,14 +33,14 @@
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Told {
     /// How far it has read the operators' feed.
-    operators: u64,
+    pub(crate) operators: u64,
     /// The offset of the servers' feed from which on `changes` is complete.
-    from: u64,
+    pub(crate) from: u64,
     /// How far it has read the servers' feed.
-    to: u64,
+    pub(crate) to: u64,
     /// The newest change of each entry, with the offset behind the read that
     /// brought it.
-    changes: Vec<(u64, Change)>,
+    pub(crate) changes: Vec<(u64, Change)>,
 }
 
 /// Which datagrams of a node the planner had heard when it began to read.
