Order nothing before an engine has told a new planner its state

Traced in its logs: the planner lost sight of the store, which was away from before the replica r1-2 was joined until after it was opened; its successor listed entries that engines could not renew meanwhile, had no reports yet, and formed a replica of two members of an open one, with orders that named no count of orders.

Change: engines without a report to this planner are not taken for free, and get no order but to stage weights.

Test first: a_new_planner_orders_nothing_before_engines_have_reported ('left: Some(Join ...)').

--- a/crates/form/src/engine.rs
+++ b/crates/form/src/engine.rs
@@ -47,6 +47,14 @@
         self.server.engine.member.as_ref()
     }
 
+    /// Returns whether it has told this planner its state.
+    ///
+    /// Entries may be old: engines cannot renew them while the store is away, and
+    /// the first planner after that would take members of open replicas for free.
+    pub fn has_reported(&self) -> bool {
+        self.sequence.is_some()
+    }
+
     /// Returns whether it can be a member of a replica that is to last.
     pub fn is_sound(&self) -> bool {
         self.is_alive && self.is_listed && !self.server.is_leaving
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -213,6 +213,7 @@
         let mut free = Free::new();
         for engine in engines.values() {
             let is_free = engine.is_sound()
+                && engine.has_reported()
                 && engine.is_allowed
                 && engine.member().is_none()
                 && !taken.contains(engine.id());
@@ -237,6 +238,10 @@
                 continue;
             };
             let sequence = engine.sequence;
+            let is_staging = matches!(command, Command::Stage { .. });
+            if !engine.has_reported() && !is_staging {
+                continue;
+            }
             let is_pending = self.sent.get(&id).is_some_and(|sent| {
                 sent.sequence == sequence || sent.command == command || engine.asked <= sent.at
             });
--- a/crates/form/src/upkeep.rs
+++ b/crates/form/src/upkeep.rs
@@ -175,7 +175,8 @@
     fn set_free(&self, replica: &Reported, engines: &HashMap<Instance, Engine>, free: &mut Free) {
         let is_taken = |e: &&Engine| self.formations.iter().any(|f| f.members.contains(e.id()));
         let members = replica.members.values().map(|id| &engines[id]);
-        let usable = members.filter(|e| e.is_sound() && e.is_allowed && !is_taken(e));
+        let usable =
+            members.filter(|e| e.is_sound() && e.has_reported() && e.is_allowed && !is_taken(e));
         for engine in usable {
             let fabric = engine.fabric().cloned();
             free.entry(fabric).or_default().push(engine.id().clone());
--- a/crates/form/tests/planner.rs
+++ b/crates/form/tests/planner.rs
@@ -616,6 +616,45 @@
     }
 }
 
+/// The soak (seed 2049) found a planner that began after an outage of the store,
+/// took old entries for what engines were, and let members of an open replica join
+/// another one.
+#[test]
+fn a_new_planner_orders_nothing_before_engines_have_reported() {
+    let (mut world, _) = formed();
+    let mut successor = Planner::new(2);
+    let seen: HashMap<Instance, Engine> = world
+        .engines
+        .values()
+        .cloned()
+        .map(|mut engine| {
+            // As its entry was before any order, and without a report.
+            engine.server.engine.member = None;
+            engine.sequence = None;
+            (engine.id().clone(), engine)
+        })
+        .collect();
+    let costs = world.costs.clone();
+    let rates = Rates {
+        engine: &costs,
+        demand: &Demand::default(),
+        has_traffic: true,
+        load_window: Duration::from_secs(5),
+    };
+    for _ in 0..40 {
+        world.now = world.now + STEP;
+        let step = successor.step(seen.clone(), &rates, world.now);
+        let commands = step.sends.iter().map(|s| &s.order.command);
+        let mut others = commands.filter(|c| !matches!(c, Command::Stage { .. }));
+        assert_eq!(others.next(), None);
+    }
+    // With reports it goes on from what is.
+    let before = world.serving("large");
+    world.run(&mut successor, Duration::from_secs(3));
+    assert_eq!(world.serving("large"), before);
+    assert_eq!(world.violations, Vec::<String>::new());
+}
+
 /// Twenty engines were cut off from the store, but not from callers: all replicas
 /// of which one was a member were closed, and hardly any served.
 #[test]
