Let replicas make their own commands, and look up once what is being formed

Read over; nothing that is decided changes. Close, open and leave were spelled out at six places, the key of a replica at seven, the free engines beside one at two, and 'is this engine being formed' at five, of which the planner's driver asked one for each engine against each formation. A replica now makes its commands and names its key and its free neighbours; the planner names what it is forming, and what is to be watched, as sets. The best of the found replicas is taken without sorting them, and the slowest join is the last of those sorted by it.

--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -285,8 +285,12 @@
         })
         .map(|server| (server.id.clone(), server.clone()))
         .collect();
-    let planners = &office.planners;
-    let is_watched = |id: &Instance| planners.values().any(|p| p.is_watched(id));
+    let watched: HashSet<&Instance> = office
+        .planners
+        .values()
+        .flat_map(Planner::watched)
+        .collect();
+    let is_watched = |id: &Instance| watched.contains(id);
     for question in office.probes.due(&engines, is_watched, &suspects, now) {
         tokio::spawn(ask(
             Arc::clone(shared),
--- a/crates/form/src/begin.rs
+++ b/crates/form/src/begin.rs
@@ -65,7 +65,7 @@
                 order.retain(|w| Some(w.size) == largest);
                 order.retain(|w| !self.has_its_share(engines, w, rates));
             }
-            let found = order.into_iter().filter_map(|weights| {
+            let mut found = order.into_iter().filter_map(|weights| {
                 let use_now = scarcity.with(&weights.model, 0);
                 let members = self.pick(engines, free, &sizes, weights, use_now, rates, now)?;
                 Some((weights, members))
@@ -76,13 +76,10 @@
                     let loads = loads_for(engines, members, weights);
                     scarcity.with(&weights.model, 0) / (LOAD_COST + loads as f64)
                 };
-                let mut found: Vec<_> = found.collect();
-                found.sort_by(|a, b| worth(b.0, &b.1).total_cmp(&worth(a.0, &a.1)));
-                found.into_iter().next()
+                found.min_by(|a, b| worth(b.0, &b.1).total_cmp(&worth(a.0, &a.1)))
             } else {
                 // Loads are fast, and engines are what is shared out: a model that
                 // is used less does not go first for want of a load.
-                let mut found = found;
                 let left = self.loads_left(engines, rates, now);
                 let next = found.next();
                 next.filter(|(weights, ids)| loads_for(engines, ids, weights) <= left)
@@ -109,13 +106,14 @@
     ) -> bool {
         let total: f64 = rates.engine.models.iter().map(|w| w.share).sum();
         let formations = self.formations.iter();
-        let forming = formations.filter(|f| f.model == weights.model);
-        let members = forming.map(|f| f.members.len()).sum::<usize>();
+        let own = formations.filter(|f| f.model == weights.model);
+        let members = own.map(|f| f.members.len()).sum::<usize>();
+        let forming = self.forming();
         let serving = engines.values().filter(|e| {
             e.member().is_some()
                 // One that still joins may not say what it will hold.
                 && (e.holds(&weights.model) || e.server.engine.models.is_empty())
-                && !self.formations.iter().any(|f| f.members.contains(e.id()))
+                && !forming.contains(e.id())
         });
         let used = (members + serving.count()) as f64;
         let usable = engines.len() as f64 * (1.0 - RESERVE_PART);
@@ -160,6 +158,7 @@
             if ids.len() < weights.size + reserve || (fabric.is_none() && weights.size > 1) {
                 continue;
             }
+            let left = ids.len();
             let mut ids = ids.clone();
             ids.sort_by_key(|id| {
                 let engine = &engines[id];
@@ -170,11 +169,7 @@
             if loads_for(engines, &ids, weights) > room {
                 continue;
             }
-            let slowest = ids
-                .iter()
-                .map(|id| engines[id].join_time(weights, now))
-                .max()?;
-            let left = free[fabric].len();
+            let slowest = engines[ids.last()?].join_time(weights, now);
             // How many replicas of the largest model fewer have room then.
             let fitting = |left: usize| left.saturating_sub(reserve) / largest.unwrap_or(1);
             let taken = fitting(left) - fitting(left - weights.size);
--- a/crates/form/src/engine.rs
+++ b/crates/form/src/engine.rs
@@ -60,6 +60,11 @@
         self.is_alive && self.is_listed && !self.server.is_leaving
     }
 
+    /// Returns whether it may be told to join a new replica, as far as itself goes.
+    pub(crate) fn is_joinable(&self) -> bool {
+        self.is_sound() && self.has_reported() && self.is_allowed
+    }
+
     /// Returns whether it holds or has held `model` as its last one.
     pub fn holds(&self, model: &Model) -> bool {
         self.server.engine.models.first() == Some(model)
--- a/crates/form/src/loads.rs
+++ b/crates/form/src/loads.rs
@@ -53,7 +53,7 @@
         wanted: &mut Vec<(Instance, Command)>,
     ) {
         let ordered: HashSet<&Instance> = wanted.iter().map(|(id, _)| id).collect();
-        let forming: HashSet<&Instance> = self.formations.iter().flat_map(|f| &f.members).collect();
+        let forming = self.forming();
         let is_taken = |id: &Instance| {
             self.sent.contains_key(id) || ordered.contains(id) || forming.contains(id)
         };
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -175,9 +175,14 @@
         }
     }
 
-    /// Returns whether an engine is in transition, so that its reports matter.
-    pub fn is_watched(&self, engine: &Instance) -> bool {
-        self.sent.contains_key(engine) || self.formations.iter().any(|f| f.members.contains(engine))
+    /// Returns the engines in transition, whose reports matter; some come twice.
+    pub fn watched(&self) -> impl Iterator<Item = &Instance> {
+        self.sent.keys().chain(self.forming())
+    }
+
+    /// Returns the engines that are to be members of replicas being formed.
+    pub(crate) fn forming(&self) -> HashSet<&Instance> {
+        self.formations.iter().flat_map(|f| &f.members).collect()
     }
 
     /// Moves the formations on.
@@ -209,18 +214,14 @@
 
     /// Returns the engines that are members of nothing, by fabric domain.
     fn free(&self, engines: &HashMap<Instance, Engine>) -> Free {
-        let taken: HashSet<&Instance> = self.formations.iter().flat_map(|f| &f.members).collect();
+        let forming = self.forming();
         let mut free = Free::new();
-        for engine in engines.values() {
-            let is_free = engine.is_sound()
-                && engine.has_reported()
-                && engine.is_allowed
-                && engine.member().is_none()
-                && !taken.contains(engine.id());
-            if is_free {
-                let fabric = engine.fabric().cloned();
-                free.entry(fabric).or_default().push(engine.id().clone());
-            }
+        let idle = engines
+            .values()
+            .filter(|e| e.is_joinable() && e.member().is_none() && !forming.contains(e.id()));
+        for engine in idle {
+            let fabric = engine.fabric().cloned();
+            free.entry(fabric).or_default().push(engine.id().clone());
         }
         free
     }
--- a/crates/form/src/replica.rs
+++ b/crates/form/src/replica.rs
@@ -1,8 +1,8 @@
 //! The replicas that engines report.
 
-use crate::Engine;
+use crate::{Engine, planner::Free};
 use name::{Instance, Model, Replica};
-use site::{config, server::Phase};
+use site::{config, order::Command, server::Phase};
 use std::collections::{BTreeMap, HashMap};
 
 /// A replica, as its members report it.
@@ -29,6 +29,50 @@
 }
 
 impl Reported {
+    /// Returns its name and generation, which tell it from all others.
+    pub(crate) fn key(&self) -> (Replica, u64) {
+        (self.replica.clone(), self.generation)
+    }
+
+    /// Returns the command that opens it.
+    pub(crate) fn open(&self) -> Command {
+        let (replica, generation) = self.key();
+        Command::Open {
+            replica,
+            generation,
+        }
+    }
+
+    /// Returns the command that closes it.
+    pub(crate) fn close(&self, is_abrupt: bool) -> Command {
+        let (replica, generation) = self.key();
+        Command::Close {
+            replica,
+            generation,
+            is_abrupt,
+        }
+    }
+
+    /// Returns the command by which a member leaves it.
+    pub(crate) fn leave(&self) -> Command {
+        let (replica, generation) = self.key();
+        Command::Leave {
+            replica,
+            generation,
+        }
+    }
+
+    /// Returns the free engines of its fabric domain.
+    pub(crate) fn free_beside<'a>(
+        &self,
+        engines: &HashMap<Instance, Engine>,
+        free: &'a Free,
+    ) -> &'a [Instance] {
+        let member = self.members.values().next();
+        let fabric = member.and_then(|id| engines[id].fabric().cloned());
+        free.get(&fabric).map_or(&[], Vec::as_slice)
+    }
+
     /// Returns whether it has all members that its model needs.
     pub(crate) fn is_complete(&self, engine: &config::Engine) -> bool {
         let weights = self.model.as_ref().and_then(|m| engine.weights(m));
--- a/crates/form/src/upkeep.rs
+++ b/crates/form/src/upkeep.rs
@@ -45,12 +45,16 @@
     let Some(weights) = replica.model.as_ref().and_then(|m| rates.engine.weights(m)) else {
         return false;
     };
-    let members = || replica.members.values().map(|id| &engines[id]);
-    let fabric = members().next().and_then(|e| e.fabric().cloned());
-    let idle = free.get(&fabric).map_or(&[][..], Vec::as_slice);
-    let idle = idle.iter().map(|id| &engines[id]);
-    let ready = idle.filter(|e| !e.needs_load(&weights.model)).count();
-    members().filter(|e| e.is_sound()).count() + ready >= weights.size
+    let members = replica.members.values();
+    let sound = members.filter(|id| engines[*id].is_sound()).count();
+    let idle = replica.free_beside(engines, free).iter();
+    let ready = idle.filter(|id| !engines[*id].needs_load(&weights.model));
+    sound + ready.count() >= weights.size
+}
+
+/// Returns whether a command closes a replica.
+fn is_closing((_, command): &(Instance, Command)) -> bool {
+    matches!(command, Command::Close { .. })
 }
 
 impl Planner {
@@ -69,17 +73,13 @@
         if self.formations.iter().any(is_forming) {
             return;
         }
-        let (name, generation) = (replica.replica.clone(), replica.generation);
+        let key = replica.key();
         let head = replica.members.get(&0);
         let is_given_up = self.is_given_up(replica);
         if replica.is_sound && replica.is_complete(rates.engine) && !is_given_up {
             let is_openable = replica.head == Some(Phase::Ready) && replica.is_ready;
             if let (true, Some(head)) = (is_openable, head) {
-                let open = Command::Open {
-                    replica: name.clone(),
-                    generation,
-                };
-                wanted.push((head.clone(), open));
+                wanted.push((head.clone(), replica.open()));
             }
             if replica.head != Some(Phase::Broken) {
                 return;
@@ -88,31 +88,21 @@
         // Members without an entry may be cut off from the store only: while they
         // answer, a replica that serves is kept until it can be formed without them,
         // one such replica at a time.
-        let is_closing = |c: &(Instance, Command)| matches!(c.1, Command::Close { .. });
-        let is_closed = self
-            .replaced
-            .as_ref()
-            .is_some_and(|(_, at)| now.since(*at) < CLOSING);
-        let is_changing = is_closed || !self.formations.is_empty() || wanted.iter().any(is_closing);
         let is_kept = replica.is_unlisted
             && replica.head == Some(Phase::Open)
             && replica.is_complete(rates.engine)
             && !is_given_up;
-        if is_kept {
-            let key = (name.clone(), generation);
-            let is_replaced = self.replaced.as_ref().is_some_and(|(last, _)| *last == key);
-            if !is_replaced {
-                if is_changing || !can_replace(replica, engines, rates, free) {
-                    return;
-                }
-                self.replaced = Some((key, now));
+        let last = self.replaced.as_ref();
+        if is_kept && last.is_none_or(|(last, _)| *last != key) {
+            let is_closed = last.is_some_and(|(_, at)| now.since(*at) < CLOSING);
+            let is_changing = is_closed || self.is_changing(wanted);
+            if is_changing || !can_replace(replica, engines, rates, free) {
+                return;
             }
+            self.replaced = Some((key.clone(), now));
         }
         // Members of a replica that is still being joined report it one by one.
-        let since = *self
-            .incomplete
-            .entry((name.clone(), generation))
-            .or_insert(now);
+        let since = *self.incomplete.entry(key).or_insert(now);
         let is_growing = !is_given_up
             && matches!(replica.head, None | Some(Phase::Joining | Phase::Ready))
             && !replica.has_dead
@@ -125,24 +115,14 @@
             !is_given_up && !replica.is_complete(rates.engine) && now.since(since) > FINISHING;
         match (replica.head, head) {
             (Some(Phase::Open), Some(head)) => {
-                let close = Command::Close {
-                    replica: name,
-                    generation,
-                    // Without a dead member, it finishes what it has.
-                    is_abrupt: replica.has_dead,
-                };
-                wanted.push((head.clone(), close));
+                // Without a dead member, it finishes what it has.
+                wanted.push((head.clone(), replica.close(replica.has_dead)));
                 if replica.has_dead {
                     self.set_free(replica, engines, free);
                 }
             }
             (Some(Phase::Closing), Some(head)) if replica.has_dead || is_overdue => {
-                let close = Command::Close {
-                    replica: name,
-                    generation,
-                    is_abrupt: true,
-                };
-                wanted.push((head.clone(), close));
+                wanted.push((head.clone(), replica.close(true)));
             }
             (Some(Phase::Closing), _) => {}
             (Some(_), Some(head)) if self.may_have_opened(head, replica, engines) => {}
@@ -155,11 +135,7 @@
                 // the others leave it before they join another replica.
                 let is_alive = |id: &&Instance| engines.get(*id).is_some_and(|e| e.is_alive);
                 for id in replica.members.values().filter(is_alive) {
-                    let leave = Command::Leave {
-                        replica: name.clone(),
-                        generation,
-                    };
-                    wanted.push((id.clone(), leave));
+                    wanted.push((id.clone(), replica.leave()));
                 }
                 if replica.has_dead {
                     self.set_free(replica, engines, free);
@@ -173,20 +149,22 @@
     /// Their joins are held back while the head may serve, but other members of
     /// the new replica can begin.
     fn set_free(&self, replica: &Reported, engines: &HashMap<Instance, Engine>, free: &mut Free) {
-        let is_taken = |e: &&Engine| self.formations.iter().any(|f| f.members.contains(e.id()));
+        let forming = self.forming();
         let members = replica.members.values().map(|id| &engines[id]);
-        let usable =
-            members.filter(|e| e.is_sound() && e.has_reported() && e.is_allowed && !is_taken(e));
-        for engine in usable {
+        for engine in members.filter(|e| e.is_joinable() && !forming.contains(e.id())) {
             let fabric = engine.fabric().cloned();
             free.entry(fabric).or_default().push(engine.id().clone());
         }
     }
 
+    /// Returns whether replicas are being formed or closed.
+    fn is_changing(&self, wanted: &[(Instance, Command)]) -> bool {
+        !self.formations.is_empty() || wanted.iter().any(is_closing)
+    }
+
     /// Returns whether a replica was closed for the sake of a scarcer model.
     pub(crate) fn is_given_up(&self, replica: &Reported) -> bool {
-        let key = (replica.replica.clone(), replica.generation);
-        self.given_up.contains(&key)
+        self.given_up.contains(&replica.key())
     }
 
     /// Returns whether a head may be open though it is not reported so: an order
@@ -197,8 +175,7 @@
         replica: &Reported,
         engines: &HashMap<Instance, Engine>,
     ) -> bool {
-        let key = (replica.replica.clone(), replica.generation);
-        let opened = self.opened.get(&key);
+        let opened = self.opened.get(&replica.key());
         opened.is_some_and(|at| engines[head].asked < *at + SETTLED_AFTER)
     }
 
@@ -212,8 +189,7 @@
         rates: &Rates<'_>,
         wanted: &mut Vec<(Instance, Command)>,
     ) {
-        let is_closing = |c: &(Instance, Command)| matches!(c.1, Command::Close { .. });
-        if !self.formations.is_empty() || wanted.iter().any(is_closing) {
+        if self.is_changing(wanted) {
             return;
         }
         let Some(scarcest) = scarcity.order(rates.engine).into_iter().next() else {
@@ -231,26 +207,17 @@
         });
         let donor = donors
             .filter(|replica| {
-                let member = replica.members.values().next();
-                let fabric = member.and_then(|id| engines[id].fabric().cloned());
-                let idle = free.get(&fabric).map_or(&[][..], Vec::as_slice);
                 let usable = replica
                     .members
                     .values()
-                    .chain(idle)
+                    .chain(replica.free_beside(engines, free))
                     .filter(|id| !engines[*id].needs_load(&scarcest.model));
                 usable.count() >= scarcest.size
             })
             .min_by_key(|replica| replica.members.len());
         if let Some((replica, head)) = donor.and_then(|r| Some((r, r.members.get(&0)?))) {
-            let close = Command::Close {
-                replica: replica.replica.clone(),
-                generation: replica.generation,
-                is_abrupt: false,
-            };
-            wanted.push((head.clone(), close));
-            self.given_up
-                .insert((replica.replica.clone(), replica.generation));
+            wanted.push((head.clone(), replica.close(false)));
+            self.given_up.insert(replica.key());
             self.notes.push(Note::GiveUp {
                 replica: replica.replica.clone(),
                 scarcer: scarcest.model.clone(),
