Share the tests' small deployment, and split the tests of planner and placing

Servers, bounds, models and costs of engines were written out in five test files; they stand in site::fixture now, behind the feature test-util. All assertions are the same lines as before (compared by sorting them), and so are the numbers of tests.

--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -6,12 +6,11 @@
     vouch::{self, News},
 };
 use clock::{Clock, Moment, Wall};
-use name::Instance;
 use site::{
-    Platform, Server, Settings,
+    Platform, Settings,
     feed::{Batch, Cursor},
-    server::{self, Change},
-    settings::Bounds,
+    fixture::{self, id},
+    server::Change,
 };
 use slog::{Discard, Logger, o};
 use std::{
@@ -55,35 +54,12 @@
         peer: address,
         store: address,
         link_mbit_per_s: None,
-        bounds: Bounds {
-            leaving: Duration::from_secs(2),
-            config: Duration::from_secs(2),
-            revoke: Some(Duration::from_secs(5)),
-            grace: Duration::from_secs(8),
-            retry_ratio: 0.2,
-            retry_slack: 100.0,
-            load_window: Duration::from_secs(5),
-            max_answer_age: Duration::from_secs(5),
-        },
+        bounds: fixture::bounds(),
     }
 }
 
-fn id(name: &str) -> Instance {
-    name.parse().expect("a name")
-}
-
 fn entry(name: &str) -> Change {
-    Change::Is(Box::new(Server {
-        id: id(name),
-        service: "s".parse().expect("a name"),
-        address: ([127, 0, 0, 1], 1).into(),
-        domain: "z".parse().expect("a name"),
-        born: 1,
-        slots: 4,
-        is_leaving: false,
-        cold_for: Duration::ZERO,
-        engine: server::Engine::default(),
-    }))
+    Change::Is(Box::new(fixture::server(name)))
 }
 
 fn batch(records: Vec<Change>, next: u64, is_snapshot: bool) -> Batch<Change> {
--- a/crates/edge/src/probe/tests.rs
+++ b/crates/edge/src/probe/tests.rs
@@ -6,6 +6,7 @@
 use site::{
     Server,
     feed::Error,
+    fixture,
     server::{Engine, Report},
 };
 use std::{
@@ -15,15 +16,8 @@
 
 fn server(name: &str, born: u64) -> Server {
     Server {
-        id: name.parse().expect("a name"),
-        service: "llm".parse().expect("a name"),
-        address: ([127, 0, 0, 1], 1).into(),
-        domain: "d".parse().expect("a name"),
         born,
-        slots: 26,
-        is_leaving: false,
-        cold_for: Duration::ZERO,
-        engine: Engine::default(),
+        ..fixture::server(name)
     }
 }
 
--- a/crates/edge/src/vouch/tests.rs
+++ b/crates/edge/src/vouch/tests.rs
@@ -3,30 +3,21 @@
 use super::{Echo, MAX_NEWS, News, TIMES_TOLD, Told, take_over};
 use crate::state::Tables;
 use clock::Moment;
-use name::Instance;
-use site::{Server, server, server::Change};
+use site::{
+    Server,
+    fixture::{self, id},
+    server::Change,
+};
 use slog::{Discard, Logger, o};
-use std::time::Duration;
 
 fn at(millis: u64) -> Moment {
     Moment::from_millis(millis)
 }
 
-fn id(name: &str) -> Instance {
-    name.parse().expect("a name")
-}
-
 fn entry(name: &str, is_leaving: bool) -> Change {
     Change::Is(Box::new(Server {
-        id: id(name),
-        service: "s".parse().expect("a name"),
-        address: ([127, 0, 0, 1], 1).into(),
-        domain: "d".parse().expect("a name"),
-        born: 1,
-        slots: 4,
         is_leaving,
-        cold_for: Duration::ZERO,
-        engine: server::Engine::default(),
+        ..fixture::server(name)
     }))
 }
 
--- /dev/null
+++ b/crates/form/tests/planner/world.rs
@@ -0,0 +1,273 @@
+//! Engines that carry out a planner's orders, without a network.
+
+use clock::Moment;
+use form::{Demand, Engine, Note, Planner, Rates};
+use name::{Instance, Model};
+use site::{
+    Server, config,
+    fixture::{self, weights},
+    order::{Command, Outcome},
+    server::{self, Member, Phase},
+};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
+
+/// How old reports are: an order shows its effect after this time.
+pub(crate) const LAG: Duration = Duration::from_millis(250);
+
+/// The step of the planner's driver.
+pub(crate) const STEP: Duration = Duration::from_millis(100);
+
+pub(crate) fn model(name: &str) -> Model {
+    name.parse().expect("a model's name")
+}
+
+/// Engines that carry out orders, and report it a little later.
+pub(crate) struct World {
+    pub(crate) costs: config::Engine,
+    pub(crate) engines: BTreeMap<Instance, Engine>,
+    pub(crate) ordered: Vec<(Moment, Instance, Command)>,
+    pub(crate) joining: HashMap<Instance, Moment>,
+    /// The joins that load from the weight store, and when they end.
+    pub(crate) loading: HashMap<Instance, Moment>,
+    pub(crate) staging: HashMap<Instance, (Model, Moment)>,
+    pub(crate) now: Moment,
+    pub(crate) demand: Demand,
+    pub(crate) notes: Vec<Note>,
+    /// Joins of an engine whose replica's head was open.
+    pub(crate) violations: Vec<String>,
+    pub(crate) most_loads: usize,
+}
+
+impl World {
+    /// Returns a world with `domains` fabric domains of `size` engines.
+    pub(crate) fn new(domains: usize, size: usize) -> Self {
+        let mut engines = BTreeMap::new();
+        for n in 0..domains * size {
+            let id: Instance = format!("e{n:02}").parse().expect("a name");
+            let fabric = format!("f{}", n / size).parse().expect("a name");
+            let server = Server {
+                engine: server::Engine {
+                    fabric: Some(fabric),
+                    ..server::Engine::default()
+                },
+                ..fixture::server(id.as_str())
+            };
+            engines.insert(
+                id,
+                Engine {
+                    server,
+                    is_alive: true,
+                    is_listed: true,
+                    is_allowed: true,
+                    is_busy: false,
+                    sequence: Some(0),
+                    pace: 1.0,
+                    asked: Moment::START,
+                    staging: None,
+                },
+            );
+        }
+        Self {
+            costs: fixture::engine(vec![weights("large", 4, 0.67), weights("small", 2, 0.33)]),
+            engines,
+            ordered: Vec::new(),
+            joining: HashMap::new(),
+            loading: HashMap::new(),
+            staging: HashMap::new(),
+            now: Moment::from_millis(10_000),
+            demand: Demand::default(),
+            notes: Vec::new(),
+            violations: Vec::new(),
+            most_loads: 0,
+        }
+    }
+
+    /// Lets callers ask for this many replicas of each model.
+    pub(crate) fn ask(&mut self, large: f64, small: f64) {
+        self.demand.replicas = [(model("large"), large), (model("small"), small)].into();
+    }
+
+    /// Runs a planner for some time.
+    pub(crate) fn run(&mut self, planner: &mut Planner, time: Duration) {
+        let end = self.now + time;
+        while self.now < end {
+            self.now = self.now + STEP;
+            self.settle();
+            let rates = Rates {
+                engine: &self.costs.clone(),
+                demand: &self.demand.clone(),
+                has_traffic: !self.demand.replicas.is_empty(),
+                load_window: Duration::from_secs(5),
+            };
+            let seen = self.engines.clone().into_iter().collect();
+            let step = planner.step(seen, &rates, self.now);
+            self.notes.extend(step.notes);
+            for send in step.sends {
+                let is_alive = self.engines[&send.engine].is_alive;
+                let outcome = if is_alive {
+                    Outcome::Begun
+                } else {
+                    Outcome::Refused
+                };
+                planner.answered(&send.engine, outcome);
+                let at = self.now + LAG;
+                self.ordered.push((at, send.engine, send.order.command));
+            }
+        }
+    }
+
+    /// Carries out the orders, and ends the joins and stagings, that are due.
+    pub(crate) fn settle(&mut self) {
+        let now = self.now;
+        let ordered = std::mem::take(&mut self.ordered);
+        for (at, id, command) in ordered {
+            if now >= at {
+                self.order(&id, &command);
+            } else {
+                self.ordered.push((at, id, command));
+            }
+        }
+        for (id, at) in &self.joining {
+            let engine = self.engines.get_mut(id).expect("a known engine");
+            if let (true, Some(member)) = (now >= *at, &mut engine.server.engine.member)
+                && member.phase == Phase::Joining
+            {
+                member.phase = Phase::Ready;
+            }
+        }
+        self.joining.retain(|_, at| now < *at);
+        for (id, (staged, at)) in &self.staging {
+            if now >= *at {
+                let engine = self.engines.get_mut(id).expect("a known engine");
+                engine.server.engine.staged = vec![staged.clone()];
+            }
+        }
+        self.staging.retain(|_, (_, at)| now < *at);
+        for engine in self.engines.values_mut() {
+            engine.asked = now;
+        }
+    }
+
+    /// Carries an order out.
+    pub(crate) fn order(&mut self, id: &Instance, command: &Command) {
+        if !self.engines[id].is_alive {
+            return;
+        }
+        if let Command::Join { .. } = command {
+            self.check_join(id);
+        }
+        let is_traffic = !self.demand.replicas.is_empty();
+        // A join waits for a staging of its model that is under way.
+        let staged_at = self.staging.get(id).filter(
+            |(staged, _)| matches!(command, Command::Join { model, .. } if model == staged),
+        );
+        let staged_at = staged_at.map(|(_, at)| *at);
+        let engine = self.engines.get_mut(id).expect("a known engine");
+        engine.sequence = engine.sequence.map(|s| s + 1);
+        match command {
+            Command::Join {
+                replica,
+                generation,
+                model,
+                members,
+            } => {
+                let weights = self.costs.weights(model).expect("a known model");
+                let is_load = engine.needs_load(model) && staged_at.is_none();
+                let time = match staged_at {
+                    Some(at) => self.now.until(at) + weights.warm,
+                    None => engine.join_time(weights, self.now),
+                };
+                let time = if is_load && !is_traffic {
+                    time / 10
+                } else {
+                    time
+                };
+                engine.server.engine.member = Some(Member {
+                    replica: replica.clone(),
+                    generation: *generation,
+                    rank: members.iter().position(|m| m == id).expect("a member"),
+                    phase: Phase::Joining,
+                });
+                engine.server.engine.models = vec![model.clone()];
+                self.joining.insert(id.clone(), self.now + time);
+                if is_load {
+                    engine.server.engine.staged = vec![model.clone()];
+                    self.loading.insert(id.clone(), self.now + time);
+                    self.count_loads();
+                }
+            }
+            Command::Open { .. } => set(engine, Phase::Open),
+            Command::Close { .. } => set(engine, Phase::Ready),
+            Command::Leave { .. } => engine.server.engine.member = None,
+            Command::Stage { model } => {
+                let load = self.costs.weights(model).expect("a known model").load;
+                let load = if is_traffic { load } else { load / 10 };
+                self.staging
+                    .insert(id.clone(), (model.clone(), self.now + load));
+                self.count_loads();
+            }
+        }
+    }
+
+    /// Notes a join of an engine whose replica's head is open.
+    pub(crate) fn check_join(&mut self, id: &Instance) {
+        let Some(member) = self.engines[id].member() else {
+            return;
+        };
+        let is_open_head = |e: &&Engine| {
+            let other = e.member();
+            other.is_some_and(|m| m.replica == member.replica && m.rank == 0)
+                && e.is_alive
+                && other.is_some_and(|m| m.phase == Phase::Open)
+        };
+        if self.engines.values().any(|e| is_open_head(&e)) {
+            self.violations.push(format!("{id} at {:?}", self.now));
+        }
+    }
+
+    /// Notes how many loads run at once.
+    pub(crate) fn count_loads(&mut self) {
+        let (now, engines) = (self.now, &self.engines);
+        self.loading
+            .retain(|id, at| now < *at && engines[id].is_alive);
+        let loads = self.loading.len() + self.staging.len();
+        self.most_loads = self.most_loads.max(loads);
+    }
+
+    /// Returns how many replicas of a model serve with all their members.
+    pub(crate) fn serving(&self, name: &str) -> usize {
+        let size = self.costs.weights(&model(name)).expect("a model").size;
+        let heads = self.engines.values().filter(|e| {
+            e.is_alive
+                && e.holds(&model(name))
+                && e.member().is_some_and(|m| m.phase == Phase::Open)
+        });
+        heads
+            .filter(|head| {
+                let replica = head.member().map(|m| &m.replica);
+                let members = self.engines.values().filter(|e| e.is_alive);
+                members
+                    .filter(|e| e.member().map(|m| &m.replica) == replica)
+                    .count()
+                    == size
+            })
+            .count()
+    }
+
+    /// Ends an engine that matches.
+    pub(crate) fn kill(&mut self, is_it: impl Fn(&Engine) -> bool) -> Instance {
+        let engine = self.engines.values_mut().find(|e| e.is_alive && is_it(e));
+        let engine = engine.expect("an engine that matches");
+        engine.is_alive = false;
+        engine.id().clone()
+    }
+}
+
+pub(crate) fn set(engine: &mut Engine, phase: Phase) {
+    if let Some(member) = &mut engine.server.engine.member {
+        member.phase = phase;
+    }
+}
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -8,6 +8,8 @@
 pub mod call;
 pub mod config;
 pub mod feed;
+#[cfg(feature = "test-util")]
+pub mod fixture;
 pub mod node;
 pub mod order;
 pub mod seam;
