Log how a response body was framed and where it ended

`request ended`, `stream interrupted` and `response interrupted` gain the framing, the number of bytes and the bytes after the last complete event; a counter has the ends of streams by framing and place. A stream that is given up after an interruption now ends with a `request ended` line too, which it lacked. What callers get is unchanged.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -8,7 +8,7 @@
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
 use name::Instance;
-use net::Connection;
+use net::{Connection, Framing};
 use place::Urgency;
 use rand::Rng;
 use site::call::{RequestContext, ResponseHead};
@@ -113,12 +113,23 @@
     }
 }
 
+/// What a server sent of a response body until it ended.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct BodyEnd {
+    pub(crate) framing: Framing,
+    /// The number of bytes received, over all servers.
+    pub(crate) bytes: u64,
+    /// The number of bytes received after the last complete event of a stream.
+    pub(crate) partial_event_bytes: usize,
+}
+
 /// A server's response, with its body unread.
 #[derive(Debug)]
 pub(crate) struct Answer {
     pub(crate) status: StatusCode,
     pub(crate) headers: HeaderMap,
     pub(crate) head: ResponseHead,
+    pub(crate) framing: Framing,
     pub(crate) body: Incoming,
     pub(crate) connection: Connection,
     pub(crate) slot: Slot,
@@ -310,6 +321,7 @@
         let head = (shared.platform.parse_response_head)(&parts.headers);
         let answer = Answer {
             status: parts.status,
+            framing: Framing::of(&parts.headers),
             headers: parts.headers,
             head,
             body,
@@ -395,6 +407,7 @@
         status: u16,
         outcome: &str,
         server: Option<&Instance>,
+        body_end: Option<BodyEnd>,
     ) {
         let took = shared.now().since(self.arrived);
         shared.metrics.count("requests", outcome);
@@ -405,6 +418,8 @@
             "status" => status, "route" => &*self.route.name,
             "account" => self.account.as_ref().map(|a| a.as_str().to_owned()),
             "service" => %self.service, "server" => server.map(|s| s.as_str().to_owned()),
+            "framing" => body_end.map(|end| end.framing.as_str()), "body_bytes" => body_end.map(|end| end.bytes),
+            "partial_event_bytes" => body_end.map(|end| end.partial_event_bytes),
             "sent" => attempts.sent, "runs" => attempts.executions, "took_ms" => took.as_millis() as u64,
             "config_version" => self.config_version, "view_age_ms" => self.view_age.as_millis() as u64);
     }
--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -10,14 +10,15 @@
 pub(crate) struct EventSplitter {
     buffer: BytesMut,
     last_id: Option<u64>,
+    bytes: u64,
 }
 
 impl EventSplitter {
     /// Returns a splitter for a stream whose caller has the event `last_id` already.
     pub(crate) fn after(last_id: Option<u64>) -> Self {
         Self {
-            buffer: BytesMut::new(),
             last_id,
+            ..Self::default()
         }
     }
 
@@ -26,10 +27,21 @@
         self.last_id
     }
 
+    /// Returns the number of bytes received, over all servers.
+    pub(crate) fn bytes(&self) -> u64 {
+        self.bytes
+    }
+
+    /// Returns the number of bytes received after the last complete event.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.buffer.len()
+    }
+
     /// Appends bytes and returns the events that are complete now.
     ///
     /// Events that were returned before are skipped.
     pub(crate) fn push(&mut self, piece: &[u8]) -> Option<Bytes> {
+        self.bytes += piece.len() as u64;
         self.buffer.extend_from_slice(piece);
         let mut whole = BytesMut::new();
         while let Some(end) = boundary(&self.buffer) {
@@ -45,8 +57,8 @@
     }
 
     /// Returns the bytes after the last complete event, at the end of the stream.
-    pub(crate) fn take_partial(&mut self) -> Bytes {
-        self.buffer.split().freeze()
+    pub(crate) fn partial(&self) -> Bytes {
+        Bytes::copy_from_slice(&self.buffer)
     }
 
     /// Discards an incomplete event.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admit::{Job, RETRY_ELSEWHERE, admit},
-    attempt::{Answer, Attempts, attempt},
+    attempt::{Answer, Attempts, BodyEnd, attempt},
     state::Shared,
     stream::{Body, full_body, relay},
 };
@@ -72,7 +72,7 @@
     match result {
         Ok(answer) => deliver(shared, job, attempts, answer).await,
         Err(error) => {
-            job.log_end(shared, &attempts, 0, error.message(), None);
+            job.log_end(shared, &attempts, 0, error.message(), None, None);
             refuse(shared, Some(&job.call), &error)
         }
     }
@@ -110,15 +110,28 @@
             return response(shared, status, headers, body);
         }
         let server = answer.slot.choice.target.server.clone();
+        let framing = answer.framing;
         match job.read_whole(shared, answer).await {
             Ok(bytes) => {
-                job.log_end(shared, &attempts, status.as_u16(), "whole", Some(&server));
+                let body_end = BodyEnd {
+                    framing,
+                    bytes: bytes.len() as u64,
+                    partial_event_bytes: 0,
+                };
+                job.log_end(
+                    shared,
+                    &attempts,
+                    status.as_u16(),
+                    "whole",
+                    Some(&server),
+                    Some(body_end),
+                );
                 return response(shared, status, headers, full_body(bytes));
             }
             Err(reason) => {
                 shared.metrics.count("attempts", reason);
                 info!(shared.log, "response interrupted"; "id" => &*job.call.attempt_id, "server" => %server,
-                    "reason" => reason);
+                    "reason" => reason, "framing" => framing.as_str());
                 attempts.exclude(server);
                 let next = if job.is_repeatable() && attempts.has_executions_left(&job) {
                     attempt(shared, &job, &mut attempts).await
@@ -128,7 +141,7 @@
                 match next {
                     Ok(next) => answer = next,
                     Err(error) => {
-                        job.log_end(shared, &attempts, 0, error.message(), None);
+                        job.log_end(shared, &attempts, 0, error.message(), None, None);
                         return refuse(shared, Some(&job.call), &error);
                     }
                 }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admit::Job,
-    attempt::{Answer, Attempts, attempt},
+    attempt::{Answer, Attempts, BodyEnd, attempt},
     events::EventSplitter,
     state::Shared,
 };
@@ -101,6 +101,7 @@
     async fn run(mut self, mut answer: Answer) {
         loop {
             let end = self.forward(&mut answer).await;
+            let body_end = self.body_end(&answer);
             match end {
                 End::Complete => {
                     let keep_alive = answer.head.keep_alive;
@@ -108,14 +109,16 @@
                         connection, slot, ..
                     } = answer;
                     self.shared.pool.put(connection, keep_alive);
-                    self.log_end(&slot.choice.target.server, "whole");
+                    self.log_end(&slot.choice.target.server, "whole", body_end);
                     return;
                 }
                 End::CallerDisconnected => {
-                    return self.log_end(&answer.slot.choice.target.server, "caller left");
+                    let server = &answer.slot.choice.target.server;
+                    return self.log_end(server, "caller left", body_end);
                 }
                 End::DeadlineExceeded => {
-                    self.log_end(&answer.slot.choice.target.server, "deadline");
+                    let server = &answer.slot.choice.target.server;
+                    self.log_end(server, "deadline", body_end);
                     return self.abort().await;
                 }
                 End::Broken(reason) => {
@@ -124,11 +127,15 @@
                     drop(answer);
                     info!(self.shared.log, "stream interrupted"; "id" => &*self.job.call.attempt_id,
                         "server" => %server, "reason" => reason,
-                        "last_event" => self.events.last_id());
+                        "last_event" => self.events.last_id(), "framing" => body_end.framing.as_str(),
+                        "body_bytes" => body_end.bytes, "partial_event_bytes" => body_end.partial_event_bytes);
                     self.shared.metrics.count("streams_broken", reason);
-                    match self.resume(server).await {
+                    match self.resume(server.clone()).await {
                         Some(next) => answer = next,
-                        None => return self.abort().await,
+                        None => {
+                            self.log_end(&server, "interrupted", body_end);
+                            return self.abort().await;
+                        }
                     }
                 }
             }
@@ -169,8 +176,9 @@
                 answer.slot.record_first_token();
                 self.job.record_first_token(&self.shared, &answer.slot);
             }
+            let complete_events = self.events.push(&bytes);
             let bytes = if self.job.is_repeatable() {
-                self.events.push(&bytes)
+                complete_events
             } else {
                 Some(bytes)
             };
@@ -184,8 +192,11 @@
 
     /// Forwards the bytes after the last complete event of a stream that has ended.
     async fn finish(&mut self) -> End {
-        let partial = self.events.take_partial();
-        if !partial.is_empty() && self.sink.send(Ok(partial)).await.is_err() {
+        let partial = self.events.partial();
+        if self.job.is_repeatable()
+            && !partial.is_empty()
+            && self.sink.send(Ok(partial)).await.is_err()
+        {
             return End::CallerDisconnected;
         }
         End::Complete
@@ -231,10 +242,33 @@
         let _ = timeout(SILENCE_TIMEOUT, self.sink.send(Err(error))).await;
     }
 
+    /// Returns what was received of the body.
+    fn body_end(&self, answer: &Answer) -> BodyEnd {
+        BodyEnd {
+            framing: answer.framing,
+            bytes: self.events.bytes(),
+            partial_event_bytes: self.events.partial_bytes(),
+        }
+    }
+
     /// Logs the end of the request.
-    fn log_end(&self, server: &name::Instance, outcome: &'static str) {
-        self.job
-            .log_end(&self.shared, &self.attempts, 200, outcome, Some(server));
+    fn log_end(&self, server: &name::Instance, outcome: &'static str, body_end: BodyEnd) {
+        let place = if body_end.partial_event_bytes == 0 {
+            "between events"
+        } else {
+            "inside event"
+        };
+        let label = format!("{}, {place}", body_end.framing.as_str());
+        self.shared.metrics.count("stream_ends", &label);
+        let server = Some(server);
+        self.job.log_end(
+            &self.shared,
+            &self.attempts,
+            200,
+            outcome,
+            server,
+            Some(body_end),
+        );
     }
 }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,7 +7,7 @@
 //! closes sockets whose sent bytes stay unacknowledged.
 
 use bytes::Bytes;
-use http::{Request, Response, StatusCode};
+use http::{HeaderMap, Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, client::conn::http1::SendRequest};
 use hyper_util::rt::TokioIo;
@@ -51,6 +51,51 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
+/// How a response marks the end of its body.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// By its length.
+    Length,
+    /// By a last chunk.
+    Chunked,
+    /// Only by the end of the connection, as a body that is cut off also ends.
+    Close,
+}
+
+impl Framing {
+    /// Returns the framing of a response to a request that may have a body.
+    ///
+    /// Follows RFC 9112, section 6.3.
+    pub fn of(headers: &HeaderMap) -> Self {
+        let codings = headers.get_all(header::TRANSFER_ENCODING);
+        if let Some(last) = codings.iter().next_back() {
+            let is_chunked = last
+                .as_bytes()
+                .rsplit(|byte| *byte == b',')
+                .next()
+                .is_some_and(|coding| coding.trim_ascii().eq_ignore_ascii_case(b"chunked"));
+            if is_chunked {
+                Self::Chunked
+            } else {
+                Self::Close
+            }
+        } else if headers.contains_key(header::CONTENT_LENGTH) {
+            Self::Length
+        } else {
+            Self::Close
+        }
+    }
+
+    /// Returns the name used in logs and metrics.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Length => "length",
+            Self::Chunked => "chunked",
+            Self::Close => "close",
+        }
+    }
+}
+
 /// A connection that carries one request at a time.
 #[derive(Debug)]
 pub struct Connection {
