Treat a stream that ends inside an event as broken off

Cause: the relay took the end of a server's body for the end of the stream and forwarded what was left in the buffer. A body with neither a length nor chunks also ends when its server breaks off and the connection is closed, and the node then completed the response to the caller, which has chunks.

Evidence: the node logged outcome `whole` for each short stream within the logs.

Whether the body ended inside an event is now asked of the splitter, which sees the bytes of all streams. Such a stream is resumed at another server where the route allows it, and otherwise the caller's response is cut off without its last chunk. Lines that end with a carriage return alone are recognised, so that such streams are not taken for open events.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -56,9 +56,9 @@
         (!whole.is_empty()).then(|| whole.freeze())
     }
 
-    /// Returns the bytes after the last complete event, at the end of the stream.
-    pub(crate) fn partial(&self) -> Bytes {
-        Bytes::copy_from_slice(&self.buffer)
+    /// Returns whether an event has begun and is not complete.
+    pub(crate) fn is_inside_event(&self) -> bool {
+        !self.buffer.is_empty()
     }
 
     /// Discards an incomplete event.
@@ -67,16 +67,26 @@
     }
 }
 
-/// Returns the end of the first event, after its empty line.
+/// Returns the end of the first empty line, which ends an event.
+///
+/// Lines end with a line feed, a carriage return, or both. If the bytes end with a
+/// carriage return, a line feed that follows it is an empty line of its own, which has
+/// no effect.
 fn boundary(bytes: &[u8]) -> Option<usize> {
-    let mut at = 0;
-    while let Some(end) = bytes[at..].iter().position(|b| *b == b'\n') {
-        let next = at + end + 1;
-        match bytes.get(next..) {
-            Some([b'\n', ..]) => return Some(next + 1),
-            Some([b'\r', b'\n', ..]) => return Some(next + 2),
-            _ => at = next,
+    let mut line_start = 0;
+    while let Some(length) = bytes[line_start..]
+        .iter()
+        .position(|byte| matches!(byte, b'\n' | b'\r'))
+    {
+        let line_end = line_start + length;
+        let next_line = match bytes[line_end..] {
+            [b'\r', b'\n', ..] => line_end + 2,
+            _ => line_end + 1,
+        };
+        if length == 0 {
+            return Some(next_line);
         }
+        line_start = next_line;
     }
     None
 }
@@ -84,7 +94,7 @@
 /// Returns the id of an event.
 fn id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
-    text.lines()
+    text.split(['\n', '\r'])
         .find_map(|line| line.strip_prefix("id:"))
         .and_then(|id| id.trim().parse().ok())
 }
--- a/crates/edge/src/events/tests.rs
+++ b/crates/edge/src/events/tests.rs
@@ -48,6 +48,20 @@
             passed: &["id: 1\r\ndata: a\r\n\r\n"],
             last: Some(1),
         },
+        Case {
+            what: "lines that end with carriage return",
+            after: None,
+            pieces: &["id: 1\rdata: a\r", "\rid: 2\r"],
+            passed: &["id: 1\rdata: a\r\r"],
+            last: Some(1),
+        },
+        Case {
+            what: "split inside the last line end",
+            after: None,
+            pieces: &["id: 1\r\ndata: a\r\n\r", "\nid: 2\r\n\r\n"],
+            passed: &["id: 1\r\ndata: a\r\n\r", "\nid: 2\r\n\r\n"],
+            last: Some(2),
+        },
         Case {
             what: "a server that repeats the stream from its start",
             after: Some(2),
@@ -78,3 +92,25 @@
     let passed = events.push(b"id: 2\ndata: b\n\n").expect("an event");
     assert_eq!(&passed[..], b"id: 2\ndata: b\n\n");
 }
+
+#[test]
+fn event_is_open_from_its_first_byte_to_its_empty_line() {
+    for stream in [
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        "id: 1\rdata: a\r\rid: 2\rdata: b\r\r",
+        ": comment\n\n\n",
+    ] {
+        for cut in 0..=stream.len() {
+            let mut events = EventSplitter::default();
+            events.push(&stream.as_bytes()[..cut]);
+            let ends = ["\n\n", "\r\r"];
+            let is_between = cut == 0 || ends.iter().any(|end| stream[..cut].ends_with(end));
+            assert_eq!(
+                events.is_inside_event(),
+                !is_between,
+                "{:?}",
+                &stream[..cut]
+            );
+        }
+    }
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -167,7 +167,7 @@
             last_piece_at = tokio::time::Instant::now();
             let bytes = match piece {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) => return self.finish().await,
+                Ok(None) => return self.end_of_body(),
                 Err(reason) => return End::Broken(reason),
             };
             answer.slot.record_progress();
@@ -190,16 +190,16 @@
         }
     }
 
-    /// Forwards the bytes after the last complete event of a stream that has ended.
-    async fn finish(&mut self) -> End {
-        let partial = self.events.partial();
-        if self.job.is_repeatable()
-            && !partial.is_empty()
-            && self.sink.send(Ok(partial)).await.is_err()
-        {
-            return End::CallerDisconnected;
+    /// Returns how a stream ended whose body has ended.
+    ///
+    /// The end of the body is not the end of the stream: without a length and chunks,
+    /// a body also ends when the server breaks off.
+    fn end_of_body(&self) -> End {
+        if self.events.is_inside_event() {
+            End::Broken("ended inside an event")
+        } else {
+            End::Complete
         }
-        End::Complete
     }
 
     /// Finds a server that resumes the stream after the last event.
