Cut off a response whose relay ends without completing it

Cause: the body of a streamed response ended when its channel was closed, so a relay that was dropped or panicked left a response that looked complete.

The relay now sends an explicit end, and a channel that closes without it is an error, which cuts the response off. Nothing has to be sent to abort a stream. `request ended` says `whole` only after the end was handed over, and the slot is released before.

The test failed with the former meaning of a closed channel:

data only, as from a relay that was given up: left: true, right: false

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -18,13 +18,10 @@
     task::{Context, Poll},
     time::Duration,
 };
-use tokio::{
-    sync::mpsc,
-    time::{sleep_until, timeout},
-};
+use tokio::{sync::mpsc, time::sleep_until};
 
-/// The maximum number of pieces that are buffered for a slow caller.
-const MAX_BUFFERED_PIECES: usize = 32;
+/// The maximum number of parts that are buffered for a slow caller.
+const MAX_BUFFERED_PARTS: usize = 32;
 
 /// The time without output after which a repeatable stream is resumed at another
 /// server.
@@ -41,9 +38,32 @@
     Full::new(bytes).map_err(|never| match never {}).boxed()
 }
 
-/// A body whose pieces are received from a channel.
+/// A part of a response body.
+#[derive(Debug)]
+enum Part {
+    /// Bytes of the body.
+    Data(Bytes),
+    /// The end of a complete body.
+    End,
+}
+
+/// A body whose parts are received from a channel.
+///
+/// The body fails if its sender is dropped before [`Part::End`], so that a response
+/// looks complete only if its sender completed it.
 struct ChannelBody {
-    pieces: mpsc::Receiver<Result<Bytes, io::Error>>,
+    parts: mpsc::Receiver<Part>,
+    is_complete: bool,
+}
+
+impl ChannelBody {
+    /// Returns a body that receives its parts from `parts`.
+    fn new(parts: mpsc::Receiver<Part>) -> Self {
+        Self {
+            parts,
+            is_complete: false,
+        }
+    }
 }
 
 impl http_body::Body for ChannelBody {
@@ -54,9 +74,20 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        self.pieces
-            .poll_recv(context)
-            .map(|piece| piece.map(|piece| piece.map(Frame::data)))
+        if self.is_complete {
+            return Poll::Ready(None);
+        }
+        self.parts.poll_recv(context).map(|part| match part {
+            Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Part::End) => {
+                self.is_complete = true;
+                None
+            }
+            None => Some(Err(io::Error::new(
+                io::ErrorKind::ConnectionAborted,
+                "the stream broke off",
+            ))),
+        })
     }
 }
 
@@ -79,12 +110,12 @@
     job: Job,
     attempts: Attempts,
     events: EventSplitter,
-    sink: mpsc::Sender<Result<Bytes, io::Error>>,
+    sink: mpsc::Sender<Part>,
 }
 
 /// Starts to relay a stream, and returns the body for the caller.
 pub(crate) fn relay(shared: &Arc<Shared>, job: Job, attempts: Attempts, answer: Answer) -> Body {
-    let (sink, pieces) = mpsc::channel(MAX_BUFFERED_PIECES);
+    let (sink, parts) = mpsc::channel(MAX_BUFFERED_PARTS);
     let relay = Relay {
         shared: Arc::clone(shared),
         events: EventSplitter::after(job.call.last_event),
@@ -93,11 +124,13 @@
         sink,
     };
     tokio::spawn(relay.run(answer));
-    ChannelBody { pieces }.boxed()
+    ChannelBody::new(parts).boxed()
 }
 
 impl Relay {
     /// Relays the stream to its end.
+    ///
+    /// Dropping `sink` without [`Part::End`] cuts off the caller's response.
     async fn run(mut self, mut answer: Answer) {
         loop {
             let end = self.forward(&mut answer).await;
@@ -109,8 +142,13 @@
                         connection, slot, ..
                     } = answer;
                     self.shared.pool.put(connection, keep_alive);
-                    self.log_end(&slot.choice.target.server, "whole", body_end);
-                    return;
+                    let server = slot.choice.target.server.clone();
+                    drop(slot);
+                    let outcome = match self.sink.send(Part::End).await {
+                        Ok(()) => "whole",
+                        Err(_) => "caller left",
+                    };
+                    return self.log_end(&server, outcome, body_end);
                 }
                 End::CallerDisconnected => {
                     let server = &answer.slot.choice.target.server;
@@ -118,8 +156,7 @@
                 }
                 End::DeadlineExceeded => {
                     let server = &answer.slot.choice.target.server;
-                    self.log_end(server, "deadline", body_end);
-                    return self.abort().await;
+                    return self.log_end(server, "deadline", body_end);
                 }
                 End::Broken(reason) => {
                     let server = answer.slot.choice.target.server.clone();
@@ -132,10 +169,7 @@
                     self.shared.metrics.count("streams_broken", reason);
                     match self.resume(server.clone()).await {
                         Some(next) => answer = next,
-                        None => {
-                            self.log_end(&server, "interrupted", body_end);
-                            return self.abort().await;
-                        }
+                        None => return self.log_end(&server, "interrupted", body_end),
                     }
                 }
             }
@@ -183,7 +217,7 @@
                 Some(bytes)
             };
             if let Some(bytes) = bytes
-                && self.sink.send(Ok(bytes)).await.is_err()
+                && self.sink.send(Part::Data(bytes)).await.is_err()
             {
                 return End::CallerDisconnected;
             }
@@ -235,13 +269,6 @@
         }
     }
 
-    /// Aborts the caller's response so that it does not look complete.
-    async fn abort(self) {
-        let error = io::Error::new(io::ErrorKind::ConnectionAborted, "the stream broke off");
-        // A caller that has disconnected needs no error.
-        let _ = timeout(SILENCE_TIMEOUT, self.sink.send(Err(error))).await;
-    }
-
     /// Returns what was received of the body.
     fn body_end(&self, answer: &Answer) -> BodyEnd {
         BodyEnd {
@@ -286,3 +313,6 @@
         }
     }
 }
+
+#[cfg(test)]
+mod tests;
