Treat an unframed stream without any event as broken off

Cause: a server that breaks off before its first event, and whose response has neither a length nor chunks, closes the connection after the head. The node took that for a complete, empty stream.

A stream on these routes has at least one event, so one without any is broken off where nothing but the connection's end says otherwise. Chunks or a length still allow an empty stream, as a resumed one may be. A resumed stream that is empty and unframed is cut off even if nothing was missing: the node cannot tell, and the caller may resume.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -11,6 +11,7 @@
     buffer: BytesMut,
     last_id: Option<u64>,
     bytes: u64,
+    events: u64,
 }
 
 impl EventSplitter {
@@ -32,6 +33,13 @@
         self.bytes
     }
 
+    /// Returns the number of complete events received, over all servers.
+    ///
+    /// Includes those that were skipped, and leaves out comments and empty lines.
+    pub(crate) fn events(&self) -> u64 {
+        self.events
+    }
+
     /// Returns the number of bytes received after the last complete event.
     pub(crate) fn partial_bytes(&self) -> usize {
         self.buffer.len()
@@ -46,6 +54,7 @@
         let mut whole = BytesMut::new();
         while let Some(end) = boundary(&self.buffer) {
             let event = self.buffer.split_to(end);
+            self.events += u64::from(has_field(&event));
             let id = id(&event);
             if id.is_some() && id <= self.last_id {
                 continue;
@@ -91,6 +100,13 @@
     None
 }
 
+/// Returns whether an event has a field, which comments and empty lines do not have.
+fn has_field(event: &[u8]) -> bool {
+    event
+        .split(|byte| matches!(byte, b'\n' | b'\r'))
+        .any(|line| !line.is_empty() && !line.starts_with(b":"))
+}
+
 /// Returns the id of an event.
 fn id(event: &[u8]) -> Option<u64> {
     let text = std::str::from_utf8(event).ok()?;
--- a/crates/edge/src/events/tests.rs
+++ b/crates/edge/src/events/tests.rs
@@ -114,3 +114,34 @@
         }
     }
 }
+
+#[test]
+fn comments_and_empty_lines_are_not_events() {
+    struct Case {
+        stream: &'static str,
+        events: u64,
+    }
+    let cases = [
+        Case {
+            stream: "",
+            events: 0,
+        },
+        Case {
+            stream: "\n\r\n\r",
+            events: 0,
+        },
+        Case {
+            stream: ": ping\n\n: ping\r\r",
+            events: 0,
+        },
+        Case {
+            stream: ": ping\ndata\n\nid: 2\n\nid: 3\nda",
+            events: 2,
+        },
+    ];
+    for case in cases {
+        let mut events = EventSplitter::default();
+        events.push(case.stream.as_bytes());
+        assert_eq!(events.events(), case.events, "{:?}", case.stream);
+    }
+}
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -10,6 +10,7 @@
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
 use hyper::body::Incoming;
+use net::Framing;
 use slog::info;
 use std::{
     io,
@@ -180,6 +181,7 @@
     async fn forward(&mut self, answer: &mut Answer) -> End {
         let mut changes = self.shared.fleet_changes.subscribe();
         let mut is_first = true;
+        let events_before = self.events.events();
         let mut last_piece_at = tokio::time::Instant::now();
         let deadline = self.job.deadline_instant;
         loop {
@@ -201,7 +203,10 @@
             last_piece_at = tokio::time::Instant::now();
             let bytes = match piece {
                 Ok(Some(bytes)) => bytes,
-                Ok(None) => return self.end_of_body(),
+                Ok(None) => {
+                    let events = self.events.events() - events_before;
+                    return end_of_stream(answer.framing, events, self.events.is_inside_event());
+                }
                 Err(reason) => return End::Broken(reason),
             };
             answer.slot.record_progress();
@@ -224,18 +229,6 @@
         }
     }
 
-    /// Returns how a stream ended whose body has ended.
-    ///
-    /// The end of the body is not the end of the stream: without a length and chunks,
-    /// a body also ends when the server breaks off.
-    fn end_of_body(&self) -> End {
-        if self.events.is_inside_event() {
-            End::Broken("ended inside an event")
-        } else {
-            End::Complete
-        }
-    }
-
     /// Finds a server that resumes the stream after the last event.
     async fn resume(&mut self, failed: name::Instance) -> Option<Answer> {
         self.attempts.exclude(failed);
@@ -299,6 +292,20 @@
     }
 }
 
+/// Returns how a stream ended whose body ended after `events` events.
+///
+/// The end of the body is not always the end of the stream: without a length and
+/// chunks, a body also ends when the server breaks off.
+fn end_of_stream(framing: Framing, events: u64, is_inside_event: bool) -> End {
+    if is_inside_event {
+        End::Broken("ended inside an event")
+    } else if framing == Framing::Close && events == 0 {
+        End::Broken("ended without an event")
+    } else {
+        End::Complete
+    }
+}
+
 /// Reads the next piece of a body; `None` at its end.
 async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>, &'static str> {
     loop {
--- a/crates/edge/src/stream/tests.rs
+++ b/crates/edge/src/stream/tests.rs
@@ -1,8 +1,9 @@
-//! A body is complete only if its sender says so.
+//! A response is completed only if its stream is known to be complete.
 
-use super::{ChannelBody, Part};
+use super::{ChannelBody, End, Part, end_of_stream};
 use bytes::Bytes;
 use http_body_util::BodyExt;
+use net::Framing;
 use tokio::sync::mpsc;
 
 #[tokio::test]
@@ -45,3 +46,39 @@
         assert_eq!(body.is_ok(), case.is_complete, "{}", case.what);
     }
 }
+
+#[test]
+fn only_framed_streams_may_end_without_events() {
+    struct Case {
+        framing: Framing,
+        events: u64,
+        is_inside_event: bool,
+        end: End,
+    }
+    let inside = End::Broken("ended inside an event");
+    let empty = End::Broken("ended without an event");
+    let case = |framing, events, is_inside_event, end| Case {
+        framing,
+        events,
+        is_inside_event,
+        end,
+    };
+    let cases = [
+        case(Framing::Chunked, 3, false, End::Complete),
+        case(Framing::Chunked, 0, false, End::Complete),
+        case(Framing::Chunked, 3, true, inside),
+        case(Framing::Length, 3, false, End::Complete),
+        case(Framing::Length, 0, false, End::Complete),
+        case(Framing::Length, 0, true, inside),
+        case(Framing::Close, 3, false, End::Complete),
+        case(Framing::Close, 0, false, empty),
+        case(Framing::Close, 0, true, inside),
+    ];
+    for case in cases {
+        let end = end_of_stream(case.framing, case.events, case.is_inside_event);
+        let Case {
+            framing, events, ..
+        } = case;
+        assert_eq!(end, case.end, "{framing:?}, {events} events");
+    }
+}
