Buffer streams for callers that accept no chunks

Cause: for a caller that accepts no chunks, the response has no framing, so that the end of the connection is the end of the body. Cutting it off tells such a caller nothing.

Its stream is now collected and sent with a length once it is complete; one that broke off is answered 502, which promises nothing about the run. Other callers get events as they arrive, as before.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -7,7 +7,7 @@
     stream::{Body, full_body, relay},
 };
 use bytes::Bytes;
-use http::{HeaderMap, HeaderName, Request, Response, StatusCode, header};
+use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
 use site::{CallerRequest, call::OutgoingRequest};
@@ -65,12 +65,14 @@
         Ok(job) => job,
         Err(error) => return refuse(shared, Some(&call), &error),
     };
+    // A caller that accepts no chunks cannot tell a body that broke off from a whole one.
+    let accepts_chunks = parts.version >= Version::HTTP_11;
     let mut attempts = Attempts::default();
     let mut guard = DisconnectGuard::new(shared, &job);
     let result = attempt(shared, &job, &mut attempts).await;
     guard.is_answered = true;
     match result {
-        Ok(answer) => deliver(shared, job, attempts, answer).await,
+        Ok(answer) => deliver(shared, job, attempts, answer, accepts_chunks).await,
         Err(error) => {
             job.log_end(shared, &attempts, 0, error.message(), None, None);
             refuse(shared, Some(&job.call), &error)
@@ -96,18 +98,32 @@
 }
 
 /// Builds the caller's response from a server's response.
+///
+/// A stream is forwarded as it arrives if the caller accepts chunks, and otherwise
+/// once it is complete.
 async fn deliver(
     shared: &Arc<Shared>,
     mut job: Job,
     mut attempts: Attempts,
     mut answer: Answer,
+    accepts_chunks: bool,
 ) -> Response<Body> {
     loop {
         let status = answer.status;
         let headers = forwarded_headers(&answer.headers);
         if job.route.kind.is_stream() && status.is_success() {
+            let call = (!accepts_chunks).then(|| job.call.clone());
             let body = relay(shared, job, attempts, answer);
-            return response(shared, status, headers, body);
+            let Some(call) = call else {
+                return response(shared, status, headers, body);
+            };
+            return match body.collect().await {
+                Ok(whole) => response(shared, status, headers, full_body(whole.to_bytes())),
+                Err(error) => {
+                    let error = Error::may_have_run(Kind::Upstream, error.to_string());
+                    refuse(shared, Some(&call), &error)
+                }
+            };
         }
         let server = answer.slot.choice.target.server.clone();
         let framing = answer.framing;
