--- a/crates/backend/tests/responses.rs
+++ b/crates/backend/tests/responses.rs
@@ -475,3 +475,52 @@
         );
     }
 }
+
+/// Returns a response with neither a length nor chunks, of which `length` bytes of the
+/// body arrive.
+fn unframed_response(body: &str, length: usize) -> String {
+    let body = &body[..length];
+    format!("HTTP/1.1 200 OK\r\nx-attempt-id: {ATTEMPT}\r\n\r\n{body}")
+}
+
+/// Returns a target at the address of a server that sends `response` and closes.
+async fn closing_target(response: String, generation: Generation) -> Target {
+    Target {
+        address: serve(report(), response, true).await,
+        boot: Some(BOOT),
+        generation,
+    }
+}
+
+#[tokio::test]
+async fn stream_without_framing_that_is_cut_is_not_complete() {
+    let body = frame(0, false) + &frame(1, true);
+    for length in 0..=body.len() {
+        let target = closing_target(unframed_response(&body, length), Generation(4)).await;
+        let pool = Pool::new(limits());
+        let timeout = Duration::from_secs(10);
+        let stream = engine::generate(&pool, target, &generate(), || true, timeout).await;
+        let mut stream = stream.unwrap();
+        let mut last = None;
+        while let Some(next) = stream.next().await {
+            last = Some(next);
+        }
+        // Without the last frame's empty line the stream is not complete.
+        let is_complete = last.unwrap().is_ok();
+        assert_eq!(is_complete, length == body.len(), "{length} bytes");
+    }
+}
+
+#[tokio::test]
+async fn call_response_without_framing_that_is_cut_is_an_error() {
+    let body = format!("{{\"attempt\":\"{}\",\"result\":{{\"n\":12}}}}", ATTEMPT.0);
+    for length in 0..=body.len() {
+        let target = closing_target(unframed_response(&body, length), Generation(0)).await;
+        let pool = Pool::new(limits());
+        let timeout = Duration::from_secs(10);
+        let result = service::call(&pool, target, &call(), || true, timeout).await;
+        let verdict = result.as_ref().err().map(Failure::verdict);
+        let expected = (length < body.len()).then_some(Verdict::MayHaveRun);
+        assert_eq!(verdict, expected, "{length} bytes: {result:?}");
+    }
+}
