Send nothing further to a server that announces it is leaving

The header was not read, so that a node kept choosing the server until the store's entry changed.

The node now takes the announcement for that incarnation of the server at once: its targets are computed again, streams that run there go on, and a replica with such a member is drained as after the store's report. An entry of the same incarnation does not lift it, since entries may be older, also if it was removed and added; a newer incarnation does. A misdirected request is answered by another server, so its header does not count.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -328,9 +328,33 @@
             connection,
             slot,
         };
+        self.follow_announcements(shared, &answer);
         self.check(answer, attempts)
     }
 
+    /// Acts on what a server announces about itself in a response.
+    ///
+    /// A misdirected request was answered by another server than the expected one.
+    fn follow_announcements(&self, shared: &Arc<Shared>, answer: &Answer) {
+        let target = &answer.slot.choice.target;
+        if !answer.head.is_leaving || answer.status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let is_new = {
+            let mut tables = shared.tables();
+            let is_new = tables.fleet.set_leaving(&target.server, target.incarnation);
+            if is_new {
+                shared.update_targets(&mut tables);
+            }
+            is_new
+        };
+        if is_new {
+            shared.metrics.count("announcements", "leaving");
+            info!(shared.log, "backend server announced that it is leaving"; "server" => %target.server,
+                "incarnation" => target.incarnation, "id" => &*self.call.attempt_id);
+        }
+    }
+
     /// Waits for a response head until it is unlikely to come.
     async fn await_head<T>(
         &self,
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -53,6 +53,9 @@
     removed: HashMap<Instance, Server>,
     /// The removed members that still respond, with their incarnations.
     unlisted: HashMap<Instance, u64>,
+    /// Servers that announced in a response that they are leaving, with their
+    /// incarnations.
+    announced_leaving: HashMap<Instance, u64>,
     taken_out: HashSet<Domain>,
 }
 
@@ -95,7 +98,7 @@
     /// serving as long as the member responds, which is assumed until the planner
     /// reports otherwise.
     fn keep_removed_member(&mut self, server: Server) {
-        if server.engine.membership.is_none() || server.is_leaving {
+        if server.engine.membership.is_none() || self.is_leaving(&server) {
             return;
         }
         if self.removed.len() >= MAX_REMOVED_ENTRIES {
@@ -146,6 +149,20 @@
         is_changed
     }
 
+    /// Records that an incarnation of a server announced that it is leaving; returns
+    /// whether that is new.
+    ///
+    /// The announcement holds for that incarnation, whatever its entry says: the entry
+    /// may be older than the announcement.
+    pub fn set_leaving(&mut self, id: &Instance, incarnation: u64) -> bool {
+        if self.announced_leaving.len() >= MAX_REMOVED_ENTRIES {
+            let servers = &self.servers;
+            self.announced_leaving
+                .retain(|id, _| servers.contains_key(id));
+        }
+        self.announced_leaving.insert(id.clone(), incarnation) != Some(incarnation)
+    }
+
     /// Marks a failure domain as taken out of service or brought back.
     pub fn set_taken_out(&mut self, domain: Domain, is_out: bool) {
         if is_out {
@@ -210,7 +227,12 @@
 
     /// Returns whether a server is neither dead nor leaving.
     fn is_healthy(&self, server: &Server) -> bool {
-        !server.is_leaving && !self.is_dead(server)
+        !self.is_leaving(server) && !self.is_dead(server)
+    }
+
+    /// Returns whether a server is leaving, by its entry or by its own announcement.
+    fn is_leaving(&self, server: &Server) -> bool {
+        server.is_leaving || self.announced_leaving.get(&server.id) == Some(&server.incarnation)
     }
 
     /// Returns whether a server accepts new requests.
--- a/crates/place/tests/placing/fleet.rs
+++ b/crates/place/tests/placing/fleet.rs
@@ -150,6 +150,33 @@
             change: |f| f.set_taken_out("d".parse().expect("a name"), true),
             targets: 0,
         },
+        Case {
+            name: "a member announced that it is leaving, and its entry does not say so",
+            change: |f| {
+                f.set_leaving(&id("b"), 1);
+                f.apply(Change::Updated(Box::new(member("b", 1, Phase::Ready))));
+            },
+            targets: 0,
+        },
+        Case {
+            name: "a member announced that it is leaving, and its entry was removed and added",
+            change: |f| {
+                f.set_leaving(&id("b"), 1);
+                f.apply(Change::Removed(id("b")));
+                f.apply(Change::Updated(Box::new(member("b", 1, Phase::Ready))));
+            },
+            targets: 0,
+        },
+        Case {
+            name: "a member started again after it announced that it is leaving",
+            change: |f| {
+                f.set_leaving(&id("b"), 1);
+                let mut newer = member("b", 1, Phase::Ready);
+                newer.incarnation = 2;
+                f.apply(Change::Updated(Box::new(newer)));
+            },
+            targets: 1,
+        },
         Case {
             name: "an outdated entry with an earlier incarnation",
             change: |f| {
@@ -185,6 +212,13 @@
             change: leave,
             is_doomed: false,
         },
+        Case {
+            name: "a member announces that it is leaving",
+            change: |f| {
+                f.set_leaving(&id("b"), 1);
+            },
+            is_doomed: false,
+        },
         Case {
             name: "the head closes",
             change: |f| f.apply(Change::Updated(Box::new(member("a", 0, Phase::Closing)))),
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -79,6 +79,8 @@
     pub faulty_server: Option<Instance>,
     /// The idle timeout of the server's connection, if the response gives one.
     pub keep_alive: Option<Duration>,
+    /// Whether the server states that it is leaving.
+    pub is_leaving: bool,
 }
 
 /// A caller's query to the directory.
