Send nothing to a server for as long as it declines requests

The header was not read.

A decline is kept by server and time, and the server is not chosen before its end; a time over 30 s counts as 30 s, and a value that is no number of seconds is logged and ignored. Its capacity does not count in the estimate of the wait. If all servers of a service declined, a request is refused at once with the soonest time at which one accepts it, or waits if that is within the time that it may wait; waiting requests are woken then.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -12,7 +12,7 @@
 use place::Urgency;
 use rand::Rng;
 use site::call::{RequestContext, ResponseHead};
-use slog::info;
+use slog::{info, warn};
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verdict::{Error, Kind, Verdict};
@@ -57,6 +57,11 @@
 /// retry credit.
 const RETRY_WITHOUT_CREDIT: Duration = Duration::from_millis(300);
 
+/// The longest time for which a server's request to get no requests is followed.
+///
+/// An absurd value must not withdraw a server for good.
+const MAX_DECLINE: Duration = Duration::from_secs(30);
+
 /// Returns a time with random jitter of 25 %.
 ///
 /// Callers that were refused together should not retry together.
@@ -64,6 +69,11 @@
     time.mul_f64(rand::rng().random_range(0.75..1.25))
 }
 
+/// Returns a time that is later by up to 25 %, at random.
+fn delay(time: Duration) -> Duration {
+    time.mul_f64(rand::rng().random_range(1.0..1.25))
+}
+
 /// The attempts of one request so far.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct Attempts {
@@ -260,6 +270,11 @@
                     "no server serves this",
                 ),
                 NoSlot::Full(after) => (Kind::Overloaded, after, "all servers are full"),
+                NoSlot::Declined(after) => {
+                    return self
+                        .error(attempts, Kind::Overloaded, "all servers declined requests")
+                        .with_retry_after(delay(after));
+                }
             };
             self.error(attempts, kind, message)
                 .with_retry_after(jitter(after))
@@ -336,10 +351,16 @@
     ///
     /// A misdirected request was answered by another server than the expected one.
     fn follow_announcements(&self, shared: &Arc<Shared>, answer: &Answer) {
-        let target = &answer.slot.choice.target;
-        if !answer.head.is_leaving || answer.status == StatusCode::MISDIRECTED_REQUEST {
+        if answer.status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
+        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
+            self.follow_decline(shared, answer);
+        }
+        if !answer.head.is_leaving {
+            return;
+        }
+        let target = &answer.slot.choice.target;
         let is_new = {
             let mut tables = shared.tables();
             let is_new = tables.fleet.set_leaving(&target.server, target.incarnation);
@@ -355,6 +376,31 @@
         }
     }
 
+    /// Sends no request to a server for as long as it asked for in a response.
+    fn follow_decline(&self, shared: &Arc<Shared>, answer: &Answer) {
+        let server = &answer.slot.choice.target.server;
+        let time = match &answer.head.retry_after {
+            None => return,
+            Some(Ok(time)) => (*time).min(MAX_DECLINE),
+            Some(Err(value)) => {
+                warn!(shared.log, "backend server declined requests without a valid time";
+                    "server" => %server, "value" => %value, "id" => &*self.call.attempt_id);
+                return;
+            }
+        };
+        let now = shared.now();
+        shared.tables().load.record_decline(server, now + time, now);
+        shared.metrics.count("announcements", "declined");
+        info!(shared.log, "backend server declined requests"; "server" => %server,
+            "time_ms" => time.as_millis() as u64, "id" => &*self.call.attempt_id);
+        // Requests that wait for a slot are not woken by the end of the time.
+        let waiting = Arc::clone(shared);
+        tokio::spawn(async move {
+            sleep(time).await;
+            waiting.assign_slots(&mut waiting.tables());
+        });
+    }
+
     /// Waits for a response head until it is unlikely to come.
     async fn await_head<T>(
         &self,
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -91,6 +91,8 @@
     NoTarget,
     /// The wait would be too long; slots should be free after this time.
     Full(Duration),
+    /// All servers want no requests for now; one accepts them again after this time.
+    Declined(Duration),
 }
 
 impl Shared {
@@ -111,7 +113,16 @@
             match self.try_acquire(&mut tables, &request, has_queued, now) {
                 Ok(slot) => return Ok(slot),
                 Err(shortage) => {
-                    let expected = self.expected_wait(&tables, &request, rank, shortage, now);
+                    let expected = match declined_time(&tables, &request, now) {
+                        // Servers that refused this request do not get it again.
+                        Some(wait)
+                            if wait > max_wait || is_excluded_everywhere(&tables, &request) =>
+                        {
+                            return Err(NoSlot::Declined(wait));
+                        }
+                        Some(wait) => wait,
+                        None => self.expected_wait(&tables, &request, rank, shortage, now),
+                    };
                     if expected > max_wait {
                         return Err(no_slot(shortage, expected));
                     }
@@ -252,6 +263,7 @@
             .targets
             .iter()
             .filter(|t| serves(t, request))
+            .filter(|t| tables.load.declined_until(&t.server, now).is_none())
             .map(|target| {
                 let slots = f64::from(target.slots);
                 let slowness = tables.load.penalty(&target.server, now).max(1.0);
@@ -290,6 +302,21 @@
     }
 }
 
+/// Returns the time until a target accepts a request again, if all of them declined.
+fn declined_time(tables: &Tables, request: &SlotRequest, now: Moment) -> Option<Duration> {
+    let serving = tables.targets.iter().filter(|t| serves(t, request));
+    let until: Option<Vec<Moment>> = serving
+        .map(|target| tables.load.declined_until(&target.server, now))
+        .collect();
+    until?.into_iter().min().map(|until| now.until(until))
+}
+
+/// Returns whether no target that serves a request may get it again.
+fn is_excluded_everywhere(tables: &Tables, request: &SlotRequest) -> bool {
+    let mut serving = tables.targets.iter().filter(|t| serves(t, request));
+    serving.all(|target| request.excluded.contains(&target.server))
+}
+
 /// Returns whether a target serves the requested service and model.
 fn serves(target: &place::Target, request: &SlotRequest) -> bool {
     target.service == request.service && target.model == request.model
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -132,6 +132,7 @@
         .iter()
         .copied()
         .filter(|t| !query.excluded.contains(&t.server))
+        .filter(|t| load.declined_until(&t.server, now).is_none())
         .filter(|t| load.work(&t.server, now).requests < t.slots)
         .filter(|t| query.contention.may_take_slot(t, load, now))
         .filter(|t| !t.is_cold || load.sent_last_second(&t.server, now) < cold_per_s(t))
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -173,9 +173,28 @@
     remote_last_received: HashMap<Instance, Moment>,
     /// The present targets, and when each was added.
     target_since: HashMap<Instance, Moment>,
+    /// Until when each target wants no request from this node.
+    declined_until: HashMap<Instance, Moment>,
 }
 
 impl LoadTracker {
+    /// Records that a target wants no request from this node until a time.
+    ///
+    /// A later answer of the target replaces an earlier one.
+    pub fn record_decline(&mut self, server: &Instance, until: Moment, now: Moment) {
+        self.declined_until.retain(|_, until| *until > now);
+        self.declined_until.insert(server.clone(), until);
+    }
+
+    /// Returns until when a target wants no request from this node; `None` if it
+    /// accepts requests.
+    pub fn declined_until(&self, server: &Instance, now: Moment) -> Option<Moment> {
+        self.declined_until
+            .get(server)
+            .copied()
+            .filter(|until| *until > now)
+    }
+
     /// Records that a request with `prompt` tokens was sent to a target, whose first
     /// token is expected after `time_to_first_token`.
     pub fn record_start(
--- a/crates/place/tests/placing/choice.rs
+++ b/crates/place/tests/placing/choice.rs
@@ -180,6 +180,36 @@
     );
 }
 
+#[test]
+fn avoids_declined_target_until_its_time() {
+    struct Case {
+        now: Moment,
+        chosen: Option<&'static str>,
+    }
+    let targets = [target("a")];
+    let mut load = LoadTracker::default();
+    load.record_decline(&id("a"), at_ms(3_000), at_ms(1_000));
+    load.record_decline(&id("b"), at_ms(9_000), at_ms(1_000));
+    let cases = [
+        Case {
+            now: at_ms(1_000),
+            chosen: None,
+        },
+        Case {
+            now: at_ms(2_999),
+            chosen: None,
+        },
+        Case {
+            now: at_ms(3_000),
+            chosen: Some("a"),
+        },
+    ];
+    for case in cases {
+        let decision = choose_among(&targets, &load, &[], case.now);
+        assert_eq!(chosen_server(&decision), case.chosen, "{:?}", case.now);
+    }
+}
+
 /// Returns how many requests `nodes` nodes send to one target at the same time. Each
 /// has five queued requests and no report of what the others send at that time.
 fn count_concurrent_placements(
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -81,6 +81,8 @@
     pub keep_alive: Option<Duration>,
     /// Whether the server states that it is leaving.
     pub is_leaving: bool,
+    /// How long the server wants no further request, or the value that states no time.
+    pub retry_after: Option<Result<Duration, Arc<str>>>,
 }
 
 /// A caller's query to the directory.
