Keep the later end if a server declines more than once

A reading of the change: an answer on its way with a shorter time shortened a decline, though the rule binds the node to the end of the first one too. The later end holds now. The case in the table failed before.

--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -180,10 +180,11 @@
 impl LoadTracker {
     /// Records that a target wants no request from this node until a time.
     ///
-    /// A later answer of the target replaces an earlier one.
+    /// Of several answers of the target, the one that ends last holds.
     pub fn record_decline(&mut self, server: &Instance, until: Moment, now: Moment) {
         self.declined_until.retain(|_, until| *until > now);
-        self.declined_until.insert(server.clone(), until);
+        let latest = self.declined_until.entry(server.clone()).or_insert(until);
+        *latest = until.max(*latest);
     }
 
     /// Returns until when a target wants no request from this node; `None` if it
--- a/crates/place/tests/placing/choice.rs
+++ b/crates/place/tests/placing/choice.rs
@@ -189,6 +189,7 @@
     let targets = [target("a")];
     let mut load = LoadTracker::default();
     load.record_decline(&id("a"), at_ms(3_000), at_ms(1_000));
+    load.record_decline(&id("a"), at_ms(2_000), at_ms(1_000));
     load.record_decline(&id("b"), at_ms(9_000), at_ms(1_000));
     let cases = [
         Case {
