Count a response without a body as one of known length

A reading of the change: the response to a HEAD request on a streaming route has no body, and often neither a length nor chunks; it counted as a stream that broke off without an event. The framing is taken from the response with its body, which says whether one follows.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -332,11 +332,12 @@
             }
             Err(failure) => return Err(failure),
         };
+        let framing = Framing::of(&answer);
         let (parts, body) = answer.into_parts();
         let head = (shared.platform.parse_response_head)(&parts.headers);
         let answer = Answer {
             status: parts.status,
-            framing: Framing::of(&parts.headers),
+            framing,
             headers: parts.headers,
             head,
             body,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,9 +7,12 @@
 //! closes sockets whose sent bytes stay unacknowledged.
 
 use bytes::Bytes;
-use http::{HeaderMap, Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, header};
 use http_body_util::{BodyExt, Full, Limited};
-use hyper::{body::Incoming, client::conn::http1::SendRequest};
+use hyper::{
+    body::{Body, Incoming},
+    client::conn::http1::SendRequest,
+};
 use hyper_util::rt::TokioIo;
 use socket2::SockRef;
 use std::{
@@ -63,12 +66,15 @@
 }
 
 impl Framing {
-    /// Returns the framing of a response to a request that may have a body.
+    /// Returns the framing of a response, by RFC 9112, section 6.3.
     ///
-    /// Follows RFC 9112, section 6.3.
-    pub fn of(headers: &HeaderMap) -> Self {
+    /// A response that cannot have a body, as to a `HEAD` request, has a known length.
+    pub fn of<B: Body>(response: &Response<B>) -> Self {
+        let headers = response.headers();
         let codings = headers.get_all(header::TRANSFER_ENCODING);
-        if let Some(last) = codings.iter().next_back() {
+        if response.body().is_end_stream() {
+            Self::Length
+        } else if let Some(last) = codings.iter().next_back() {
             let is_chunked = last
                 .as_bytes()
                 .rsplit(|byte| *byte == b',')
