Log the shared parts of the prompt when a stream breaks off

The parts that other requests may share are read at the platform's boundary; the line 'stream interrupted' names them and the number of complete events that the server had sent.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -112,6 +112,8 @@
     attempts: Attempts,
     events: EventSplitter,
     sink: mpsc::Sender<Part>,
+    /// The number of complete events before the response of the current server.
+    events_before: u64,
 }
 
 /// Starts to relay a stream, and returns the body for the caller.
@@ -123,6 +125,7 @@
         job,
         attempts,
         sink,
+        events_before: 0,
     };
     tokio::spawn(relay.run(answer));
     ChannelBody::new(parts).boxed()
@@ -166,6 +169,7 @@
                     info!(self.shared.log, "stream interrupted"; "id" => &*self.job.call.attempt_id,
                         "server" => %server, "reason" => reason,
                         "last_event" => self.events.last_id(), "framing" => body_end.framing.as_str(),
+                        "events" => self.attempt_events(), "parts" => self.job.call.shared_parts.join(","),
                         "body_bytes" => body_end.bytes, "partial_event_bytes" => body_end.partial_event_bytes);
                     self.shared.metrics.count("streams_broken", reason);
                     match self.resume(server.clone()).await {
@@ -181,7 +185,7 @@
     async fn forward(&mut self, answer: &mut Answer) -> End {
         let mut changes = self.shared.fleet_changes.subscribe();
         let mut is_first = true;
-        let events_before = self.events.events();
+        self.events_before = self.events.events();
         let mut last_piece_at = tokio::time::Instant::now();
         let deadline = self.job.deadline_instant;
         loop {
@@ -204,8 +208,11 @@
             let bytes = match piece {
                 Ok(Some(bytes)) => bytes,
                 Ok(None) => {
-                    let events = self.events.events() - events_before;
-                    return end_of_stream(answer.framing, events, self.events.is_inside_event());
+                    return end_of_stream(
+                        answer.framing,
+                        self.attempt_events(),
+                        self.events.is_inside_event(),
+                    );
                 }
                 Err(reason) => return End::Broken(reason),
             };
@@ -262,6 +269,11 @@
         }
     }
 
+    /// Returns the number of complete events that the current server sent.
+    fn attempt_events(&self) -> u64 {
+        self.events.events() - self.events_before
+    }
+
     /// Returns what was received of the body.
     fn body_end(&self, answer: &Answer) -> BodyEnd {
         BodyEnd {
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -27,6 +27,8 @@
     pub max_tokens: u32,
     /// The caller's estimate of the number of tokens in the response.
     pub expected_tokens: Option<u32>,
+    /// The parts of the prompt that other requests may share, in order.
+    pub shared_parts: Arc<[Arc<str>]>,
     /// The last event that the caller received from an earlier response.
     pub last_event: Option<u64>,
 }
