Withhold requests whose prompts share a part that ends servers

Nearly all requests of that kind were refused for lack of a replica.

Cause: nothing connected the end of a server with the request that ran on it. A node excluded the server for that request only and sent the request to the next one, by the resumed stream or the caller's retry. Class: a fault that travels with the work; what protects against a bad server spreads it.

Fix: the new crate quarantine. The shared parts of a request whose answer had just begun when its server ended are accused; an answer that goes on past its beginning clears them. Evidence is a set that only grows, so nodes may exchange it in any order: at once to all when a server ends, after a random delay when a part is cleared, and at intervals to two others and to nodes that have just started. A part that explains three separate ends takes the blame for them, and parts that were accused beside it go free. From the first end on, a part that was never sound is let through seldom over all nodes (0.1 s, 0.5 s, then 10 minutes, twice that with each further end); others are refused at once with a retry delay, or wait up to a second while suspicion is fresh. Ends within 200 ms count as one, so the loss of a domain blames nothing; a silent server accuses nothing. Requests on their way are withdrawn when a part of theirs takes the blame. Tables hold 256 parts of at most 16 servers each.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -4,6 +4,7 @@
 use clock::Moment;
 use name::{Account, Service};
 use place::Urgency;
+use quarantine::Part;
 use rand::Rng;
 use site::{CallerRequest, Config, call::OutgoingRequest, config::Route};
 use std::{sync::Arc, time::Duration};
@@ -20,6 +21,8 @@
     pub(crate) route: Arc<Route>,
     pub(crate) service: Service,
     pub(crate) account: Option<Account>,
+    /// The digests of the prompt's shared parts.
+    pub(crate) parts: Arc<[Part]>,
     pub(crate) outgoing: Arc<OutgoingRequest>,
     pub(crate) rank: Urgency,
     pub(crate) arrived: Moment,
@@ -81,12 +84,15 @@
         priority = client.priority.unwrap_or(priority);
     }
     let service = pick_service(route).ok_or_else(|| unavailable("the route has no service"))?;
+    let parts = call.shared_parts.iter();
+    let parts = parts.map(|id| Part::new(&service, id)).collect();
     let wait = call.timeout.unwrap_or(route.timeout).min(route.timeout);
     let due = arrived + route.latency_objective;
     Ok(Job {
         route: Arc::clone(route),
         service,
         account,
+        parts,
         outgoing: Arc::new(outgoing),
         rank: Urgency { priority, due },
         arrived,
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     admit::Job,
+    evidence::withheld_error,
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
 };
@@ -10,6 +11,7 @@
 use name::Instance;
 use net::{Connection, Framing};
 use place::Urgency;
+use quarantine::Refusal;
 use rand::Rng;
 use site::call::{RequestContext, ResponseHead};
 use slog::{info, warn};
@@ -151,6 +153,8 @@
     Refused(Option<Instance>),
     /// The attempt failed for the given reason; the request may have run.
     Failed(&'static str),
+    /// A part of the prompt was blamed for the ends of servers meanwhile.
+    Withheld,
     /// The request's deadline passed.
     DeadlineExceeded,
 }
@@ -164,6 +168,9 @@
     job: &Job,
     attempts: &mut Attempts,
 ) -> Result<Answer, Error> {
+    if let Err(refusal) = job.wait_for_trial(shared).await {
+        return Err(job.withheld(shared, attempts, &refusal));
+    }
     record_demand(shared, job, attempts);
     loop {
         if attempts.sent > 0 && !job.take_retry_credit(shared) {
@@ -171,6 +178,10 @@
             return Err(attempts.credit_exhausted());
         }
         let slot = job.acquire_slot(shared, attempts).await?;
+        if let Err(refusal) = job.begin_trial(shared) {
+            drop(slot);
+            return Err(job.withheld(shared, attempts, &refusal));
+        }
         let server = slot.choice.target.server.clone();
         let failure = match job.send(shared, slot, attempts).await {
             Ok(answer) => return Ok(answer),
@@ -195,6 +206,14 @@
                     return Err(job.error(attempts, Kind::Upstream, "the server gave no answer"));
                 }
             }
+            AttemptError::Withheld => {
+                shared.metrics.count("attempts", "withheld");
+                return Err(job.error(
+                    attempts,
+                    Kind::Upstream,
+                    "the request was withdrawn from its server",
+                ));
+            }
             AttemptError::DeadlineExceeded => {
                 shared.metrics.count("attempts", "late");
                 return Err(job.error(attempts, Kind::Deadline, "the deadline passed"));
@@ -281,6 +300,13 @@
         })
     }
 
+    /// Returns the error for a request that is withheld for a part of its prompt.
+    fn withheld(&self, shared: &Shared, attempts: &Attempts, refusal: &Refusal) -> Error {
+        let (kind, message, after) = withheld_error(shared, self, refusal);
+        self.error(attempts, kind, message)
+            .with_retry_after(delay(after))
+    }
+
     /// Returns an error with the verdict of the attempts so far.
     pub(crate) fn error(&self, attempts: &Attempts, kind: Kind, message: &str) -> Error {
         Error::new(kind, attempts.verdict(), message)
@@ -411,6 +437,9 @@
         attempts: &Attempts,
     ) -> Result<T, AttemptError> {
         let mut changes = shared.fleet_changes.subscribe();
+        let mut treatments = shared.treatment_changes.subscribe();
+        // A trial of a blamed part goes on.
+        let may_be_withdrawn = !self.is_blamed(shared);
         let is_retry_allowed = self.is_repeatable() && attempts.has_executions_left(self);
         let predicted = slot.choice.time_to_first_token * FIRST_TOKEN_TIMEOUT_FACTOR;
         let head_deadline = Instant::now() + HEAD_TIMEOUT.max(predicted);
@@ -427,6 +456,11 @@
                         return Err(AttemptError::Failed("server silent"));
                     }
                 }
+                _ = treatments.changed(), if may_be_withdrawn => {
+                    if self.is_blamed(shared) {
+                        return Err(AttemptError::Withheld);
+                    }
+                }
                 _ = changes.changed(), if is_retry_allowed => {
                     if slot.is_replica_lost() {
                         return Err(AttemptError::Failed("replica lost"));
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -4,6 +4,7 @@
 //! effect. Everything that nodes must agree on is in the platform's store.
 
 use crate::{
+    evidence,
     feed_relay::{self, Ack, FeedUpdate},
     state::Shared,
 };
@@ -282,6 +283,10 @@
             sleep(Duration::from_millis(1)).await;
             continue;
         };
+        if let Some((&evidence::FORMAT, records)) = buffer[..length].split_first() {
+            evidence::receive(&shared, records, from);
+            continue;
+        }
         match decode(&buffer[..length]) {
             Ok((heartbeat, _)) if heartbeat.record.node == own => {}
             Ok((heartbeat, ack)) => apply_heartbeat(&shared, heartbeat, ack),
@@ -318,6 +323,7 @@
         return;
     }
     if !had_received {
+        shared.greet(&mut tables, heartbeat.record.peer_address);
         info!(shared.log, "first heartbeat from node"; "node" => %heartbeat.record.node, "front" => %heartbeat.record.caller_address);
     }
     let is_newest = heartbeat.planner_token == Some(tables.peers.highest_token());
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,6 +7,8 @@
 //!   theirs; `peers` holds what was received,
 //! - `feed_relay` sends the planner's feed reads to the other nodes, which then need
 //!   not poll the store,
+//! - `evidence` exchanges which prompt parts end servers; requests with them are
+//!   withheld,
 //! - `plan` forms replicas while this node holds the newest planner claim,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
 //!   `attempt` (which takes a `slot`), `stream` forwards the events of a response,
@@ -19,6 +21,7 @@
 mod attempt;
 mod directory;
 mod events;
+mod evidence;
 mod feed_relay;
 mod follow;
 mod heartbeat;
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -322,6 +322,12 @@
             .collect()
     }
 
+    /// Returns the address of each other node.
+    pub(crate) fn addresses(&self) -> Vec<SocketAddr> {
+        let peers = self.peers.values();
+        peers.map(|peer| peer.record.peer_address).collect()
+    }
+
     /// Returns whether this incarnation of a node has sent a heartbeat.
     pub(crate) fn has_received_from(&self, record: &NodeRecord) -> bool {
         let peer = self.peers.get(&record.node);
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -10,6 +10,7 @@
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
+use net::Framing;
 use site::{CallerRequest, call::OutgoingRequest};
 use slog::info;
 use std::{sync::Arc, time::Duration};
@@ -172,16 +173,23 @@
     async fn read_whole(&self, shared: &Shared, answer: Answer) -> Result<Bytes, &'static str> {
         let Answer {
             head,
+            framing,
             body,
             connection,
             mut slot,
             ..
         } = answer;
-        let bytes = timeout_at(self.deadline_instant, body.collect())
-            .await
-            .map_err(|_| "late")?
-            .map_err(|_| "answer broke off")?
-            .to_bytes();
+        let bytes = match timeout_at(self.deadline_instant, body.collect()).await {
+            Ok(Ok(whole)) => whole.to_bytes(),
+            Ok(Err(_)) => {
+                shared.accuse_parts(self, &slot);
+                return Err("answer broke off");
+            }
+            Err(_) => return Err("late"),
+        };
+        if framing != Framing::Close {
+            shared.clear_parts(self);
+        }
         slot.record_first_token();
         self.record_first_token(shared, &slot);
         shared.pool.put(connection, head.keep_alive);
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,7 +1,7 @@
 //! Start and stop of a node.
 
 use crate::{
-    directory, follow, heartbeat,
+    directory, evidence, follow, heartbeat,
     listener::{Role, listen},
     plan,
     state::Shared,
@@ -93,6 +93,10 @@
             Arc::clone(&socket),
             node,
         ));
+        tasks.spawn(evidence::run_sender(
+            Arc::clone(&shared),
+            Arc::clone(&socket),
+        ));
         tasks.spawn(heartbeat::run_sender(
             Arc::clone(&shared),
             socket,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that a node's tasks share.
 
-use crate::{metrics::Metrics, peers::Peers, slot::Waiter};
+use crate::{evidence::Outbox, metrics::Metrics, peers::Peers, slot::Waiter};
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
 use place::{CostModel, Fleet, LoadTracker, Queue, RetryBudget, Target};
@@ -44,6 +44,10 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Wakes the heartbeat sender before its interval ends.
     pub(crate) heartbeat_requested: Notify,
+    /// Wakes the sender of evidence.
+    pub(crate) evidence_due: Notify,
+    /// The number of changes of how prompt parts are treated.
+    pub(crate) treatment_changes: watch::Sender<u64>,
     tables: Mutex<Tables>,
     is_stopping: AtomicBool,
     has_stopped_admission: AtomicBool,
@@ -87,6 +91,10 @@
     pub(crate) budgets: HashMap<Service, RetryBudget>,
     pub(crate) peers: Peers,
     pub(crate) demand: Demand,
+    /// The evidence on prompt parts that end servers.
+    pub(crate) quarantine: quarantine::Table,
+    /// The evidence to send to other nodes.
+    pub(crate) evidence: Outbox,
 }
 
 impl Shared {
@@ -102,6 +110,8 @@
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
+            evidence_due: Notify::new(),
+            treatment_changes: watch::Sender::new(0),
             tables: Mutex::new(tables),
             is_stopping: AtomicBool::new(false),
             has_stopped_admission: AtomicBool::new(false),
@@ -200,6 +210,8 @@
             budgets: HashMap::new(),
             peers: Peers::default(),
             demand: Demand::default(),
+            quarantine: quarantine::Table::default(),
+            evidence: Outbox::default(),
         }
     }
 
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -31,6 +31,15 @@
 /// two seconds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The maximum number of events of a response that counts as just begun.
+const MAX_BEGINNING_EVENTS: u64 = 1;
+
+/// The number of events from which a response counts as past its beginning.
+const PAST_BEGINNING_EVENTS: u64 = 3;
+
+/// The time since the first output from which a response counts as past its beginning.
+const PAST_BEGINNING_TIME: Duration = Duration::from_millis(250);
+
 /// The body of a response to a caller.
 pub(crate) type Body = BoxBody<Bytes, io::Error>;
 
@@ -92,13 +101,51 @@
     }
 }
 
+/// Why a server's response is incomplete.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Fault {
+    /// The connection to the server was lost.
+    ConnectionLost,
+    /// The response ended inside an event.
+    InsideEvent,
+    /// The response ended without an event.
+    WithoutEvent,
+    /// The server sent nothing for a long time.
+    Silence,
+    /// A member of the replica was lost.
+    ReplicaLost,
+}
+
+impl Fault {
+    /// Returns the fault's name in logs and metrics.
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::ConnectionLost => "connection lost",
+            Self::InsideEvent => "ended inside an event",
+            Self::WithoutEvent => "ended without an event",
+            Self::Silence => "silence",
+            Self::ReplicaLost => "replica lost",
+        }
+    }
+
+    /// Returns whether the server itself may have ended.
+    ///
+    /// A frozen or unreachable server sends nothing, and its connections stay open.
+    fn is_server_end(self) -> bool {
+        matches!(
+            self,
+            Self::ConnectionLost | Self::InsideEvent | Self::WithoutEvent
+        )
+    }
+}
+
 /// How a stream ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum End {
     /// The server completed the response.
     Complete,
-    /// The stream was interrupted, for the given reason.
-    Broken(&'static str),
+    /// The stream was interrupted.
+    Broken(Fault),
     /// The caller disconnected.
     CallerDisconnected,
     /// The request's deadline passed.
@@ -141,6 +188,10 @@
             let body_end = self.body_end(&answer);
             match end {
                 End::Complete => {
+                    // A response without an explicit end may have been cut off between events.
+                    if answer.framing != Framing::Close {
+                        self.shared.clear_parts(&self.job);
+                    }
                     let keep_alive = answer.head.keep_alive;
                     let Answer {
                         connection, slot, ..
@@ -162,16 +213,19 @@
                     let server = &answer.slot.choice.target.server;
                     return self.log_end(server, "deadline", body_end);
                 }
-                End::Broken(reason) => {
+                End::Broken(fault) => {
+                    if fault.is_server_end() && self.attempt_events() <= MAX_BEGINNING_EVENTS {
+                        self.shared.accuse_parts(&self.job, &answer.slot);
+                    }
                     let server = answer.slot.choice.target.server.clone();
                     self.events.discard_partial();
                     drop(answer);
                     info!(self.shared.log, "stream interrupted"; "id" => &*self.job.call.attempt_id,
-                        "server" => %server, "reason" => reason,
+                        "server" => %server, "reason" => fault.as_str(),
                         "last_event" => self.events.last_id(), "framing" => body_end.framing.as_str(),
                         "events" => self.attempt_events(), "parts" => self.job.call.shared_parts.join(","),
                         "body_bytes" => body_end.bytes, "partial_event_bytes" => body_end.partial_event_bytes);
-                    self.shared.metrics.count("streams_broken", reason);
+                    self.shared.metrics.count("streams_broken", fault.as_str());
                     match self.resume(server.clone()).await {
                         Some(next) => answer = next,
                         None => return self.log_end(&server, "interrupted", body_end),
@@ -184,7 +238,8 @@
     /// Forwards the events of one server's response.
     async fn forward(&mut self, answer: &mut Answer) -> End {
         let mut changes = self.shared.fleet_changes.subscribe();
-        let mut is_first = true;
+        let mut first_piece_at = None;
+        let mut is_past_beginning = false;
         self.events_before = self.events.events();
         let mut last_piece_at = tokio::time::Instant::now();
         let deadline = self.job.deadline_instant;
@@ -195,11 +250,11 @@
                 () = self.sink.closed() => return End::CallerDisconnected,
                 () = sleep_until(deadline) => return End::DeadlineExceeded,
                 () = sleep_until(silence_deadline), if self.job.is_repeatable() && self.attempts.has_executions_left(&self.job) => {
-                    return End::Broken("silence");
+                    return End::Broken(Fault::Silence);
                 }
                 _ = changes.changed() => {
                     if self.job.is_repeatable() && answer.slot.is_replica_lost() {
-                        return End::Broken("replica lost");
+                        return End::Broken(Fault::ReplicaLost);
                     }
                     continue;
                 }
@@ -214,15 +269,23 @@
                         self.events.is_inside_event(),
                     );
                 }
-                Err(reason) => return End::Broken(reason),
+                Err(fault) => return End::Broken(fault),
             };
             answer.slot.record_progress();
-            if is_first {
-                is_first = false;
+            if first_piece_at.is_none() {
+                first_piece_at = Some(last_piece_at);
                 answer.slot.record_first_token();
                 self.job.record_first_token(&self.shared, &answer.slot);
             }
             let complete_events = self.events.push(&bytes);
+            let since_first = first_piece_at.map(|at| last_piece_at - at);
+            if !is_past_beginning
+                && self.attempt_events() >= PAST_BEGINNING_EVENTS
+                && since_first >= Some(PAST_BEGINNING_TIME)
+            {
+                is_past_beginning = true;
+                self.shared.clear_parts(&self.job);
+            }
             let bytes = if self.job.is_repeatable() {
                 complete_events
             } else {
@@ -310,20 +373,20 @@
 /// chunks, a body also ends when the server breaks off.
 fn end_of_stream(framing: Framing, events: u64, is_inside_event: bool) -> End {
     if is_inside_event {
-        End::Broken("ended inside an event")
+        End::Broken(Fault::InsideEvent)
     } else if framing == Framing::Close && events == 0 {
-        End::Broken("ended without an event")
+        End::Broken(Fault::WithoutEvent)
     } else {
         End::Complete
     }
 }
 
 /// Reads the next piece of a body; `None` at its end.
-async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>, &'static str> {
+async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>, Fault> {
     loop {
         match body.frame().await {
             None => return Ok(None),
-            Some(Err(_)) => return Err("connection lost"),
+            Some(Err(_)) => return Err(Fault::ConnectionLost),
             Some(Ok(frame)) => {
                 if let Ok(data) = frame.into_data() {
                     return Ok(Some(data));
--- a/crates/edge/src/stream/tests.rs
+++ b/crates/edge/src/stream/tests.rs
@@ -1,6 +1,6 @@
 //! A response is completed only if its stream is known to be complete.
 
-use super::{ChannelBody, End, Part, end_of_stream};
+use super::{ChannelBody, End, Fault, Part, end_of_stream};
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use net::Framing;
@@ -55,8 +55,8 @@
         is_inside_event: bool,
         end: End,
     }
-    let inside = End::Broken("ended inside an event");
-    let empty = End::Broken("ended without an event");
+    let inside = End::Broken(Fault::InsideEvent);
+    let empty = End::Broken(Fault::WithoutEvent);
     let case = |framing, events, is_inside_event, end| Case {
         framing,
         events,
--- /dev/null
+++ b/crates/quarantine/src/digest.rs
@@ -0,0 +1,30 @@
+//! Digests of prompt parts and of backend servers.
+
+use name::{Instance, Service};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// The digest of a prompt's part at a service.
+///
+/// A part is judged for the service whatever else a request holds, its model and
+/// client account included.
+#[common::key]
+pub struct Part(pub u64);
+
+impl Part {
+    /// Returns the digest of the part `id` of prompts for `service`.
+    pub fn new(service: &Service, id: &str) -> Self {
+        let seed = xxh3_64_with_seed(service.as_str().as_bytes(), 0);
+        Self(xxh3_64_with_seed(id.as_bytes(), seed))
+    }
+}
+
+/// The digest of an incarnation of a backend server.
+#[common::key]
+pub struct Server(pub u64);
+
+impl Server {
+    /// Returns the digest of an incarnation of `instance`.
+    pub fn new(instance: &Instance, incarnation: u64) -> Self {
+        Self(xxh3_64_with_seed(instance.as_str().as_bytes(), incarnation))
+    }
+}
--- /dev/null
+++ b/crates/quarantine/tests/table.rs
@@ -0,0 +1,310 @@
+//! Which parts are blamed for the ends of servers, and how seldom they are tried.
+
+use clock::Moment;
+use name::{Instance, Service};
+use quarantine::{Level, MAX_CASES, Part, Record, Server, Table, trial_interval};
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+use std::time::Duration;
+
+fn part(id: &str) -> Part {
+    let service: Service = "llm".parse().expect("a name");
+    Part::new(&service, id)
+}
+
+fn server(n: u64) -> Server {
+    let instance: Instance = "i".parse().expect("a name");
+    Server::new(&instance, n)
+}
+
+fn parts(ids: &str) -> Vec<Part> {
+    ids.split_whitespace().map(part).collect()
+}
+
+fn rng() -> ChaCha8Rng {
+    ChaCha8Rng::seed_from_u64(1)
+}
+
+/// An answer of a request with some parts.
+enum Answer {
+    /// It had just begun when the server ended.
+    Ended(&'static str, u64),
+    /// It went on past its beginning.
+    Sound(&'static str),
+}
+
+use Answer::{Ended, Sound};
+
+#[test]
+fn part_common_to_separate_ends_is_blamed() {
+    struct Case {
+        condition: &'static str,
+        /// When each answer ended, in milliseconds.
+        answers: Vec<(u64, Answer)>,
+        blamed: &'static str,
+        free: &'static str,
+    }
+    let cases = [
+        Case {
+            condition: "three ends, the other parts differ",
+            answers: vec![
+                (0, Ended("p a", 1)),
+                (300, Ended("b p", 2)),
+                (600, Ended("c p", 3)),
+            ],
+            blamed: "p",
+            free: "",
+        },
+        Case {
+            condition: "another part of the requests was sound before",
+            answers: vec![
+                (0, Sound("f x")),
+                (100, Ended("f p", 1)),
+                (400, Ended("f p", 2)),
+                (700, Ended("f p", 3)),
+            ],
+            blamed: "p",
+            free: "f",
+        },
+        Case {
+            condition: "victims that had just begun at the same servers",
+            answers: vec![
+                (0, Ended("p", 1)),
+                (300, Ended("p", 2)),
+                (301, Ended("v", 2)),
+                (600, Ended("p", 3)),
+                (601, Ended("v", 3)),
+                (900, Ended("p", 4)),
+                (901, Ended("v", 4)),
+            ],
+            blamed: "p",
+            free: "v",
+        },
+        Case {
+            condition: "many servers at two separate times",
+            answers: vec![
+                (0, Ended("p a", 1)),
+                (10, Ended("p b", 2)),
+                (20, Ended("p c", 3)),
+                (300, Ended("p d", 4)),
+            ],
+            blamed: "p",
+            free: "",
+        },
+        Case {
+            condition: "servers that ended together",
+            answers: (1..=16).map(|n| (n, Ended("f", n))).collect(),
+            blamed: "",
+            free: "",
+        },
+        Case {
+            condition: "an answer in between",
+            answers: vec![
+                (0, Ended("f", 1)),
+                (300, Ended("f", 2)),
+                (500, Sound("f")),
+                (600, Ended("f", 3)),
+                (900, Ended("f", 4)),
+            ],
+            blamed: "",
+            free: "f",
+        },
+        Case {
+            condition: "one server that resets its connections",
+            answers: (0..9).map(|n| (n * 300, Ended("f", 1))).collect(),
+            blamed: "",
+            free: "",
+        },
+        Case {
+            condition: "a part that was sound until it changed",
+            answers: vec![
+                (0, Sound("f")),
+                (300, Ended("f", 1)),
+                (600, Ended("f", 2)),
+                (900, Ended("f", 3)),
+                (1_200, Ended("f", 4)),
+            ],
+            blamed: "f",
+            free: "",
+        },
+    ];
+    for case in cases {
+        let mut table = Table::default();
+        for (at, answer) in &case.answers {
+            let now = Moment::from_millis(*at);
+            match answer {
+                Ended(ids, n) => drop(table.accuse(&parts(ids), server(*n), now)),
+                Sound(ids) => drop(table.clear(&parts(ids), now)),
+            }
+            table.assess(9, now, &mut rng());
+        }
+        let now = Moment::from_millis(case.answers.last().expect("an answer").0);
+        for id in parts(case.blamed) {
+            assert!(table.is_blamed(&[id]), "{}", case.condition);
+        }
+        for id in parts(case.free) {
+            assert_eq!(table.refusal(&[id], now), None, "{}", case.condition);
+        }
+        if case.blamed.is_empty() {
+            assert!(!table.is_blamed(&table.parts()), "{}", case.condition);
+        }
+    }
+}
+
+#[test]
+fn nodes_agree_on_evidence_in_any_order() {
+    let now = Moment::from_millis(10_000);
+    let mut seen = [Table::default(), Table::default(), Table::default()];
+    for (n, table) in seen.iter_mut().enumerate() {
+        let at = Moment::from_millis(1_000 + 300 * n as u64);
+        table.accuse(&parts("p q"), server(n as u64), at);
+    }
+    seen[2].clear(&parts("q"), now);
+    let records: Vec<Record> = seen
+        .iter()
+        .flat_map(|table| table.parts().into_iter().map(move |p| (table, p)))
+        .filter_map(|(table, part)| table.record(part, now))
+        .collect();
+    let mut rotated = records.clone();
+    for _ in 0..records.len() {
+        rotated.rotate_left(1);
+        let mut table = Table::default();
+        for record in rotated.iter().chain(&rotated) {
+            table.merge(record, now);
+        }
+        table.assess(9, now, &mut rng());
+        assert!(table.is_blamed(&parts("p")));
+        assert!(!table.is_blamed(&parts("q")));
+        assert!(rotated.iter().all(|record| !table.merge(record, now)));
+    }
+}
+
+/// Guards against ends that other nodes saw before the start of a node counting as one.
+#[test]
+fn evidence_from_before_the_start_of_a_node_counts_in_full() {
+    let ended_at = [5_000, 6_000, 7_000];
+    let mut other = Table::default();
+    for (n, at) in ended_at.into_iter().enumerate() {
+        other.accuse(&parts("p"), server(n as u64), Moment::from_millis(at));
+    }
+    let record = other.record(part("p"), Moment::from_millis(60_000));
+    let mut table = Table::default();
+    let now = Moment::from_millis(50);
+    assert!(table.merge(&record.expect("evidence"), now));
+    table.assess(9, now, &mut rng());
+    assert!(table.is_blamed(&parts("p")));
+}
+
+#[test]
+fn later_answer_on_a_blamed_part_frees_it_at_other_nodes() {
+    let now = Moment::from_millis(5_000);
+    let mut tables = [Table::default(), Table::default()];
+    for n in 0..4 {
+        for table in &mut tables {
+            table.accuse(&parts("p"), server(n), Moment::from_millis(1_000 * n));
+            table.assess(2, now, &mut rng());
+        }
+    }
+    assert!(tables.iter().all(|table| table.is_blamed(&parts("p"))));
+    assert_eq!(tables[0].clear(&parts("p"), now), parts("p"));
+    let record = tables[0].record(part("p"), now).expect("evidence");
+    assert!(tables[1].is_covered_by(&record, now));
+    assert!(tables[1].merge(&record, now));
+    let changes = tables[1].assess(2, now, &mut rng());
+    assert_eq!(changes.len(), 1);
+    assert_eq!(changes[0].level, Level::Free);
+    assert_eq!(tables[1].refusal(&parts("p"), now), None);
+}
+
+#[test]
+fn trials_of_all_nodes_together_are_as_seldom_as_the_interval() {
+    struct Case {
+        nodes: usize,
+        ends: u64,
+        /// How long requests with the part come to each node, in seconds.
+        seconds: u64,
+        /// The most requests that all nodes let through.
+        max_trials: usize,
+    }
+    let cases = [
+        Case {
+            nodes: 9,
+            ends: 3,
+            seconds: 110,
+            max_trials: 3,
+        },
+        Case {
+            nodes: 72,
+            ends: 3,
+            seconds: 110,
+            max_trials: 3,
+        },
+        Case {
+            nodes: 340,
+            ends: 3,
+            seconds: 110,
+            max_trials: 3,
+        },
+        Case {
+            nodes: 340,
+            ends: 5,
+            seconds: 1_200,
+            max_trials: 3,
+        },
+    ];
+    for case in cases {
+        let mut rng = rng();
+        let mut trials = 0;
+        for _ in 0..case.nodes {
+            let mut table = Table::default();
+            for n in 0..case.ends {
+                let at = Moment::from_millis(1_000 * n);
+                table.accuse(&parts("p"), server(n), at);
+            }
+            let begin = Moment::from_millis(1_000 * case.ends);
+            table.assess(case.nodes, begin, &mut rng);
+            for tenth in 0..case.seconds * 10 {
+                let now = begin + Duration::from_millis(100 * tenth);
+                trials += usize::from(table.admit(&parts("p"), case.nodes, now).is_ok());
+            }
+        }
+        assert!(
+            trials <= case.max_trials,
+            "{} nodes: {trials} trials in {} s",
+            case.nodes,
+            case.seconds
+        );
+    }
+}
+
+#[test]
+fn interval_grows_with_each_end() {
+    for was_sound in [false, true] {
+        let intervals: Vec<Duration> = (0..40)
+            .map(|ends| trial_interval(ends, was_sound).unwrap_or_default())
+            .collect();
+        assert!(intervals.is_sorted(), "{intervals:?}");
+        assert_eq!(intervals[39], Duration::from_secs(24 * 3_600));
+    }
+    assert_eq!(trial_interval(3, true), None);
+}
+
+#[test]
+fn table_of_many_parts_is_bounded_and_keeps_the_heaviest() {
+    let mut table = Table::default();
+    let mut now = Moment::START;
+    for n in 0..3 {
+        now = now + Duration::from_secs(1);
+        table.accuse(&parts("p"), server(n), now);
+        table.assess(9, now, &mut rng());
+    }
+    for n in 0..10 * MAX_CASES as u64 {
+        let other = part(&format!("other{n}"));
+        table.accuse(&[other], server(100 + n), now);
+        if n % 50 == 0 {
+            table.assess(9, now, &mut rng());
+        }
+    }
+    assert_eq!(table.parts().len(), MAX_CASES);
+    assert!(table.is_blamed(&parts("p")));
+}
