Withhold drafts whose prompts crash engines, on the entry path

Drafts whose prompts share a beginning that ends each engine were sent to one engine after the other, by retries of a node, by its peers and by callers.

Retries exclude a server for one draft, and nothing remembers what ran when a server ended.

Fix: the decisions of the crate quarantine, with a prompt's prefixes of whole blocks and the whole prompt as its parts. Nodes send their evidence with their observations, which each node polls from each other; the field is empty for nodes of earlier versions. A draft is accused if its stream ended with at most one token, and clears its prompt with its whole answer or eight tokens.

--- a/crates/entry/src/driver/observe.rs
+++ b/crates/entry/src/driver/observe.rs
@@ -5,6 +5,7 @@
     node::Node,
     peer::{AgedReport, Observation, ObservationQuery, encode_free_slots},
     reports::Progress,
+    serve::evidence,
 };
 use admit::limit::Demand;
 use clock::Moment;
@@ -96,6 +97,7 @@
         accounts.accept(grant);
     }
     drop(accounts);
+    evidence::apply(node, &observed.evidence, &observed.node, now);
     for report in observed.reports {
         let as_of = report.as_of(requested_at);
         watch::record_report(node, report, as_of);
@@ -142,6 +144,7 @@
         control_offset: node.control().state.offset,
         in_progress,
         grants,
+        evidence: evidence::records(node, now),
         node: node.identity.node.clone(),
         reports,
         votes,
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -109,6 +109,8 @@
     stats: Mutex<Stats>,
     /// Lock 14: the stage of a planned stop.
     drain: Mutex<member::Drain>,
+    /// Lock 15: the evidence on parts of prompts that end backend servers.
+    quarantine: Mutex<quarantine::Table>,
 }
 
 /// The tables with which a node starts.
@@ -180,6 +182,7 @@
             tickets: Mutex::new(tables.tickets),
             stats: Mutex::new(tables.stats),
             drain: Mutex::new(member::Drain::new()),
+            quarantine: Mutex::default(),
         }
     }
 
@@ -264,6 +267,11 @@
         lock(&self.drain)
     }
 
+    /// Takes lock 15.
+    pub(crate) fn quarantine(&self) -> MutexGuard<'_, quarantine::Table> {
+        lock(&self.quarantine)
+    }
+
     /// Returns which other nodes this node can reach.
     pub(crate) fn reachability(&self, now: Moment) -> Reachability {
         self.members().reachability(now)
--- a/crates/entry/src/peer/messages.rs
+++ b/crates/entry/src/peer/messages.rs
@@ -73,6 +73,8 @@
     pub(crate) in_progress: BTreeMap<Domain, u32>,
     /// Grants for the demands of the requesting node.
     pub(crate) grants: Vec<Grant>,
+    /// Evidence on parts of prompts that end backend servers.
+    pub(crate) evidence: Vec<quarantine::Record>,
 }
 
 /// Encodes a part of a message as JSON; every part has a JSON form.
@@ -85,6 +87,23 @@
     serde_json::from_slice(bytes).map_err(|_| Invalid::new(field))
 }
 
+/// Encodes evidence; without any, the field is left out.
+fn encode_evidence(records: &[quarantine::Record]) -> Vec<u8> {
+    if records.is_empty() {
+        Vec::new()
+    } else {
+        encode(&records)
+    }
+}
+
+/// Decodes evidence, which nodes of earlier versions do not send.
+fn decode_evidence(bytes: &[u8]) -> Result<Vec<quarantine::Record>, Invalid> {
+    if bytes.is_empty() {
+        return Ok(Vec::new());
+    }
+    decode(bytes, "evidence")
+}
+
 /// Encodes the numbers of free slots; targets without any are left out.
 pub(crate) fn encode_free_slots(free: &BTreeMap<Target, u32>) -> Vec<FreeSlots> {
     let slots = free.iter().filter(|(_, count)| **count > 0);
@@ -166,6 +185,7 @@
             free: observation.free,
             control_offset: observation.control_offset.0,
             grants: encode(&observation.grants),
+            evidence: encode_evidence(&observation.evidence),
             in_progress: observation
                 .in_progress
                 .iter()
@@ -189,6 +209,7 @@
             free: reply.free,
             control_offset: Offset(reply.control_offset),
             grants: decode(&reply.grants, "grants")?,
+            evidence: decode_evidence(&reply.evidence)?,
             in_progress: reply
                 .in_progress
                 .into_iter()
--- a/crates/entry/src/peer/tests.rs
+++ b/crates/entry/src/peer/tests.rs
@@ -34,6 +34,7 @@
         first in bytes(),
         second in bytes(),
         third in bytes(),
+        fourth in bytes(),
         offset in any::<u64>(),
         count in any::<u32>(),
     ) {
@@ -53,6 +54,7 @@
             control_offset: offset,
             grants: third,
             in_progress: vec![InProgress { domain: node.clone(), count }],
+            evidence: fourth,
         };
         if let Ok(observation) = Observation::try_from(reply) {
             prop_assert_eq!(observation.control_offset, Offset(offset));
@@ -69,6 +71,10 @@
             control_offset: Offset(offset),
             in_progress: BTreeMap::from([(Domain::try_from("teifi").unwrap(), count)]),
             grants: Vec::new(),
+            evidence: vec![quarantine::Record {
+                part: quarantine::Part(offset),
+                servers: vec![(quarantine::Server(offset), u64::from(count), true)],
+            }],
         };
         let message = ObserveReply::from(observation.clone());
         prop_assert_eq!(Observation::try_from(message), Ok(observation));
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -4,6 +4,7 @@
     node::Node,
     serve::{
         delivery::{Delivery, Disconnected, convert_frame},
+        evidence,
         job::{Draft, prompt_tokens},
         servers::{Lease, Offer},
         slot::SlotGuard,
@@ -13,6 +14,7 @@
 use backend::{Answer, engine, proto};
 use clock::Moment;
 use name::Attempt;
+use quarantine::Part;
 use replica::{Cause, dispatch_check};
 use route::answer::Step;
 use slog::debug;
@@ -23,6 +25,12 @@
 /// The time limit for an engine to accept a draft.
 const ACCEPT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The maximum number of tokens of an answer that counts as just begun.
+const MAX_BEGINNING_TOKENS: u32 = 1;
+
+/// The number of tokens from which an answer counts as past its beginning.
+const PAST_BEGINNING_TOKENS: u32 = 8;
+
 /// How an attempt ended.
 #[derive(Debug)]
 pub(crate) enum Outcome {
@@ -41,6 +49,7 @@
 pub(crate) async fn run(
     node: &Arc<Node>,
     draft: &Draft,
+    parts: &[Part],
     mut guard: SlotGuard,
     delivery: &mut Delivery,
 ) -> Outcome {
@@ -77,12 +86,22 @@
         answer,
         sent_at,
         first_token: None,
+        has_ended: false,
     };
     let outcome = stream.deliver(delivery).await;
     delivery.end_attempt();
     let first_token = stream.first_token;
+    let has_ended = stream.has_ended;
+    let offer = Arc::clone(&stream.offer);
     drop(stream);
     let generated = delivery.progress().tokens().saturating_sub(tokens_before);
+    if has_ended && generated <= MAX_BEGINNING_TOKENS {
+        evidence::accuse(node, parts, &offer);
+    }
+    let is_complete = matches!(outcome, Outcome::Complete { .. });
+    if is_complete || generated >= PAST_BEGINNING_TOKENS {
+        evidence::clear(node, parts);
+    }
     let tokens = prompt_tokens(&draft.prompt) + u64::from(generated);
     match &outcome {
         Outcome::Complete { .. } => guard.release(Ending::Whole, first_token, tokens),
@@ -178,6 +197,8 @@
     sent_at: Moment,
     /// The time from sending to the first token.
     first_token: Option<Duration>,
+    /// Whether the engine's stream ended before the answer was complete.
+    has_ended: bool,
 }
 
 impl Stream<'_> {
@@ -215,8 +236,12 @@
     ) -> Result<Option<Outcome>, Disconnected> {
         let frame = match frame {
             Some(Ok(frame)) => frame,
-            Some(Err(error)) => return Ok(Some(Outcome::Failed(error))),
+            Some(Err(error)) => {
+                self.has_ended = true;
+                return Ok(Some(Outcome::Failed(error)));
+            }
             None => {
+                self.has_ended = true;
                 return Ok(Some(Outcome::Failed(stream_error(
                     "the stream ended early",
                 ))));
--- a/crates/entry/src/serve/draft.rs
+++ b/crates/entry/src/serve/draft.rs
@@ -12,7 +12,7 @@
         accounts,
         attempt::{self, Outcome},
         delivery::Delivery,
-        forward,
+        evidence, forward,
         job::{self, Draft, Event, prompt_tokens},
         queue::SlotRequest,
         servers::Target,
@@ -119,7 +119,15 @@
 async fn run_attempts(node: &Arc<Node>, draft: &mut Draft, delivery: &mut Delivery) -> Outcome {
     let mut search = Search::default();
     let mut verdict = Verdict::NotRun;
+    let parts = evidence::parts(draft);
     loop {
+        let trial = tokio::select! {
+            trial = evidence::wait_for_trial(node, &parts) => trial,
+            () = delivery.disconnected() => return Outcome::Disconnected,
+        };
+        if let Err(error) = trial {
+            return Outcome::Failed(error.with_earlier_verdict(verdict));
+        }
         let placement = tokio::select! {
             placement = find_slot(node, draft, &mut search) => placement,
             () = delivery.disconnected() => return Outcome::Disconnected,
@@ -127,11 +135,14 @@
         let outcome = match placement {
             Err(error) => return Outcome::Failed(error.with_earlier_verdict(verdict)),
             Ok(Placement::Local(guard)) => {
+                if let Err(error) = evidence::begin_trial(node, &parts) {
+                    return Outcome::Failed(error.with_earlier_verdict(verdict));
+                }
                 search.avoid.push(guard.lease().key);
                 draft.attempts += 1;
                 node.metrics.attempt(&draft.account);
                 cache::record_dispatch(node, draft, guard.lease());
-                attempt::run(node, draft, guard, delivery).await
+                attempt::run(node, draft, &parts, guard, delivery).await
             }
             Ok(Placement::Peer(peer)) => {
                 search.tried.push(peer.clone());
--- /dev/null
+++ b/crates/entry/src/serve/evidence.rs
@@ -0,0 +1,154 @@
+//! Evidence on prompts that end backend servers; drafts with them are withheld.
+//!
+//! The parts of a prompt are its prefixes in whole blocks, and the whole prompt. Nodes
+//! send their evidence to each other with their observations.
+
+use crate::{
+    node::Node,
+    serve::{job::Draft, servers::Offer},
+};
+use clock::Moment;
+use member::Health;
+use name::Node as NodeName;
+use quarantine::{Change, Level, Part, Record, Refusal, Server};
+use slog::info;
+use std::time::Duration;
+use tokio::time::sleep;
+use verdict::{Error, Kind};
+
+/// The maximum number of records that a node sends at once.
+const MAX_RECORDS: usize = 64;
+
+/// The longest time that a draft waits for the next trial of a suspected prompt.
+const MAX_TRIAL_WAIT: Duration = Duration::from_secs(1);
+
+/// The minimum retry delay for callers of withheld drafts.
+const MIN_RETRY_DELAY: Duration = Duration::from_millis(500);
+
+/// Returns the parts of a draft's prompt.
+///
+/// Models of all names count as one service: the rule holds for the engines, which may
+/// all run the same code.
+pub(crate) fn parts(draft: &Draft) -> Vec<Part> {
+    let mut parts: Vec<Part> = route::prefix::hashes("", &draft.prompt)
+        .into_iter()
+        .map(Part)
+        .collect();
+    parts.push(Part(route::prefix::prompt_hash(&draft.prompt)));
+    parts
+}
+
+/// Waits until a draft may be sent, if its prompt is under suspicion.
+///
+/// # Errors
+///
+/// Returns an error for the caller if the wait would be long.
+pub(crate) async fn wait_for_trial(node: &Node, parts: &[Part]) -> Result<(), Error> {
+    let give_up_at = node.clock.now() + MAX_TRIAL_WAIT;
+    loop {
+        let now = node.clock.now();
+        let Some(refusal) = node.quarantine().refusal(parts, now) else {
+            return Ok(());
+        };
+        if refusal.level == Level::Blamed || now + refusal.wait > give_up_at {
+            return Err(withheld_error(node, &refusal));
+        }
+        sleep(refusal.wait).await;
+    }
+}
+
+/// Records that a draft is sent, or withholds it.
+///
+/// # Errors
+///
+/// Returns an error for the caller if the prompt is under suspicion.
+pub(crate) fn begin_trial(node: &Node, parts: &[Part]) -> Result<(), Error> {
+    let nodes = node_count(node);
+    let now = node.clock.now();
+    let admitted = node.quarantine().admit(parts, nodes, now);
+    admitted.map_err(|refusal| withheld_error(node, &refusal))
+}
+
+/// Accuses the parts of a draft whose answer had just begun when its stream ended.
+pub(crate) fn accuse(node: &Node, parts: &[Part], offer: &Offer) {
+    let boot = offer.capacity.boot.as_u64_pair().0;
+    let server = Server::new(&offer.instance, boot);
+    let nodes = node_count(node);
+    let now = node.clock.now();
+    let mut table = node.quarantine();
+    let accused = table.accuse(parts, server, now);
+    let changes = table.assess(nodes, now, &mut rand::rng());
+    drop(table);
+    if !accused.is_empty() {
+        info!(node.log, "stream ended when its answer had just begun"; "instance" => %offer.instance,
+            "parts" => accused.len());
+    }
+    log_changes(node, &changes, "own");
+}
+
+/// Clears the parts of a draft whose answer went on past its beginning.
+pub(crate) fn clear(node: &Node, parts: &[Part]) {
+    let nodes = node_count(node);
+    let now = node.clock.now();
+    let mut table = node.quarantine();
+    if table.clear(parts, now).is_empty() {
+        return;
+    }
+    let changes = table.assess(nodes, now, &mut rand::rng());
+    drop(table);
+    log_changes(node, &changes, "own");
+}
+
+/// Returns the evidence to send to other nodes.
+pub(crate) fn records(node: &Node, now: Moment) -> Vec<Record> {
+    let table = node.quarantine();
+    let parts = table.parts().into_iter().take(MAX_RECORDS);
+    parts.filter_map(|part| table.record(part, now)).collect()
+}
+
+/// Applies the evidence of another node.
+pub(crate) fn apply(node: &Node, records: &[Record], from: &NodeName, now: Moment) {
+    if records.is_empty() {
+        return;
+    }
+    let nodes = node_count(node);
+    let mut table = node.quarantine();
+    let mut is_changed = false;
+    for record in records.iter().take(MAX_RECORDS) {
+        is_changed |= table.merge(record, now);
+    }
+    if !is_changed {
+        return;
+    }
+    let changes = table.assess(nodes, now, &mut rand::rng());
+    drop(table);
+    log_changes(node, &changes, from.as_str());
+}
+
+/// Returns the number of nodes that are not dead.
+fn node_count(node: &Node) -> usize {
+    let members = node.members();
+    let live = members
+        .members()
+        .filter(|member| member.health != Health::Dead);
+    live.count().max(1)
+}
+
+/// Logs parts whose level changed.
+fn log_changes(node: &Node, changes: &[Change], source: &str) {
+    for change in changes {
+        info!(node.log, "treatment of a prompt part changed"; "part" => format!("{:016x}", change.part.0),
+            "level" => ?change.level, "ends" => change.ends, "source" => source,
+            "last_end_age_ms" => change.last_end_age.as_millis() as u64);
+    }
+}
+
+/// Returns the error for the caller of a withheld draft.
+fn withheld_error(node: &Node, refusal: &Refusal) -> Error {
+    info!(node.log, "draft withheld"; "part" => format!("{:016x}", refusal.part.0), "level" => ?refusal.level,
+        "ends" => refusal.ends, "wait_ms" => refusal.wait.as_millis() as u64,
+        "interval_ms" => refusal.interval.as_millis() as u64);
+    let message = "a part of the prompt is withheld because servers ended below it";
+    Error::not_run(Kind::Unavailable, message)
+        .with_retry_after(refusal.interval.max(MIN_RETRY_DELAY))
+}
--- a/crates/entry/src/serve/mod.rs
+++ b/crates/entry/src/serve/mod.rs
@@ -6,6 +6,7 @@
 pub(crate) mod claims;
 pub(crate) mod delivery;
 pub(crate) mod draft;
+pub(crate) mod evidence;
 pub(crate) mod forward;
 pub(crate) mod job;
 pub(crate) mod keyed;
--- a/crates/route/src/prefix.rs
+++ b/crates/route/src/prefix.rs
@@ -30,6 +30,13 @@
     chained.collect()
 }
 
+/// Returns the hash of a whole prompt.
+pub fn prompt_hash(prompt: &str) -> u64 {
+    /// Keeps the hash of a prompt apart from those of its prefixes.
+    const SEED: u64 = 1;
+    xxh3_64_with_seed(prompt.as_bytes(), SEED)
+}
+
 /// The replicas that cache a prefix of one prompt, with its length in blocks.
 #[common::plain]
 #[derive(Default)]
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -295,6 +295,7 @@
     wait: u64,
     token_ms: u64,
     ended: bool,
+    prompt: Arc<str>,
 }
 
 impl AnswerStream {
@@ -330,6 +331,7 @@
             wait: first * percent / 100,
             token_ms: speed.token_ms * percent / 100,
             ended: false,
+            prompt: request.prompt.as_str().into(),
             membership,
             tokens,
             running,
@@ -354,6 +356,11 @@
             cancelled.cancelled().await;
         }
         let cut = faults.cut_after.is_some_and(|after| self.sent >= after);
+        let crash_prompts = faults.crash_prompts.as_deref();
+        if self.sent >= 1 && crash_prompts.is_some_and(|text| self.prompt.contains(text)) {
+            server.restart(true);
+            return Some((Err(io::ErrorKind::ConnectionReset.into()), self));
+        }
         let missing = faults.checks_members && !members_present(&server, &self.membership);
         if cut || missing {
             return Some((Err(io::ErrorKind::ConnectionReset.into()), self));
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -40,6 +40,8 @@
     pub checks_members: bool,
     /// Closes each stream after this number of frames.
     pub cut_after: Option<u32>,
+    /// Restarts after the first frame of a stream whose prompt contains this text.
+    pub crash_prompts: Option<Arc<str>>,
     /// Stalls each stream after this number of frames.
     pub stall_after: Option<u32>,
     /// Sends each frame twice.
@@ -61,6 +63,7 @@
             fences: true,
             checks_members: true,
             cut_after: None,
+            crash_prompts: None,
             stall_after: None,
             repeat_frames: false,
             crossed_at: None,
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -53,6 +53,9 @@
     /// The grants for the demands of the request.
     #[prost(bytes = "vec", tag = "7")]
     pub grants: ::prost::alloc::vec::Vec<u8>,
+    /// The evidence on parts of prompts that end backend servers; empty if there is none.
+    #[prost(bytes = "vec", tag = "8")]
+    pub evidence: ::prost::alloc::vec::Vec<u8>,
 }
 /// The number of requests in progress in one failure domain.
 #[derive(Clone, PartialEq, Eq, Hash, ::prost::Message)]
--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -418,3 +418,41 @@
     assert_eq!(deployment.world().counters().cold_overloads, 0);
     deployment.stop().await;
 }
+
+/// The length of the beginning that crashing prompts share.
+const SHARED_BYTES: usize = 512;
+
+#[tokio::test(flavor = "multi_thread")]
+async fn drafts_that_crash_servers_are_withheld_by_all_nodes() {
+    /// Three ends at different times suffice, and five may come together.
+    const MAX_RUNS: usize = 8;
+    const DRAFTS: usize = 60;
+    let mut deployment = deployment("").await;
+    let text = "Strata of the estuary. ";
+    let crashing = text.repeat(SHARED_BYTES / text.len() + 1);
+    let faults = Faults {
+        crash_prompts: Some(text.into()),
+        ..Faults::default()
+    };
+    set_faults(&deployment, "", &faults);
+    let callers = deployment.caller_addresses();
+    let before = begun(&deployment);
+    for n in 0..DRAFTS {
+        let body = json!({"model": MODEL, "stream": true, "max_tokens": 40, "seed": n,
+            "prompt": format!("{crashing} Question {n}.")});
+        let address = callers[n % callers.len()];
+        let key = api_key(ACCOUNT);
+        let answer = deployment
+            .client()
+            .stream(address, "/v1/completions", &key, &[], &body)
+            .await;
+        assert!(!answer.unwrap().is_complete);
+        tokio::time::sleep(Duration::from_millis(200)).await;
+    }
+    let runs = begun(&deployment) - before;
+    assert!(runs <= MAX_RUNS, "{runs} runs of {DRAFTS} drafts");
+    let (streamed, right) = draft(&deployment, callers[0], 1, 4).await;
+    check_draft("another prompt", &streamed, &right);
+    assert!(streamed.is_complete, "{streamed:?}");
+    deployment.stop().await;
+}
