Send servers no more requests than the limit that they name

Cause: no node read the limit. Class: a bound over all nodes that each node must keep alone.

Fix: one module, place::limit, for the shares of all limits over nodes; cold starts and named limits differ in their span only. A limit is divided into whole requests in 4 s, so that 72 nodes can share 2 a second, and each node keeps its own share, which follows the number of nodes. A target gets a request while all its shares have room, so the strictest holds, for repeats and resumed streams as well. The newest answer of an incarnation decides; an answer of a run without the header lifts the limit; a limit that nothing confirms for 30 s is forgotten, and one node may always send one request in 4 s, so that a limit of zero can be lifted. Nodes send changes of more than a tenth to each other with the evidence on prompt parts (module exchange, split from evidence). The estimate of a wait counts the share only, so that no queue builds up for the rest.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -384,6 +384,7 @@
         if answer.status == StatusCode::SERVICE_UNAVAILABLE {
             self.follow_decline(shared, answer);
         }
+        self.follow_limit(shared, answer);
         if !answer.head.is_leaving {
             return;
         }
@@ -403,6 +404,28 @@
         }
     }
 
+    /// Sends a server no more than this node's share of the rate that it names.
+    ///
+    /// Only an answer of a server that ran the request lifts a limit by naming none:
+    /// rejections need not name it.
+    fn follow_limit(&self, shared: &Arc<Shared>, answer: &Answer) {
+        let target = &answer.slot.choice.target;
+        let per_s = match &answer.head.rate_limit {
+            Some(Ok(per_s)) => Some(*per_s),
+            Some(Err(value)) => {
+                shared
+                    .metrics
+                    .count("announcements", "limit not understood");
+                warn!(shared.log, "backend server named a limit that is no rate"; "server" => %target.server,
+                    "value" => %value, "id" => &*self.call.attempt_id);
+                return;
+            }
+            None if answer.head.is_signed => None,
+            None => return,
+        };
+        shared.record_limit(&target.server, target.incarnation, per_s);
+    }
+
     /// Sends no request to a server for as long as it asked for in a response.
     fn follow_decline(&self, shared: &Arc<Shared>, answer: &Answer) {
         let server = &answer.slot.choice.target.server;
--- /dev/null
+++ b/crates/edge/src/exchange.rs
@@ -0,0 +1,305 @@
+//! The exchange between nodes of what they learn from servers' answers.
+//!
+//! Two things are exchanged: evidence on prompt parts that end servers, and the limits
+//! that servers name. What all nodes must act on at once is sent to all at once; what
+//! several nodes learn at about the same time is sent after a random delay that grows
+//! with the number of nodes, and not at all if another node sent it first. Each node
+//! also sends all that it knows to a few others at intervals, and to nodes that have just
+//! started, so that lost datagrams and restarts only delay it.
+
+use crate::state::{Shared, Tables};
+use clock::Moment;
+use name::Instance;
+use place::Named;
+use quarantine::{Part, Record};
+use rand::{Rng, seq::IndexedRandom};
+use serde::{Deserialize, Serialize};
+use slog::{info, warn};
+use std::{collections::HashMap, hash::Hash, net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    net::UdpSocket,
+    time::{sleep, timeout},
+};
+
+/// The first byte of a datagram, which identifies its format.
+pub(crate) const FORMAT: u8 = 2;
+
+/// The time between two transmissions of everything to some other nodes.
+const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// The number of nodes to which everything is sent at each interval.
+const EXCHANGE_NODES: usize = 2;
+
+/// The number of nodes that send everything to a node that has just started.
+const NEWCOMER_SENDERS: usize = 8;
+
+/// The maximum number of records of evidence in a datagram, some 20 kB.
+const MAX_RECORDS: usize = 64;
+
+/// The maximum number of limits in a datagram, some 25 kB.
+const MAX_LIMITS: usize = 512;
+
+/// The longest random delay per other node.
+const DELAY_PER_NODE: Duration = Duration::from_millis(2);
+
+/// The minimum time between two transmissions to all nodes.
+const MIN_SEND_INTERVAL: Duration = Duration::from_millis(20);
+
+/// The limit that a server named.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+struct LimitRecord {
+    server: Instance,
+    incarnation: u64,
+    per_s: Option<f64>,
+    /// The milliseconds since the server's answer.
+    age_ms: u64,
+}
+
+/// The content of a datagram.
+///
+/// Encoded by position: the order of fields is part of the format.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct Message {
+    evidence: Vec<Record>,
+    limits: Vec<LimitRecord>,
+}
+
+/// What is to be sent to other nodes.
+#[derive(Debug, Default)]
+pub(crate) struct Outbox {
+    /// When the evidence on each part is sent to all nodes.
+    parts: HashMap<Part, Moment>,
+    /// When the limit of each server is sent to all nodes.
+    limits: HashMap<Instance, Moment>,
+    /// The nodes that have just started.
+    newcomers: Vec<SocketAddr>,
+}
+
+impl Outbox {
+    /// Sends the evidence on a part to all nodes, at a time or earlier.
+    pub(crate) fn add_part(&mut self, part: Part, at: Moment) {
+        let due = self.parts.entry(part).or_insert(at);
+        *due = at.min(*due);
+    }
+
+    /// Sends the evidence on a part no more, since another node sent the same.
+    pub(crate) fn remove_part(&mut self, part: Part) {
+        self.parts.remove(&part);
+    }
+
+    /// Returns when the next transmission to all nodes is due.
+    fn next_due(&self) -> Option<Moment> {
+        self.parts
+            .values()
+            .chain(self.limits.values())
+            .copied()
+            .min()
+    }
+}
+
+/// Takes the keys that are due, at most `max`.
+fn take_due<K: Hash + Eq + Clone>(due: &mut HashMap<K, Moment>, max: usize, now: Moment) -> Vec<K> {
+    let ready = due.iter().filter(|(_, at)| **at <= now);
+    let keys: Vec<K> = ready.map(|(key, _)| key.clone()).take(max).collect();
+    for key in &keys {
+        due.remove(key);
+    }
+    keys
+}
+
+impl Tables {
+    /// Returns a random delay for what several nodes learn at about the same time.
+    pub(crate) fn random_send_delay(&self) -> Duration {
+        let nodes = u32::try_from(self.peers.node_count()).unwrap_or(u32::MAX);
+        (DELAY_PER_NODE * nodes).mul_f64(rand::rng().random_range(0.0..1.0))
+    }
+
+    /// Divides limits among the present nodes, and forgets old ones.
+    pub(crate) fn update_limits(&mut self, own: &str, now: Moment) {
+        self.limits.set_nodes(own, self.peers.node_names(own));
+        self.limits.expire(now);
+    }
+
+    /// Returns a message with the evidence on some parts and the limits of some servers.
+    fn message(
+        &self,
+        parts: impl IntoIterator<Item = Part>,
+        servers: impl IntoIterator<Item = Instance>,
+        now: Moment,
+    ) -> Message {
+        let parts = parts.into_iter();
+        let evidence = parts.filter_map(|part| self.quarantine.record(part, now));
+        let limits = servers.into_iter().filter_map(|server| {
+            let named = self.limits.named(&server)?;
+            let age = now.since(named.at).as_millis();
+            Some(LimitRecord {
+                server,
+                incarnation: named.incarnation,
+                per_s: named.per_s,
+                age_ms: u64::try_from(age).unwrap_or(u64::MAX),
+            })
+        });
+        Message {
+            evidence: evidence.collect(),
+            limits: limits.collect(),
+        }
+    }
+}
+
+impl Shared {
+    /// Records the limit that a server named in an answer, or that it named none.
+    pub(crate) fn record_limit(&self, server: &Instance, incarnation: u64, per_s: Option<f64>) {
+        let now = self.now();
+        let named = Named {
+            incarnation,
+            per_s,
+            at: now,
+        };
+        let mut tables = self.tables();
+        if !tables.limits.record(server, named) {
+            return;
+        }
+        let at = now + tables.random_send_delay();
+        tables.outbox.limits.entry(server.clone()).or_insert(at);
+        drop(tables);
+        self.log_limit(server, named, "own", now);
+        self.exchange_due.notify_one();
+    }
+
+    /// Logs that the limit of a server changed.
+    fn log_limit(&self, server: &Instance, named: Named, source: &str, now: Moment) {
+        let label = if named.per_s.is_some() {
+            "limit"
+        } else {
+            "no limit"
+        };
+        self.metrics.count("announcements", label);
+        info!(self.log, "limit of backend server changed"; "server" => %server,
+            "incarnation" => named.incarnation, "per_s" => named.per_s, "source" => source,
+            "age_ms" => now.since(named.at).as_millis() as u64);
+    }
+
+    /// Applies the limits that another node sent.
+    fn apply_limits(&self, limits: &[LimitRecord], source: &str) {
+        let now = self.now();
+        for limit in limits {
+            let is_valid = limit
+                .per_s
+                .is_none_or(|per_s| per_s.is_finite() && per_s >= 0.0);
+            if !is_valid {
+                warn!(self.log, "limit from another node is no rate"; "server" => %limit.server, "from" => source);
+                continue;
+            }
+            let named = Named {
+                incarnation: limit.incarnation,
+                per_s: limit.per_s,
+                at: now - Duration::from_millis(limit.age_ms),
+            };
+            let mut tables = self.tables();
+            let is_changed = tables.limits.record(&limit.server, named);
+            if is_changed {
+                tables.outbox.limits.remove(&limit.server);
+                drop(tables);
+                self.log_limit(&limit.server, named, source, now);
+            }
+        }
+    }
+
+    /// Sends everything to a node that has just started, as some of the others do.
+    pub(crate) fn greet(&self, tables: &mut Tables, address: SocketAddr) {
+        let senders = NEWCOMER_SENDERS as f64 / tables.peers.node_count() as f64;
+        if rand::rng().random_bool(senders.min(1.0)) {
+            tables.outbox.newcomers.push(address);
+            self.exchange_due.notify_one();
+        }
+    }
+}
+
+/// Sends to the other nodes for as long as the node runs.
+pub(crate) async fn run_sender(shared: Arc<Shared>, socket: Arc<UdpSocket>) {
+    let mut next_exchange = shared.now() + EXCHANGE_INTERVAL;
+    loop {
+        let wait = {
+            let now = shared.now();
+            let tables = shared.tables();
+            let due = tables.outbox.next_due();
+            let next = due.map_or(next_exchange, |due| due.min(next_exchange));
+            if tables.outbox.newcomers.is_empty() {
+                now.until(next)
+            } else {
+                Duration::ZERO
+            }
+        };
+        let _ = timeout(wait, shared.exchange_due.notified()).await;
+        let now = shared.now();
+        let (due, everything, addresses, recipients) = {
+            let mut tables = shared.tables();
+            let parts = take_due(&mut tables.outbox.parts, MAX_RECORDS, now);
+            let servers = take_due(&mut tables.outbox.limits, MAX_LIMITS, now);
+            let due = tables.message(parts, servers, now);
+            let mut recipients = std::mem::take(&mut tables.outbox.newcomers);
+            let addresses = tables.peers.addresses();
+            if now >= next_exchange {
+                next_exchange = now + EXCHANGE_INTERVAL;
+                recipients.extend(addresses.choose_multiple(&mut rand::rng(), EXCHANGE_NODES));
+            }
+            let parts = tables.quarantine.parts().into_iter().take(MAX_RECORDS);
+            let servers = tables.limits.servers().into_iter().take(MAX_LIMITS);
+            let everything = tables.message(parts, servers, now);
+            (due, everything, addresses, recipients)
+        };
+        if let Some(bytes) = encode(&shared, &due) {
+            send(&socket, &bytes, &addresses).await;
+            shared.metrics.count("exchange", "sent to all");
+            sleep(MIN_SEND_INTERVAL).await;
+        }
+        if !recipients.is_empty()
+            && let Some(bytes) = encode(&shared, &everything)
+        {
+            send(&socket, &bytes, &recipients).await;
+        }
+    }
+}
+
+/// Sends a datagram to several nodes.
+///
+/// A send error has the same effect as a lost datagram: it delays the content until the
+/// next exchange.
+async fn send(socket: &UdpSocket, bytes: &[u8], addresses: &[SocketAddr]) {
+    for address in addresses {
+        let _ = socket.send_to(bytes, address).await;
+    }
+}
+
+/// Encodes a message; `None` if it is empty.
+fn encode(shared: &Shared, message: &Message) -> Option<Vec<u8>> {
+    if message.evidence.is_empty() && message.limits.is_empty() {
+        return None;
+    }
+    match postcard::to_extend(message, vec![FORMAT]) {
+        Ok(bytes) => Some(bytes),
+        Err(error) => {
+            warn!(shared.log, "exchange encoding failed"; "error" => %error);
+            None
+        }
+    }
+}
+
+/// Applies a datagram of another node.
+pub(crate) fn receive(shared: &Shared, bytes: &[u8], from: SocketAddr) {
+    let message = match postcard::from_bytes::<Message>(bytes) {
+        Ok(message) => message,
+        Err(error) => {
+            shared.metrics.count("beats_malformed", "exchange");
+            warn!(shared.log, "malformed exchange"; "from" => %from, "error" => %error);
+            return;
+        }
+    };
+    let source = from.to_string();
+    let evidence = &message.evidence[..message.evidence.len().min(MAX_RECORDS)];
+    if !evidence.is_empty() {
+        shared.apply_records(evidence, &source);
+    }
+    let limits = &message.limits[..message.limits.len().min(MAX_LIMITS)];
+    shared.apply_limits(limits, &source);
+}
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -4,7 +4,7 @@
 //! effect. Everything that nodes must agree on is in the platform's store.
 
 use crate::{
-    evidence,
+    exchange,
     feed_relay::{self, Ack, FeedUpdate},
     state::Shared,
 };
@@ -100,6 +100,7 @@
             let mut tables = shared.tables();
             tables.peers.now = now;
             tables.load.expire(now);
+            tables.update_limits(shared.settings.node.as_str(), now);
             let nodes = tables.peers.node_count();
             for budget in tables.budgets.values_mut() {
                 budget.set_node_count(&shared.settings.bounds, nodes);
@@ -283,8 +284,8 @@
             sleep(Duration::from_millis(1)).await;
             continue;
         };
-        if let Some((&evidence::FORMAT, records)) = buffer[..length].split_first() {
-            evidence::receive(&shared, records, from);
+        if let Some((&exchange::FORMAT, records)) = buffer[..length].split_first() {
+            exchange::receive(&shared, records, from);
             continue;
         }
         match decode(&buffer[..length]) {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,8 +7,8 @@
 //!   theirs; `peers` holds what was received,
 //! - `feed_relay` sends the planner's feed reads to the other nodes, which then need
 //!   not poll the store,
-//! - `evidence` exchanges which prompt parts end servers; requests with them are
-//!   withheld,
+//! - `evidence` withholds requests whose prompts end servers; `exchange` sends what
+//!   nodes learn from servers' answers to the others,
 //! - `plan` forms replicas while this node holds the newest planner claim,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
 //!   `attempt` (which takes a `slot`), `stream` forwards the events of a response,
@@ -22,6 +22,7 @@
 mod directory;
 mod events;
 mod evidence;
+mod exchange;
 mod feed_relay;
 mod follow;
 mod heartbeat;
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -3,7 +3,7 @@
 use crate::state::{Shared, Tables};
 use clock::Moment;
 use name::{Instance, Model, Service};
-use place::{Contention, Decision, Placement, Query, Urgency, choose_target, cold_rate_share};
+use place::{Contention, Decision, Placement, Query, Urgency, choose_target, cold_share};
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -213,13 +213,13 @@
             cost.as_deref(),
             &tables.load,
             |target| {
-                let own = self.settings.node.as_str();
-                cold_rate_share(
-                    cold_per_s,
-                    &target.server,
-                    own,
-                    tables.peers.node_names(own).into_iter(),
-                )
+                let cold = target.is_cold.then(|| {
+                    let own = self.settings.node.as_str();
+                    let nodes = tables.peers.node_names(own);
+                    cold_share(cold_per_s, &target.server, own, nodes.into_iter())
+                });
+                let named = tables.limits.share(&target.server, target.incarnation);
+                [cold, named]
             },
             now,
             &mut rand::rng(),
@@ -259,7 +259,8 @@
             return FORMATION_WAIT;
         }
         let cost = tables.cost(&request.service, request.model.as_ref());
-        let rate: f64 = tables
+        let nodes = tables.peers.node_count() as f64;
+        let own_rate: f64 = tables
             .targets
             .iter()
             .filter(|t| serves(t, request))
@@ -271,10 +272,11 @@
                     let (prompt, answer) = cost.mean_tokens();
                     cost.residence_time(slots, prompt, answer)
                 });
-                slots / seconds / slowness
+                let rate = slots / seconds / slowness / nodes;
+                let share = tables.limits.share(&target.server, target.incarnation);
+                share.map_or(rate, |share| rate.min(share.rate()))
             })
             .sum();
-        let own_rate = rate / tables.peers.node_count() as f64;
         place::estimated_wait(tables.queue.count_ahead(rank), own_rate).unwrap_or(FORMATION_WAIT)
     }
 }
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,7 +1,7 @@
 //! Start and stop of a node.
 
 use crate::{
-    directory, evidence, follow, heartbeat,
+    directory, exchange, follow, heartbeat,
     listener::{Role, listen},
     plan,
     state::Shared,
@@ -93,7 +93,7 @@
             Arc::clone(&socket),
             node,
         ));
-        tasks.spawn(evidence::run_sender(
+        tasks.spawn(exchange::run_sender(
             Arc::clone(&shared),
             Arc::clone(&socket),
         ));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,9 +1,9 @@
 //! The state that a node's tasks share.
 
-use crate::{evidence::Outbox, metrics::Metrics, peers::Peers, slot::Waiter};
+use crate::{exchange::Outbox, metrics::Metrics, peers::Peers, slot::Waiter};
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
-use place::{CostModel, Fleet, LoadTracker, Queue, RetryBudget, Target};
+use place::{CostModel, Fleet, Limits, LoadTracker, Queue, RetryBudget, Target};
 use site::{Config, Platform, Settings, settings::Bounds};
 use slog::Logger;
 use std::{
@@ -44,8 +44,8 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Wakes the heartbeat sender before its interval ends.
     pub(crate) heartbeat_requested: Notify,
-    /// Wakes the sender of evidence.
-    pub(crate) evidence_due: Notify,
+    /// Wakes the sender of evidence and limits.
+    pub(crate) exchange_due: Notify,
     /// The number of changes of how prompt parts are treated.
     pub(crate) treatment_changes: watch::Sender<u64>,
     tables: Mutex<Tables>,
@@ -86,6 +86,8 @@
     pub(crate) targets: Arc<Vec<Target>>,
     pub(crate) costs: HashMap<Service, HashMap<Model, Arc<CostModel>>>,
     pub(crate) load: LoadTracker,
+    /// The rates that servers named.
+    pub(crate) limits: Limits,
     pub(crate) queue: Queue<Waiter>,
     /// The retry credit of each service.
     pub(crate) budgets: HashMap<Service, RetryBudget>,
@@ -93,8 +95,8 @@
     pub(crate) demand: Demand,
     /// The evidence on prompt parts that end servers.
     pub(crate) quarantine: quarantine::Table,
-    /// The evidence to send to other nodes.
-    pub(crate) evidence: Outbox,
+    /// What is to be sent to other nodes.
+    pub(crate) outbox: Outbox,
 }
 
 impl Shared {
@@ -110,7 +112,7 @@
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
-            evidence_due: Notify::new(),
+            exchange_due: Notify::new(),
             treatment_changes: watch::Sender::new(0),
             tables: Mutex::new(tables),
             is_stopping: AtomicBool::new(false),
@@ -206,12 +208,13 @@
             targets: Arc::default(),
             costs: HashMap::new(),
             load: LoadTracker::default(),
+            limits: Limits::default(),
             queue: Queue::default(),
             budgets: HashMap::new(),
             peers: Peers::default(),
             demand: Demand::default(),
             quarantine: quarantine::Table::default(),
-            evidence: Outbox::default(),
+            outbox: Outbox::default(),
         }
     }
 
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -1,6 +1,6 @@
 //! The choice of a target for one request.
 
-use crate::{CostModel, LoadTracker, Target};
+use crate::{CostModel, LoadTracker, Share, Target};
 use clock::Moment;
 use name::{Domain, Instance, Model, Service};
 use rand::{Rng, seq::IndexedRandom};
@@ -110,14 +110,13 @@
 
 /// Picks a target for a request.
 ///
-/// `cold_per_s` returns the number of requests that this node may send to a cold
-/// target per second.
+/// `shares` returns this node's shares of the limits of a target.
 pub fn choose_target(
     query: &Query<'_>,
     targets: &[Target],
     cost: Option<&CostModel>,
     load: &LoadTracker,
-    cold_per_s: impl Fn(&Target) -> usize,
+    shares: impl Fn(&Target) -> [Option<Share>; 2],
     now: Moment,
     rng: &mut impl Rng,
 ) -> Decision {
@@ -135,7 +134,10 @@
         .filter(|t| load.declined_until(&t.server, now).is_none())
         .filter(|t| load.work(&t.server, now).requests < t.slots)
         .filter(|t| query.contention.may_take_slot(t, load, now))
-        .filter(|t| !t.is_cold || load.sent_last_second(&t.server, now) < cold_per_s(t))
+        .filter(|t| {
+            let mut shares = shares(t).into_iter().flatten();
+            shares.all(|share| load.sent_within(&t.server, share.span, now) < share.requests)
+        })
         .collect();
     // A replica that lost a member accepts requests without answering them.
     let is_stalled = |t: &&Target| t.model.is_some() && load.work(&t.server, now).is_stalled;
@@ -194,19 +196,3 @@
         load.penalty(&target.server, now),
     )
 }
-
-/// Returns one node's share of the request rate limit of a cold server.
-///
-/// The limit is divided into whole requests, so that the shares of all nodes add up
-/// to it for any number of nodes. Each server begins the division with another node.
-pub fn cold_rate_share<'a>(
-    cold_per_s: f64,
-    server: &Instance,
-    node: &str,
-    nodes: impl ExactSizeIterator<Item = &'a str>,
-) -> usize {
-    let limit = cold_per_s as usize;
-    let count = nodes.len().max(1);
-    let rank = name::rendezvous_rank(server.as_str(), node, nodes);
-    limit / count + usize::from(rank < limit % count)
-}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -3,8 +3,8 @@
 //! A [`Fleet`] turns the entries of backend servers into [`Target`]s, to which
 //! requests can be sent: an open replica of a model, or a server of a plain service.
 //! [`LoadTracker`] holds the requests in progress at each target, [`CostModel`]
-//! predicts the latency that one more request would have there, and [`choose_target`]
-//! picks a target. Requests without a target wait in a [`Queue`]; [`RetryBudget`]
+//! predicts the latency that one more request would have there, [`Limits`] holds the rates
+//! that servers name, and [`choose_target`] picks a target. Requests without a target wait in a [`Queue`]; [`RetryBudget`]
 //! limits retries.
 //!
 //! This crate reads no clock, opens no socket and holds no lock.
@@ -13,12 +13,14 @@
 mod choice;
 mod cost;
 mod fleet;
+mod limit;
 mod load;
 mod queue;
 
 pub use budget::RetryBudget;
-pub use choice::{Contention, Decision, Placement, Query, choose_target, cold_rate_share};
+pub use choice::{Contention, Decision, Placement, Query, choose_target};
 pub use cost::CostModel;
 pub use fleet::{Fleet, Target};
+pub use limit::{Limits, NAMED_SPAN, Named, Share, cold_share};
 pub use load::{LoadTracker, TargetLoad, Work};
 pub use queue::{Queue, Urgency, estimated_wait};
--- a/crates/place/src/load.rs
+++ b/crates/place/src/load.rs
@@ -1,5 +1,6 @@
 //! The requests in progress at each target, from this node and from other nodes.
 
+use crate::NAMED_SPAN;
 use clock::Moment;
 use name::{Instance, Node};
 use std::{
@@ -27,10 +28,10 @@
 /// replica take up to 0.3 s.
 const STALL_TIMEOUT: Duration = Duration::from_millis(450);
 
-/// How long the start and end times of requests are kept: the window of the rate
-/// limit of cold targets, and the longest report interval for which the growth of the
-/// local load is known.
-const HISTORY_WINDOW: Duration = Duration::from_secs(1);
+/// How long the start and end times of requests are kept.
+///
+/// It covers the spans of limits and the longest report interval.
+const HISTORY_WINDOW: Duration = NAMED_SPAN;
 
 /// The requests in progress at a target.
 #[common::plain]
@@ -430,15 +431,15 @@
         1.0 + decay * (local.slowness - 1.0 + FAILURE_WEIGHT * local.failure_rate)
     }
 
-    /// Returns the number of requests that this node sent to a target in the last
-    /// second.
-    pub fn sent_last_second(&self, server: &Instance, now: Moment) -> usize {
+    /// Returns the number of requests that this node sent to a target within a span of
+    /// at most [`NAMED_SPAN`].
+    pub fn sent_within(&self, server: &Instance, span: Duration, now: Moment) -> usize {
         let local = self.local.get(server);
-        local.map_or(0, |local| count_within(&local.sent_at, HISTORY_WINDOW, now))
+        local.map_or(0, |local| count_within(&local.sent_at, span, now))
     }
 
     /// Returns the growth of this node's requests at a target within a span of at
-    /// most one second, the history window.
+    /// most [`NAMED_SPAN`].
     pub fn local_growth(&self, server: &Instance, span: Duration, now: Moment) -> usize {
         self.local.get(server).map_or(0, |local| {
             count_within(&local.sent_at, span, now).saturating_sub(count_within(
--- a/crates/place/tests/placing/budget.rs
+++ b/crates/place/tests/placing/budget.rs
@@ -1,6 +1,6 @@
 //! Allowances that are divided among all nodes.
 
-use place::{RetryBudget, cold_rate_share};
+use place::{RetryBudget, cold_share};
 use site::fixture::{bounds, id};
 
 /// All nodes together must not exceed the allowance in any window.
@@ -35,7 +35,7 @@
         for server in ["a", "b", "c"] {
             let shares = names.iter().map(|own| {
                 let all: Vec<&str> = names.iter().map(String::as_str).collect();
-                cold_rate_share(36.0, &id(server), own, all.into_iter())
+                cold_share(36.0, &id(server), own, all.into_iter()).requests
             });
             assert_eq!(shares.sum::<usize>(), 36, "{nodes} nodes, server {server}");
         }
--- a/crates/place/tests/placing/choice.rs
+++ b/crates/place/tests/placing/choice.rs
@@ -4,13 +4,23 @@
 use clock::Moment;
 use name::{Domain, Instance, Model, Service};
 use place::{
-    Contention, CostModel, Decision, LoadTracker, Query, Target, TargetLoad, Work, choose_target,
+    Contention, CostModel, Decision, LoadTracker, Query, Share, Target, TargetLoad, Work,
+    choose_target,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use site::fixture::id;
 use std::time::Duration;
 
+/// The limit of cold targets in these tests: one request per second.
+fn cold_limit(target: &Target) -> [Option<Share>; 2] {
+    let share = Share {
+        requests: 1,
+        span: Duration::from_secs(1),
+    };
+    [target.is_cold.then_some(share), None]
+}
+
 fn cost() -> CostModel {
     let engine = engine();
     CostModel::new(&engine, &engine.models[0])
@@ -59,7 +69,15 @@
         contention: NO_CONTENTION,
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
-    choose_target(&query, targets, Some(&cost), load, |_| 1, now, &mut rng)
+    choose_target(
+        &query,
+        targets,
+        Some(&cost),
+        load,
+        cold_limit,
+        now,
+        &mut rng,
+    )
 }
 
 fn chosen_server(decision: &Decision) -> Option<&str> {
@@ -255,8 +273,15 @@
                     has_queued,
                 },
             };
-            let decision =
-                choose_target(&query, &targets, Some(&cost), &load, |_| 1, now, &mut rng);
+            let decision = choose_target(
+                &query,
+                &targets,
+                Some(&cost),
+                &load,
+                cold_limit,
+                now,
+                &mut rng,
+            );
             if matches!(decision, Decision::Place(_)) {
                 load.record_start(&id("a"), 1_000, TIME_TO_FIRST_TOKEN, now);
                 sent += 1;
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -69,7 +69,7 @@
 }
 
 /// The properties in the headers of a backend server's response.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
     /// The attempt that the response belongs to, if the server named one.
     pub attempt_id: Option<Arc<str>>,
@@ -85,6 +85,9 @@
     pub is_leaving: bool,
     /// How long the server wants no further request, or the value that states no time.
     pub retry_after: Option<Result<Duration, Arc<str>>>,
+    /// The requests per second that the server takes from all nodes together, or the
+    /// value that states no rate.
+    pub rate_limit: Option<Result<f64, Arc<str>>>,
 }
 
 /// A caller's query to the directory.
