Bound the bytes of responses that never end

What callers would see: a server that sends bytes without end in a plain body was read until the deadline, and the caller got 504 though another server would have answered.

Cause: no bound in bytes on bodies and events. Class: trust in the sender for an end.

Fix: a plain response has at most 4 MB, an incomplete event 256 kB, and all that a node holds of incomplete responses 32 MB together; beyond that the connection is closed and the request goes elsewhere within its attempts. A head, interim ones included, has at most 64 kB, which also bounds a piece of a body. The splitter searches each byte once. Reports of engines and answers to orders have at most 256 kB (the planner queries dozens at once), answers of the store 8 MB, instead of 32 MB each. Chunk extensions and trailers were bounded by hyper already, and interim heads without end by the time that a head may take; nothing of them is kept.

On the entry path every body and frame had a bound already: 64 kB a frame, and a limit on each answer; its calls and drafts end at their deadlines.

--- a/crates/edge/src/events.rs
+++ b/crates/edge/src/events.rs
@@ -8,7 +8,12 @@
 /// event can be resumed after the last complete one.
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
+    /// The bytes after the last complete event.
     buffer: BytesMut,
+    /// Where the last line of the buffer starts.
+    line_start: usize,
+    /// Up to where the buffer was searched for the end of a line.
+    searched: usize,
     last_id: Option<u64>,
     bytes: u64,
     events: u64,
@@ -52,7 +57,7 @@
         self.bytes += piece.len() as u64;
         self.buffer.extend_from_slice(piece);
         let mut whole = BytesMut::new();
-        while let Some(end) = boundary(&self.buffer) {
+        while let Some(end) = self.next_boundary() {
             let event = self.buffer.split_to(end);
             self.events += u64::from(has_field(&event));
             let id = id(&event);
@@ -73,31 +78,40 @@
     /// Discards an incomplete event.
     pub(crate) fn discard_partial(&mut self) {
         self.buffer.clear();
+        self.line_start = 0;
+        self.searched = 0;
     }
-}
 
-/// Returns the end of the first empty line, which ends an event.
-///
-/// Lines end with a line feed, a carriage return, or both. If the bytes end with a
-/// carriage return, a line feed that follows it is an empty line of its own, which has
-/// no effect.
-fn boundary(bytes: &[u8]) -> Option<usize> {
-    let mut line_start = 0;
-    while let Some(length) = bytes[line_start..]
-        .iter()
-        .position(|byte| matches!(byte, b'\n' | b'\r'))
-    {
-        let line_end = line_start + length;
-        let next_line = match bytes[line_end..] {
-            [b'\r', b'\n', ..] => line_end + 2,
-            _ => line_end + 1,
-        };
-        if length == 0 {
-            return Some(next_line);
+    /// Returns the end of the first empty line, which ends an event.
+    ///
+    /// Lines end with a line feed, a carriage return, or both. If an empty line ends with
+    /// the last byte, a carriage return, a line feed that follows it is an empty line of
+    /// its own, which has no effect. Each byte is searched once.
+    fn next_boundary(&mut self) -> Option<usize> {
+        let is_line_end = |byte: &u8| matches!(byte, b'\n' | b'\r');
+        while let Some(length) = self.buffer[self.searched..].iter().position(is_line_end) {
+            let line_end = self.searched + length;
+            let is_empty = line_end == self.line_start;
+            let next_line = match self.buffer[line_end..] {
+                // A line feed that belongs to the same line end may follow.
+                [b'\r'] if !is_empty => {
+                    self.searched = line_end;
+                    return None;
+                }
+                [b'\r', b'\n', ..] => line_end + 2,
+                _ => line_end + 1,
+            };
+            if is_empty {
+                self.line_start = 0;
+                self.searched = 0;
+                return Some(next_line);
+            }
+            self.line_start = next_line;
+            self.searched = next_line;
         }
-        line_start = next_line;
+        self.searched = self.buffer.len();
+        None
     }
-    None
 }
 
 /// Returns whether an event has a field, which comments and empty lines do not have.
--- a/crates/edge/src/events/tests.rs
+++ b/crates/edge/src/events/tests.rs
@@ -145,3 +145,41 @@
         assert_eq!(events.events(), case.events, "{:?}", case.stream);
     }
 }
+
+/// Guards against searching an open event again with each piece of it.
+#[test]
+fn time_for_an_open_event_grows_with_its_length_only() {
+    const PIECES: usize = 4_096;
+    let mut events = EventSplitter::after(None);
+    let begin = std::time::Instant::now();
+    for _ in 0..PIECES {
+        assert_eq!(events.push(&[b'x'; 1_024]), None);
+    }
+    assert_eq!(events.partial_bytes(), PIECES * 1_024);
+    // Searched again each time, it is 8 GB.
+    let time = begin.elapsed();
+    assert!(time < std::time::Duration::from_secs(2), "{time:?}");
+    assert!(events.push(b"\n\n").is_some());
+}
+
+/// Guards against line ends that are split between pieces.
+#[test]
+fn pieces_of_any_length_give_the_same_events() {
+    let stream = "id: 1\r\ndata: a\r\n\r\nid: 2\ndata: b\n\nid: 3\rdata: c\r\rid: 4\n\n";
+    for length in 1..=stream.len() {
+        let mut events = EventSplitter::after(None);
+        let pieces = stream.as_bytes().chunks(length);
+        let passed: Vec<u8> = pieces
+            .filter_map(|piece| events.push(piece))
+            .flatten()
+            .collect();
+        let lines = String::from_utf8(passed).expect("text");
+        let ids: Vec<&str> = lines
+            .split(['\r', '\n'])
+            .filter(|line| line.starts_with("id"))
+            .collect();
+        assert_eq!(ids, ["id: 1", "id: 2", "id: 3", "id: 4"], "{length}");
+        assert_eq!(events.events(), 4, "{length}");
+        assert!(!events.is_inside_event(), "{length}");
+    }
+}
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -27,6 +27,7 @@
 mod follow;
 mod heartbeat;
 mod listener;
+mod memory;
 mod metrics;
 mod peers;
 mod plan;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -3,10 +3,11 @@
 use crate::{
     admit::{Job, RETRY_ELSEWHERE, admit},
     attempt::{Answer, Attempts, BodyEnd, attempt},
+    memory::MAX_RESPONSE_BYTES,
     state::Shared,
     stream::{Body, full_body, relay},
 };
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version, header};
 use http_body_util::{BodyExt, Limited};
 use hyper::body::Incoming;
@@ -20,6 +21,9 @@
 /// How long a request's body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The reason of a response whose connection was lost before its end.
+const BROKE_OFF: &str = "answer broke off";
+
 /// Hop-by-hop and framing headers, which are not forwarded.
 const HOP_HEADERS: [HeaderName; 6] = [
     header::CONNECTION,
@@ -179,11 +183,14 @@
             mut slot,
             ..
         } = answer;
-        let bytes = match timeout_at(self.deadline_instant, body.collect()).await {
-            Ok(Ok(whole)) => whole.to_bytes(),
-            Ok(Err(_)) => {
-                shared.accuse_parts(self, &slot);
-                return Err("answer broke off");
+        let reading = read_response(shared, body);
+        let bytes = match timeout_at(self.deadline_instant, reading).await {
+            Ok(Ok(whole)) => whole,
+            Ok(Err(reason)) => {
+                if reason == BROKE_OFF {
+                    shared.accuse_parts(self, &slot);
+                }
+                return Err(reason);
             }
             Err(_) => return Err("late"),
         };
@@ -197,6 +204,32 @@
     }
 }
 
+/// Reads the whole body of a server's response.
+///
+/// # Errors
+///
+/// Returns the reason if the body breaks off, is longer than [`MAX_RESPONSE_BYTES`], or if too much
+/// memory is used by the responses that this node reads.
+async fn read_response(shared: &Shared, mut body: Incoming) -> Result<Bytes, &'static str> {
+    let mut reservation = shared.memory.reserve();
+    let mut whole = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| BROKE_OFF)?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        let length = whole.len() + data.len();
+        if length > MAX_RESPONSE_BYTES {
+            return Err("answer too long");
+        }
+        if !reservation.resize(length) {
+            return Err("no memory for answer");
+        }
+        whole.extend_from_slice(&data);
+    }
+    Ok(whole.freeze())
+}
+
 /// Returns the headers of a server's response that are forwarded.
 fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
     let kept = headers
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,6 @@
 //! The state that a node's tasks share.
 
-use crate::{exchange::Outbox, metrics::Metrics, peers::Peers, slot::Waiter};
+use crate::{exchange::Outbox, memory::Memory, metrics::Metrics, peers::Peers, slot::Waiter};
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
 use place::{CostModel, Fleet, Limits, LoadTracker, Queue, RetryBudget, Target};
@@ -39,6 +39,8 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) pool: net::Pool,
+    /// The memory for incomplete responses of servers.
+    pub(crate) memory: Memory,
     pub(crate) metrics: Metrics,
     /// The number of changes of the fleet so far.
     pub(crate) fleet_changes: watch::Sender<u64>,
@@ -109,6 +111,7 @@
             clock,
             log,
             pool: net::Pool::default(),
+            memory: Memory::default(),
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,6 +4,7 @@
     admit::Job,
     attempt::{Answer, Attempts, BodyEnd, attempt},
     events::EventSplitter,
+    memory::{MAX_EVENT_BYTES, Reservation},
     state::Shared,
 };
 use bytes::Bytes;
@@ -110,6 +111,8 @@
     InsideEvent,
     /// The response ended without an event.
     WithoutEvent,
+    /// An event was too long, or there was no memory for it.
+    EventTooLong,
     /// The server sent nothing for a long time.
     Silence,
     /// A member of the replica was lost.
@@ -123,6 +126,7 @@
             Self::ConnectionLost => "connection lost",
             Self::InsideEvent => "ended inside an event",
             Self::WithoutEvent => "ended without an event",
+            Self::EventTooLong => "event too long",
             Self::Silence => "silence",
             Self::ReplicaLost => "replica lost",
         }
@@ -159,6 +163,8 @@
     attempts: Attempts,
     events: EventSplitter,
     sink: mpsc::Sender<Part>,
+    /// The memory of the incomplete event.
+    reservation: Reservation,
     /// The number of complete events before the response of the current server.
     events_before: u64,
 }
@@ -172,6 +178,7 @@
         job,
         attempts,
         sink,
+        reservation: shared.memory.reserve(),
         events_before: 0,
     };
     tokio::spawn(relay.run(answer));
@@ -219,6 +226,7 @@
                     }
                     let server = answer.slot.choice.target.server.clone();
                     self.events.discard_partial();
+                    self.reservation.resize(0);
                     drop(answer);
                     info!(self.shared.log, "stream interrupted"; "id" => &*self.job.call.attempt_id,
                         "server" => %server, "reason" => fault.as_str(),
@@ -278,6 +286,10 @@
                 self.job.record_first_token(&self.shared, &answer.slot);
             }
             let complete_events = self.events.push(&bytes);
+            let partial = self.events.partial_bytes();
+            if partial > MAX_EVENT_BYTES || !self.reservation.resize(partial) {
+                return End::Broken(Fault::EventTooLong);
+            }
             let since_first = first_piece_at.map(|at| last_piece_at - at);
             if !is_past_beginning
                 && self.attempt_events() >= PAST_BEGINNING_EVENTS
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -38,8 +38,8 @@
 /// The maximum number of idle connections per address.
 const MAX_IDLE_PER_ADDRESS: usize = 64;
 
-/// The maximum length of a response body in [`Pool::call`], in bytes.
-const MAX_BODY_BYTES: usize = 32 << 20;
+/// The maximum length of a response head, in bytes, and of a piece of a body.
+const MAX_HEAD_BYTES: usize = 64 << 10;
 
 /// Sets `TCP_NODELAY` and the TCP user timeout on a socket.
 ///
@@ -155,7 +155,9 @@
         let connecting = async {
             let stream = TcpStream::connect(address).await.map_err(Failure::unsent)?;
             set_socket_options(&stream).map_err(Failure::unsent)?;
-            hyper::client::conn::http1::handshake(TokioIo::new(stream))
+            hyper::client::conn::http1::Builder::new()
+                .max_buf_size(MAX_HEAD_BYTES)
+                .handshake(TokioIo::new(stream))
                 .await
                 .map_err(Failure::unsent)
         };
@@ -284,16 +286,18 @@
     ///
     /// # Errors
     ///
-    /// Returns an error if there is no complete response within `time_limit`.
+    /// Returns an error if there is no complete response within `time_limit`, or if its
+    /// body is longer than `max_body` bytes.
     pub async fn call(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         time_limit: Duration,
+        max_body: usize,
     ) -> Result<(StatusCode, Bytes), Failure> {
         timeout(
             time_limit,
-            self.call_without_timeout(address, request, time_limit),
+            self.call_without_timeout(address, request, time_limit, max_body),
         )
         .await
         .unwrap_or_else(|_| Err(Failure::sent(format!("no response within {time_limit:?}"))))
@@ -307,6 +311,7 @@
         address: SocketAddr,
         request: Request<Bytes>,
         time_limit: Duration,
+        max_body: usize,
     ) -> Result<(StatusCode, Bytes), Failure> {
         let mut connection = self.take(address, DEFAULT_KEEP_ALIVE, time_limit).await?;
         let response = match connection.send(request.clone()).await {
@@ -317,7 +322,7 @@
             result => result?,
         };
         let status = response.status();
-        let body = Limited::new(response.into_body(), MAX_BODY_BYTES)
+        let body = Limited::new(response.into_body(), max_body)
             .collect()
             .await
             .map_err(Failure::sent)?
