Send changes of a server's limit to other nodes at most once a second

A server whose limit changes with each answer caused a datagram to all nodes and a log line for each. Each node still follows the newest answer. A limit is kept for ten minutes without an answer instead of 30 s: it holds for as long as the server names it, and one request in 4 s lifts it otherwise.

--- a/crates/place/src/limit.rs
+++ b/crates/place/src/limit.rs
@@ -18,11 +18,14 @@
 /// The span in which the limit of a cold server is divided into whole requests.
 pub const COLD_SPAN: Duration = Duration::from_secs(1);
 
-/// The time after which a limit that no node has seen confirmed is forgotten.
+/// The time after which a limit that no answer has confirmed is forgotten.
 ///
-/// At a limit of zero one request in [`NAMED_SPAN`] still goes to the server, whose
-/// answer confirms or lifts it.
-const MAX_AGE: Duration = Duration::from_secs(30);
+/// An old limit does little harm: one request in [`NAMED_SPAN`] always goes to the
+/// server, whose answer confirms or lifts it.
+const MAX_AGE: Duration = Duration::from_secs(600);
+
+/// The minimum time between two changes of a server's limit that other nodes are sent.
+const ANNOUNCEMENT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// The relative change from which a limit counts as changed.
 const MIN_CHANGE: f64 = 0.1;
@@ -62,6 +65,8 @@
 struct Entry {
     named: Named,
     share: usize,
+    /// What was named when a change was last reported.
+    reported: Named,
 }
 
 /// The limits that servers named last.
@@ -89,23 +94,30 @@
         self.entries = entries;
     }
 
-    /// Records what a server named; returns whether its limit changed.
+    /// Records what a server named; returns whether other nodes should be sent it.
     ///
-    /// An answer that is older than the known one is ignored.
+    /// An answer that is older than the known one is ignored. Other nodes are sent changes
+    /// of more than a tenth, and at most one in [`ANNOUNCEMENT_INTERVAL`].
     pub fn record(&mut self, server: &Instance, named: Named) -> bool {
-        let known = self.entries.get(server).map(|entry| entry.named);
-        let is_changed = match known {
-            None => named.per_s.is_some(),
-            Some(known) if named.at < known.at => return false,
-            Some(known) => {
-                known.incarnation != named.incarnation || is_different(known.per_s, named.per_s)
-            }
-        };
-        if known.is_some() || is_changed {
-            let share = self.compute_share(server, named);
-            self.entries.insert(server.clone(), Entry { named, share });
+        let known = self.entries.get(server);
+        if known.is_none() && named.per_s.is_none() {
+            return false;
         }
-        is_changed
+        if known.is_some_and(|known| named.at < known.named.at) {
+            return false;
+        }
+        let reported = known.map(|known| known.reported).filter(|reported| {
+            let is_same = reported.incarnation == named.incarnation
+                && !is_different(reported.per_s, named.per_s);
+            is_same || named.at.since(reported.at) < ANNOUNCEMENT_INTERVAL
+        });
+        let entry = Entry {
+            named,
+            share: self.compute_share(server, named),
+            reported: reported.unwrap_or(named),
+        };
+        self.entries.insert(server.clone(), entry);
+        reported.is_none()
     }
 
     /// Returns the requests per second that an incarnation of a server takes; `None` if
