Let a stream that cannot be resumed go on after its replica was replaced

What callers saw: a stream at its last attempt was cut off when the node learned that the replica had lost a member or had been replaced, though the server may still finish it.

Cause: a node waiting for a response head, or for a silent stream, gave up only if another attempt was allowed; a node relaying a stream did so in any case. An end of the stream then helps nobody.

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -251,17 +251,19 @@
         self.events_before = self.events.events();
         let mut last_piece_at = tokio::time::Instant::now();
         let deadline = self.job.deadline_instant;
+        // A stream that cannot be resumed goes on for as long as its server does.
+        let is_resumable = self.job.is_repeatable() && self.attempts.has_executions_left(&self.job);
         loop {
             let silence_deadline = last_piece_at + SILENCE_TIMEOUT;
             let piece = tokio::select! {
                 piece = next_piece(&mut answer.body) => piece,
                 () = self.sink.closed() => return End::CallerDisconnected,
                 () = sleep_until(deadline) => return End::DeadlineExceeded,
-                () = sleep_until(silence_deadline), if self.job.is_repeatable() && self.attempts.has_executions_left(&self.job) => {
+                () = sleep_until(silence_deadline), if is_resumable => {
                     return End::Broken(Fault::Silence);
                 }
-                _ = changes.changed() => {
-                    if self.job.is_repeatable() && answer.slot.is_replica_lost() {
+                _ = changes.changed(), if is_resumable => {
+                    if answer.slot.is_replica_lost() {
                         return End::Broken(Fault::ReplicaLost);
                     }
                     continue;
