--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -33,10 +33,10 @@
 /// The number of nodes that send everything to a node that has just started.
 const NEWCOMER_SENDERS: usize = 8;
 
-/// The maximum number of records of evidence in a datagram, some 20 kB.
+/// The maximum number of records of evidence in a datagram, some 16 kB.
 const MAX_RECORDS: usize = 64;
 
-/// The maximum number of limits in a datagram, some 25 kB.
+/// The maximum number of limits in a datagram, some 16 kB.
 const MAX_LIMITS: usize = 512;
 
 /// The longest random delay per other node.
@@ -303,3 +303,6 @@
     let limits = &message.limits[..message.limits.len().min(MAX_LIMITS)];
     shared.apply_limits(limits, &source);
 }
+
+#[cfg(test)]
+mod tests;
--- /dev/null
+++ b/crates/edge/src/exchange/tests.rs
@@ -0,0 +1,43 @@
+//! Datagrams stay small, however much there is to exchange.
+
+use super::{FORMAT, LimitRecord, MAX_LIMITS, MAX_RECORDS, Message};
+use quarantine::{MAX_SERVERS, Part, Record, Server};
+
+/// The largest datagram that is sent with evidence or limits only, in bytes.
+const MAX_BYTES: usize = 20_000;
+
+fn encoded_length(message: &Message) -> usize {
+    let bytes = postcard::to_extend(message, vec![FORMAT]).expect("an encoding");
+    bytes.len()
+}
+
+#[test]
+fn full_datagrams_are_bounded() {
+    let record = |n: u64| Record {
+        part: Part(u64::MAX - n),
+        servers: (0..MAX_SERVERS as u64)
+            .map(|m| (Server(u64::MAX - m), 86_400_000, false))
+            .collect(),
+    };
+    let limit = |n: usize| LimitRecord {
+        server: format!("i-{n:010x}").parse().expect("a name"),
+        incarnation: 1_773_054_774_880,
+        per_s: Some(4.2),
+        age_ms: 600_000,
+    };
+    let evidence: Vec<Record> = (0..MAX_RECORDS as u64).map(record).collect();
+    let limits: Vec<LimitRecord> = (0..MAX_LIMITS).map(limit).collect();
+    let evidence_bytes = encoded_length(&Message {
+        evidence: evidence.clone(),
+        ..Message::default()
+    });
+    let limit_bytes = encoded_length(&Message {
+        limits: limits.clone(),
+        ..Message::default()
+    });
+    println!("{evidence_bytes} bytes of evidence, {limit_bytes} bytes of limits");
+    assert!(evidence_bytes <= MAX_BYTES, "{evidence_bytes}");
+    assert!(limit_bytes <= MAX_BYTES, "{limit_bytes}");
+    // Receivers have a buffer of 60 kB.
+    assert!(encoded_length(&Message { evidence, limits }) < 60_000);
+}
