--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -153,7 +153,7 @@
     Refused(Option<Instance>),
     /// The attempt failed for the given reason; the request may have run.
     Failed(&'static str),
-    /// A part of the prompt was blamed for the ends of servers meanwhile.
+    /// A part of the prompt was quarantined meanwhile.
     Withheld,
     /// The request's deadline passed.
     DeadlineExceeded,
@@ -461,8 +461,8 @@
     ) -> Result<T, AttemptError> {
         let mut changes = shared.fleet_changes.subscribe();
         let mut treatments = shared.treatment_changes.subscribe();
-        // A trial of a blamed part goes on.
-        let may_be_withdrawn = !self.is_blamed(shared);
+        // A trial of a quarantined part goes on.
+        let may_be_withdrawn = !self.is_quarantined(shared);
         let is_retry_allowed = self.is_repeatable() && attempts.has_executions_left(self);
         let predicted = slot.choice.time_to_first_token * FIRST_TOKEN_TIMEOUT_FACTOR;
         let head_deadline = Instant::now() + HEAD_TIMEOUT.max(predicted);
@@ -480,7 +480,7 @@
                     }
                 }
                 _ = treatments.changed(), if may_be_withdrawn => {
-                    if self.is_blamed(shared) {
+                    if self.is_quarantined(shared) {
                         return Err(AttemptError::Withheld);
                     }
                 }
--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -1,7 +1,7 @@
-//! Prompt parts that end servers, and the requests that are withheld for them.
+//! Prompt parts that crash servers, and the requests that are withheld for them.
 //!
 //! The decisions are those of [`quarantine::Table`]; [`crate::exchange`] sends the
-//! evidence to the other nodes.
+//! crash histories to the other nodes.
 
 use crate::{admit::Job, slot::Slot, state::Shared};
 use clock::Moment;
@@ -18,8 +18,8 @@
 const MIN_RETRY_DELAY: Duration = Duration::from_millis(500);
 
 impl Shared {
-    /// Accuses the parts of a request whose answer had just begun when its server ended.
-    pub(crate) fn accuse_parts(&self, job: &Job, slot: &Slot) {
+    /// Records the crash of a server while the answer of a request had just begun.
+    pub(crate) fn record_crash(&self, job: &Job, slot: &Slot) {
         if job.parts.is_empty() {
             return;
         }
@@ -27,30 +27,30 @@
         let server = Server::new(&target.server, target.incarnation);
         let now = self.now();
         let mut tables = self.tables();
-        let accused = tables.quarantine.accuse(&job.parts, server, now);
-        if accused.is_empty() {
+        let affected = tables.quarantine.record_crash(&job.parts, server, now);
+        if affected.is_empty() {
             return;
         }
-        for part in &accused {
+        for part in &affected {
             tables.outbox.add_part(*part, now);
         }
         let changes = tables.assess_parts(now);
         drop(tables);
-        info!(self.log, "server ended below an answer that had just begun"; "id" => &*job.call.attempt_id,
-            "server" => %target.server, "incarnation" => target.incarnation, "parts" => format_parts(&accused));
-        self.metrics.count("quarantine", "accused");
+        info!(self.log, "server crashed while an answer began"; "id" => &*job.call.attempt_id,
+            "server" => %target.server, "incarnation" => target.incarnation, "parts" => format_parts(&affected));
+        self.metrics.count("quarantine", "crash");
         self.apply_changes(&changes, "own");
         self.exchange_due.notify_one();
     }
 
     /// Clears the parts of a request whose answer went on past its beginning.
-    pub(crate) fn clear_parts(&self, job: &Job) {
+    pub(crate) fn record_success(&self, job: &Job) {
         if job.parts.is_empty() {
             return;
         }
         let now = self.now();
         let mut tables = self.tables();
-        let cleared = tables.quarantine.clear(&job.parts, now);
+        let cleared = tables.quarantine.record_success(&job.parts, now);
         if cleared.is_empty() {
             return;
         }
@@ -69,21 +69,21 @@
     fn apply_changes(&self, changes: &[Change], source: &str) {
         for change in changes {
             let level = match change.level {
-                Level::Free => "free",
+                Level::Allowed => "allowed",
                 Level::Suspected => "suspected",
-                Level::Blamed => "blamed",
+                Level::Quarantined => "quarantined",
             };
             self.metrics.count("quarantine", level);
             info!(self.log, "treatment of a prompt part changed"; "part" => format_part(change.part),
-                "level" => level, "ends" => change.ends, "source" => source,
-                "last_end_age_ms" => change.last_end_age.as_millis() as u64);
+                "level" => level, "crashes" => change.crashes, "source" => source,
+                "last_crash_age_ms" => change.last_crash_age.as_millis() as u64);
         }
         if !changes.is_empty() {
             self.treatment_changes.send_modify(|count| *count += 1);
         }
     }
 
-    /// Applies evidence that another node sent.
+    /// Applies crash histories that another node sent.
     pub(crate) fn apply_records(&self, records: &[Record], source: &str) {
         let now = self.now();
         let mut tables = self.tables();
@@ -129,10 +129,13 @@
                 return Ok(());
             };
             let trial_at = now + refusal.wait;
-            if refusal.level == Level::Blamed || trial_at > give_up_at || trial_at > self.deadline {
+            if refusal.level == Level::Quarantined
+                || trial_at > give_up_at
+                || trial_at > self.deadline
+            {
                 return Err(refusal);
             }
-            // The wait also ends if the parts are cleared or blamed meanwhile.
+            // The wait also ends if the parts are cleared or quarantined meanwhile.
             let _ = timeout(refusal.wait, changes.changed()).await;
         }
     }
@@ -152,9 +155,9 @@
         tables.quarantine.admit(&self.parts, nodes, now)
     }
 
-    /// Returns whether a part of the prompt takes the blame for the ends of servers.
-    pub(crate) fn is_blamed(&self, shared: &Shared) -> bool {
-        !self.parts.is_empty() && shared.tables().quarantine.is_blamed(&self.parts)
+    /// Returns whether a part of the prompt is quarantined.
+    pub(crate) fn is_quarantined(&self, shared: &Shared) -> bool {
+        !self.parts.is_empty() && shared.tables().quarantine.is_quarantined(&self.parts)
     }
 }
 
@@ -166,9 +169,9 @@
 ) -> (Kind, &'static str, Duration) {
     shared.metrics.count("quarantine", "withheld");
     info!(shared.log, "request withheld"; "id" => &*job.call.attempt_id, "part" => format_part(refusal.part),
-        "level" => ?refusal.level, "ends" => refusal.ends, "wait_ms" => refusal.wait.as_millis() as u64,
+        "level" => ?refusal.level, "crashes" => refusal.crashes, "wait_ms" => refusal.wait.as_millis() as u64,
         "interval_ms" => refusal.interval.as_millis() as u64);
-    let message = "a part of the prompt is withheld because servers ended below it";
+    let message = "a part of the prompt is quarantined because servers crashed on it";
     (
         Kind::Unavailable,
         message,
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The exchange between nodes of what they learn from servers' answers.
 //!
-//! Two things are exchanged: evidence on prompt parts that end servers, and the limits
+//! Two things are exchanged: the crash histories of prompt parts, and the limits
 //! that servers name. What all nodes must act on at once is sent to all at once; what
 //! several nodes learn at about the same time is sent after a random delay that grows
 //! with the number of nodes, and not at all if another node sent it first. Each node
@@ -33,7 +33,7 @@
 /// The number of nodes that send everything to a node that has just started.
 const NEWCOMER_SENDERS: usize = 8;
 
-/// The maximum number of records of evidence in a datagram, some 16 kB.
+/// The maximum number of crash histories in a datagram, some 16 kB.
 const MAX_RECORDS: usize = 64;
 
 /// The maximum number of limits in a datagram, some 16 kB.
@@ -60,14 +60,14 @@
 /// Encoded by position: the order of fields is part of the format.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 struct Message {
-    evidence: Vec<Record>,
+    histories: Vec<Record>,
     limits: Vec<LimitRecord>,
 }
 
 /// What is to be sent to other nodes.
 #[derive(Debug, Default)]
 pub(crate) struct Outbox {
-    /// When the evidence on each part is sent to all nodes.
+    /// When the history of each part is sent to all nodes.
     parts: HashMap<Part, Moment>,
     /// When the limit of each server is sent to all nodes.
     limits: HashMap<Instance, Moment>,
@@ -76,13 +76,13 @@
 }
 
 impl Outbox {
-    /// Sends the evidence on a part to all nodes, at a time or earlier.
+    /// Sends the history of a part to all nodes, at a time or earlier.
     pub(crate) fn add_part(&mut self, part: Part, at: Moment) {
         let due = self.parts.entry(part).or_insert(at);
         *due = at.min(*due);
     }
 
-    /// Sends the evidence on a part no more, since another node sent the same.
+    /// Does not send the history of a part, since another node sent the same.
     pub(crate) fn remove_part(&mut self, part: Part) {
         self.parts.remove(&part);
     }
@@ -120,7 +120,7 @@
         self.limits.expire(now);
     }
 
-    /// Returns a message with the evidence on some parts and the limits of some servers.
+    /// Returns a message with the histories of some parts and the limits of some servers.
     fn message(
         &self,
         parts: impl IntoIterator<Item = Part>,
@@ -128,7 +128,7 @@
         now: Moment,
     ) -> Message {
         let parts = parts.into_iter();
-        let evidence = parts.filter_map(|part| self.quarantine.record(part, now));
+        let histories = parts.filter_map(|part| self.quarantine.record(part, now));
         let limits = servers.into_iter().filter_map(|server| {
             let named = self.limits.named(&server)?;
             let age = now.since(named.at).as_millis();
@@ -140,7 +140,7 @@
             })
         });
         Message {
-            evidence: evidence.collect(),
+            histories: histories.collect(),
             limits: limits.collect(),
         }
     }
@@ -273,7 +273,7 @@
 
 /// Encodes a message; `None` if it is empty.
 fn encode(shared: &Shared, message: &Message) -> Option<Vec<u8>> {
-    if message.evidence.is_empty() && message.limits.is_empty() {
+    if message.histories.is_empty() && message.limits.is_empty() {
         return None;
     }
     match postcard::to_extend(message, vec![FORMAT]) {
@@ -296,9 +296,9 @@
         }
     };
     let source = from.to_string();
-    let evidence = &message.evidence[..message.evidence.len().min(MAX_RECORDS)];
-    if !evidence.is_empty() {
-        shared.apply_records(evidence, &source);
+    let histories = &message.histories[..message.histories.len().min(MAX_RECORDS)];
+    if !histories.is_empty() {
+        shared.apply_records(histories, &source);
     }
     let limits = &message.limits[..message.limits.len().min(MAX_LIMITS)];
     shared.apply_limits(limits, &source);
--- a/crates/edge/src/exchange/tests.rs
+++ b/crates/edge/src/exchange/tests.rs
@@ -3,7 +3,7 @@
 use super::{FORMAT, LimitRecord, MAX_LIMITS, MAX_RECORDS, Message};
 use quarantine::{MAX_SERVERS, Part, Record, Server};
 
-/// The largest datagram that is sent with evidence or limits only, in bytes.
+/// The largest datagram that is sent with histories or limits only, in bytes.
 const MAX_BYTES: usize = 20_000;
 
 fn encoded_length(message: &Message) -> usize {
@@ -25,19 +25,19 @@
         per_s: Some(4.2),
         age_ms: 600_000,
     };
-    let evidence: Vec<Record> = (0..MAX_RECORDS as u64).map(record).collect();
+    let histories: Vec<Record> = (0..MAX_RECORDS as u64).map(record).collect();
     let limits: Vec<LimitRecord> = (0..MAX_LIMITS).map(limit).collect();
-    let evidence_bytes = encoded_length(&Message {
-        evidence: evidence.clone(),
+    let history_bytes = encoded_length(&Message {
+        histories: histories.clone(),
         ..Message::default()
     });
     let limit_bytes = encoded_length(&Message {
         limits: limits.clone(),
         ..Message::default()
     });
-    println!("{evidence_bytes} bytes of evidence, {limit_bytes} bytes of limits");
-    assert!(evidence_bytes <= MAX_BYTES, "{evidence_bytes}");
+    println!("{history_bytes} bytes of histories, {limit_bytes} bytes of limits");
+    assert!(history_bytes <= MAX_BYTES, "{history_bytes}");
     assert!(limit_bytes <= MAX_BYTES, "{limit_bytes}");
     // Receivers have a buffer of 60 kB.
-    assert!(encoded_length(&Message { evidence, limits }) < 60_000);
+    assert!(encoded_length(&Message { histories, limits }) < 60_000);
 }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,7 +7,7 @@
 //!   theirs; `peers` holds what was received,
 //! - `feed_relay` sends the planner's feed reads to the other nodes, which then need
 //!   not poll the store,
-//! - `evidence` withholds requests whose prompts end servers; `exchange` sends what
+//! - `evidence` withholds requests whose prompts crash servers; `exchange` sends what
 //!   nodes learn from servers' answers to the others,
 //! - `plan` forms replicas while this node holds the newest planner claim,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -188,14 +188,14 @@
             Ok(Ok(whole)) => whole,
             Ok(Err(reason)) => {
                 if reason == BROKE_OFF {
-                    shared.accuse_parts(self, &slot);
+                    shared.record_crash(self, &slot);
                 }
                 return Err(reason);
             }
             Err(_) => return Err("late"),
         };
         if framing != Framing::Close {
-            shared.clear_parts(self);
+            shared.record_success(self);
         }
         slot.record_first_token();
         self.record_first_token(shared, &slot);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -46,7 +46,7 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Wakes the heartbeat sender before its interval ends.
     pub(crate) heartbeat_requested: Notify,
-    /// Wakes the sender of evidence and limits.
+    /// Wakes the sender of crash histories and limits.
     pub(crate) exchange_due: Notify,
     /// The number of changes of how prompt parts are treated.
     pub(crate) treatment_changes: watch::Sender<u64>,
@@ -95,7 +95,7 @@
     pub(crate) budgets: HashMap<Service, RetryBudget>,
     pub(crate) peers: Peers,
     pub(crate) demand: Demand,
-    /// The evidence on prompt parts that end servers.
+    /// The crash histories of prompt parts.
     pub(crate) quarantine: quarantine::Table,
     /// What is to be sent to other nodes.
     pub(crate) outbox: Outbox,
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -197,7 +197,7 @@
                 End::Complete => {
                     // A response without an explicit end may have been cut off between events.
                     if answer.framing != Framing::Close {
-                        self.shared.clear_parts(&self.job);
+                        self.shared.record_success(&self.job);
                     }
                     let keep_alive = answer.head.keep_alive;
                     let Answer {
@@ -222,7 +222,7 @@
                 }
                 End::Broken(fault) => {
                     if fault.is_server_end() && self.attempt_events() <= MAX_BEGINNING_EVENTS {
-                        self.shared.accuse_parts(&self.job, &answer.slot);
+                        self.shared.record_crash(&self.job, &answer.slot);
                     }
                     let server = answer.slot.choice.target.server.clone();
                     self.events.discard_partial();
@@ -298,7 +298,7 @@
                 && since_first >= Some(PAST_BEGINNING_TIME)
             {
                 is_past_beginning = true;
-                self.shared.clear_parts(&self.job);
+                self.shared.record_success(&self.job);
             }
             let bytes = if self.job.is_repeatable() {
                 complete_events
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -109,7 +109,7 @@
     stats: Mutex<Stats>,
     /// Lock 14: the stage of a planned stop.
     drain: Mutex<member::Drain>,
-    /// Lock 15: the evidence on parts of prompts that end backend servers.
+    /// Lock 15: the crash histories of parts of prompts.
     quarantine: Mutex<quarantine::Table>,
 }
 
--- a/crates/entry/src/peer/messages.rs
+++ b/crates/entry/src/peer/messages.rs
@@ -73,7 +73,7 @@
     pub(crate) in_progress: BTreeMap<Domain, u32>,
     /// Grants for the demands of the requesting node.
     pub(crate) grants: Vec<Grant>,
-    /// Evidence on parts of prompts that end backend servers.
+    /// Crash histories of parts of prompts.
     pub(crate) evidence: Vec<quarantine::Record>,
 }
 
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -96,11 +96,11 @@
     drop(stream);
     let generated = delivery.progress().tokens().saturating_sub(tokens_before);
     if has_ended && generated <= MAX_BEGINNING_TOKENS {
-        evidence::accuse(node, parts, &offer);
+        evidence::record_crash(node, parts, &offer);
     }
     let is_complete = matches!(outcome, Outcome::Complete { .. });
     if is_complete || generated >= PAST_BEGINNING_TOKENS {
-        evidence::clear(node, parts);
+        evidence::record_success(node, parts);
     }
     let tokens = prompt_tokens(&draft.prompt) + u64::from(generated);
     match &outcome {
--- a/crates/entry/src/serve/evidence.rs
+++ b/crates/entry/src/serve/evidence.rs
@@ -1,7 +1,7 @@
-//! Evidence on prompts that end backend servers; drafts with them are withheld.
+//! Prompts that crash backend servers, and the drafts that are withheld for them.
 //!
 //! The parts of a prompt are its prefixes in whole blocks, and the whole prompt. Nodes
-//! send their evidence to each other with their observations.
+//! send their crash histories to each other with their observations.
 
 use crate::{
     node::Node,
@@ -27,8 +27,7 @@
 
 /// Returns the parts of a draft's prompt.
 ///
-/// Models of all names count as one service: the rule holds for the engines, which may
-/// all run the same code.
+/// A part is judged for the engines of all models, which may run the same code.
 pub(crate) fn parts(draft: &Draft) -> Vec<Part> {
     let mut parts: Vec<Part> = route::prefix::hashes("", &draft.prompt)
         .into_iter()
@@ -50,7 +49,7 @@
         let Some(refusal) = node.quarantine().refusal(parts, now) else {
             return Ok(());
         };
-        if refusal.level == Level::Blamed || now + refusal.wait > give_up_at {
+        if refusal.level == Level::Quarantined || now + refusal.wait > give_up_at {
             return Err(withheld_error(node, &refusal));
         }
         sleep(refusal.wait).await;
@@ -69,29 +68,29 @@
     admitted.map_err(|refusal| withheld_error(node, &refusal))
 }
 
-/// Accuses the parts of a draft whose answer had just begun when its stream ended.
-pub(crate) fn accuse(node: &Node, parts: &[Part], offer: &Offer) {
+/// Records that a stream ended while the answer of a draft had just begun.
+pub(crate) fn record_crash(node: &Node, parts: &[Part], offer: &Offer) {
     let boot = offer.capacity.boot.as_u64_pair().0;
     let server = Server::new(&offer.instance, boot);
     let nodes = node_count(node);
     let now = node.clock.now();
     let mut table = node.quarantine();
-    let accused = table.accuse(parts, server, now);
+    let affected = table.record_crash(parts, server, now);
     let changes = table.assess(nodes, now, &mut rand::rng());
     drop(table);
-    if !accused.is_empty() {
-        info!(node.log, "stream ended when its answer had just begun"; "instance" => %offer.instance,
-            "parts" => accused.len());
+    if !affected.is_empty() {
+        info!(node.log, "server crashed while an answer began"; "instance" => %offer.instance,
+            "parts" => affected.len());
     }
     log_changes(node, &changes, "own");
 }
 
 /// Clears the parts of a draft whose answer went on past its beginning.
-pub(crate) fn clear(node: &Node, parts: &[Part]) {
+pub(crate) fn record_success(node: &Node, parts: &[Part]) {
     let nodes = node_count(node);
     let now = node.clock.now();
     let mut table = node.quarantine();
-    if table.clear(parts, now).is_empty() {
+    if table.record_success(parts, now).is_empty() {
         return;
     }
     let changes = table.assess(nodes, now, &mut rand::rng());
@@ -99,14 +98,14 @@
     log_changes(node, &changes, "own");
 }
 
-/// Returns the evidence to send to other nodes.
+/// Returns the crash histories to send to other nodes.
 pub(crate) fn records(node: &Node, now: Moment) -> Vec<Record> {
     let table = node.quarantine();
     let parts = table.parts().into_iter().take(MAX_RECORDS);
     parts.filter_map(|part| table.record(part, now)).collect()
 }
 
-/// Applies the evidence of another node.
+/// Applies the crash histories of another node.
 pub(crate) fn apply(node: &Node, records: &[Record], from: &NodeName, now: Moment) {
     if records.is_empty() {
         return;
@@ -138,17 +137,17 @@
 fn log_changes(node: &Node, changes: &[Change], source: &str) {
     for change in changes {
         info!(node.log, "treatment of a prompt part changed"; "part" => format!("{:016x}", change.part.0),
-            "level" => ?change.level, "ends" => change.ends, "source" => source,
-            "last_end_age_ms" => change.last_end_age.as_millis() as u64);
+            "level" => ?change.level, "crashes" => change.crashes, "source" => source,
+            "last_crash_age_ms" => change.last_crash_age.as_millis() as u64);
     }
 }
 
 /// Returns the error for the caller of a withheld draft.
 fn withheld_error(node: &Node, refusal: &Refusal) -> Error {
     info!(node.log, "draft withheld"; "part" => format!("{:016x}", refusal.part.0), "level" => ?refusal.level,
-        "ends" => refusal.ends, "wait_ms" => refusal.wait.as_millis() as u64,
+        "crashes" => refusal.crashes, "wait_ms" => refusal.wait.as_millis() as u64,
         "interval_ms" => refusal.interval.as_millis() as u64);
-    let message = "a part of the prompt is withheld because servers ended below it";
+    let message = "a part of the prompt is quarantined because servers crashed on it";
     Error::not_run(Kind::Unavailable, message)
         .with_retry_after(refusal.interval.max(MIN_RETRY_DELAY))
 }
--- a/crates/quarantine/src/case.rs
+++ b/crates/quarantine/src/history.rs
@@ -1,4 +1,4 @@
-//! The evidence for and against one part.
+//! The crashes that coincided with requests on one part.
 
 use crate::Server;
 use clock::Moment;
@@ -6,7 +6,7 @@
 
 /// A time in milliseconds since the process started.
 ///
-/// It is negative for ends before the start, which other nodes have seen.
+/// It is negative for crashes before the start, which other nodes report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) struct Time(i64);
 
@@ -33,96 +33,95 @@
     i64::try_from(duration.as_millis()).unwrap_or(i64::MAX)
 }
 
-/// The maximum number of servers of which one part is accused.
+/// The maximum number of crashes that are kept for one part.
 ///
 /// The trial interval no longer grows beyond this number.
 pub const MAX_SERVERS: usize = 16;
 
-/// The time within which several ends count as one.
+/// The time within which several crashes count as one.
 ///
-/// Servers that share a cause, such as the loss of a failure domain, end together and
-/// say nothing about a part.
+/// Servers that share a cause, such as the loss of a failure domain, crash together.
 const EPISODE_TIME: Duration = Duration::from_millis(200);
 
 /// The number of servers that count as many.
 const MANY_SERVERS: usize = 4;
 
-/// One end of a server of which a part is accused.
+/// The crash of a server while an answer on a part had just begun.
 #[common::plain]
 #[derive(Copy)]
-pub(crate) struct Evidence {
-    /// The server that ended.
+pub(crate) struct Crash {
+    /// The server.
     pub(crate) server: Server,
-    /// When it ended.
+    /// When it crashed.
     pub(crate) at: Time,
-    /// Whether the part was cleared of this end.
+    /// Whether an answer on the part has gone on past its beginning since.
     pub(crate) is_cleared: bool,
 }
 
-/// The evidence for and against one part.
+/// The crashes that coincided with requests on one part.
 #[derive(Debug, Clone, Default, PartialEq)]
-pub(crate) struct Case {
-    /// The ends of which the part is accused, cleared ones included.
-    evidence: Vec<Evidence>,
+pub(crate) struct History {
+    crashes: Vec<Crash>,
 }
 
-impl Case {
-    /// Returns the evidence.
-    pub(crate) fn evidence(&self) -> &[Evidence] {
-        &self.evidence
+impl History {
+    /// Returns all crashes, cleared ones included.
+    pub(crate) fn crashes(&self) -> &[Crash] {
+        &self.crashes
     }
 
-    /// Adds evidence; returns whether the case changed.
+    /// Adds a crash; returns whether the history changed.
     ///
-    /// If the case is full, the oldest evidence is dropped.
-    pub(crate) fn add(&mut self, added: Evidence) -> bool {
-        if let Some(known) = self.evidence.iter_mut().find(|e| e.server == added.server) {
+    /// If the history is full, the oldest crash is dropped.
+    pub(crate) fn add(&mut self, added: Crash) -> bool {
+        if let Some(known) = self.crashes.iter_mut().find(|e| e.server == added.server) {
             let is_changed = added.is_cleared && !known.is_cleared;
             known.is_cleared |= added.is_cleared;
             return is_changed;
         }
-        if self.evidence.len() == MAX_SERVERS {
-            let oldest = self.evidence.iter().enumerate().min_by_key(|(_, e)| e.at);
+        if self.crashes.len() == MAX_SERVERS {
+            let oldest = self.crashes.iter().enumerate().min_by_key(|(_, e)| e.at);
             let Some((index, oldest)) = oldest else {
                 return false;
             };
             if oldest.at >= added.at {
                 return false;
             }
-            self.evidence.swap_remove(index);
+            self.crashes.swap_remove(index);
         }
-        self.evidence.push(added);
+        self.crashes.push(added);
         true
     }
 
-    /// Clears the part of all ends; returns whether the case changed.
-    pub(crate) fn clear(&mut self) -> bool {
+    /// Clears all crashes after an answer that went on past its beginning; returns whether
+    /// the history changed.
+    pub(crate) fn record_success(&mut self) -> bool {
         let mut is_changed = false;
-        for evidence in &mut self.evidence {
-            is_changed |= !evidence.is_cleared;
-            evidence.is_cleared = true;
+        for crash in &mut self.crashes {
+            is_changed |= !crash.is_cleared;
+            crash.is_cleared = true;
         }
         is_changed
     }
 
     /// Returns whether all of `other` is known here.
-    pub(crate) fn contains(&self, other: &[Evidence]) -> bool {
-        other.iter().all(|evidence| {
-            let known = self.evidence.iter().find(|e| e.server == evidence.server);
-            known.is_some_and(|known| known.is_cleared || !evidence.is_cleared)
+    pub(crate) fn contains(&self, other: &[Crash]) -> bool {
+        other.iter().all(|crash| {
+            let known = self.crashes.iter().find(|e| e.server == crash.server);
+            known.is_some_and(|known| known.is_cleared || !crash.is_cleared)
         })
     }
 
-    /// Returns the servers of whose ends the part is not cleared.
-    pub(crate) fn open(&self) -> impl Iterator<Item = &Evidence> {
-        self.evidence.iter().filter(|e| !e.is_cleared)
+    /// Returns the crashes that are not cleared.
+    pub(crate) fn open(&self) -> impl Iterator<Item = &Crash> {
+        self.crashes.iter().filter(|e| !e.is_cleared)
     }
 
-    /// Returns the number of separate ends, without those that the part is cleared of and
-    /// those in `explained`.
+    /// Returns the number of separate crashes, without cleared ones and those in
+    /// `explained`.
     ///
-    /// Many servers that ended at two separate times count as three ends.
-    pub(crate) fn separate_ends(&self, explained: &HashSet<Server>) -> u32 {
+    /// Many servers that crashed at two separate times count as three crashes.
+    pub(crate) fn separate_crashes(&self, explained: &HashSet<Server>) -> u32 {
         let open = self.open().filter(|e| !explained.contains(&e.server));
         let mut times: Vec<Time> = open.map(|e| e.at).collect();
         times.sort_unstable();
@@ -141,8 +140,8 @@
         count
     }
 
-    /// Returns when the last server ended.
+    /// Returns when the last server crashed.
     pub(crate) fn last_at(&self) -> Option<Time> {
-        self.evidence.iter().map(|e| e.at).max()
+        self.crashes.iter().map(|e| e.at).max()
     }
 }
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -1,24 +1,23 @@
-//! Withholds requests whose prompts share a part that ends backend servers.
+//! Withholds requests whose prompts share a part that crashes backend servers.
 //!
-//! A server that ends takes all its running requests along. Requests whose answers had
-//! just begun are suspects: each of their shared parts is *accused* of the end. A part
-//! is *cleared* of it by an answer that goes on past its beginning. Evidence is a set
-//! that only grows, so nodes can exchange it in any order and as often as they like,
-//! and reach the same result ([`Table`]).
+//! A server that crashes interrupts all its running requests. If the answer of a request
+//! had just begun, each shared part of its prompt may be the cause, so the crash is added
+//! to the history of each. An answer that goes on past its beginning clears the history.
+//! A history is a set of crashes that only grows, so nodes can exchange them in any order
+//! and repeatedly, and reach the same result ([`Table`]).
 //!
-//! A part that explains several ends takes the blame for them, and parts that were
-//! accused beside it go free ([`Table::assess`]). The more ends a part explains, the
-//! more seldom all nodes together let a request with it through ([`trial_interval`]).
-//! Such trials are the only way in which a part can be cleared later, for example
-//! after a new release of a model.
+//! A part that explains several crashes is quarantined, and these crashes no longer count
+//! for other parts ([`Table::assess`]). The more crashes a part explains, the more seldom
+//! all nodes together send a request with it ([`trial_interval`]). A quarantined part can
+//! only be cleared by such a trial, for example after a new release of a model.
 
-mod case;
 mod digest;
+mod history;
 mod pace;
 mod sound;
 mod table;
 
-pub use case::MAX_SERVERS;
 pub use digest::{Part, Server};
+pub use history::MAX_SERVERS;
 pub use pace::{Level, trial_interval};
-pub use table::{Change, MAX_CASES, Record, Refusal, Table};
+pub use table::{Change, MAX_PARTS, Record, Refusal, Table};
--- a/crates/quarantine/src/pace.rs
+++ b/crates/quarantine/src/pace.rs
@@ -1,70 +1,72 @@
-//! How often requests with an accused part are let through.
+//! How often requests with a suspected part are sent.
 
 use std::time::Duration;
 
-/// The number of ends from which a part takes the blame for them.
+/// The number of crashes from which a part is quarantined.
 ///
-/// Two ends may coincide with a sound part that is seldom used.
-pub(crate) const BLAMED_FROM: u32 = 3;
+/// Two crashes may coincide with a sound part that is seldom used.
+pub(crate) const QUARANTINED_FROM: u32 = 3;
 
-/// The number of ends from which a part that was sound before is accused.
+/// The number of crashes from which a part that had sound answers is quarantined.
 ///
-/// Answers on such a part clear it within moments unless it has changed.
+/// An answer on such a part clears it soon, unless the part no longer works.
 pub(crate) const FORMERLY_SOUND_FROM: u32 = 4;
 
-/// The trial interval after the first end, and after the second.
+/// The trial intervals after the first and the second crash.
 const SUSPECT_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(500)];
 
-/// The first trial interval of a part that takes the blame.
-const BLAMED_INTERVAL: Duration = Duration::from_secs(600);
+/// The first trial interval of a quarantined part.
+const QUARANTINE_INTERVAL: Duration = Duration::from_secs(600);
 
 /// The longest trial interval.
 const MAX_INTERVAL: Duration = Duration::from_secs(24 * 3_600);
 
-/// How an accused part is treated.
+/// How requests with a part are treated.
 #[common::plain]
 #[derive(Copy, Eq)]
 pub enum Level {
-    /// Requests with the part are sent.
-    Free,
-    /// The part may have ended servers.
+    /// Requests are sent.
+    Allowed,
+    /// The part may crash servers; requests are sent at short intervals.
     Suspected,
-    /// The part takes the blame for the ends of servers.
-    Blamed,
+    /// The part explains several crashes; requests are sent at long intervals.
+    Quarantined,
 }
 
-/// Returns the mean time between two requests with a part that all nodes together let
-/// through; `None` if there is no limit.
+/// Returns the mean time between two requests with a part that all nodes together
+/// send; `None` if there is no limit.
 ///
-/// `ends` is the number of ends that the part explains, and `was_sound` whether answers
+/// `crashes` is the number of crashes that the part explains, and `was_sound` whether answers
 /// on it went on past their beginning before.
-pub fn trial_interval(ends: u32, was_sound: bool) -> Option<Duration> {
+pub fn trial_interval(crashes: u32, was_sound: bool) -> Option<Duration> {
     if was_sound {
-        let steps = ends.checked_sub(FORMERLY_SOUND_FROM)?;
+        let steps = crashes.checked_sub(FORMERLY_SOUND_FROM)?;
         let factor = 4_u32.checked_pow(steps).unwrap_or(u32::MAX);
         let interval = SUSPECT_INTERVALS[1].saturating_mul(factor);
         return Some(interval.min(MAX_INTERVAL));
     }
-    match ends {
+    match crashes {
         0 => None,
-        1 | 2 => Some(SUSPECT_INTERVALS[ends as usize - 1]),
+        1 | 2 => Some(SUSPECT_INTERVALS[crashes as usize - 1]),
         _ => {
-            let factor = 2_u32.checked_pow(ends - BLAMED_FROM).unwrap_or(u32::MAX);
-            Some(BLAMED_INTERVAL.saturating_mul(factor).min(MAX_INTERVAL))
+            let factor = 2_u32
+                .checked_pow(crashes - QUARANTINED_FROM)
+                .unwrap_or(u32::MAX);
+            Some(QUARANTINE_INTERVAL.saturating_mul(factor).min(MAX_INTERVAL))
         }
     }
 }
 
 /// Returns the level of a part.
-pub(crate) fn level(ends: u32, was_sound: bool) -> Level {
-    let blamed_from = if was_sound {
+pub(crate) fn level(crashes: u32, was_sound: bool) -> Level {
+    let quarantined_from = if was_sound {
         FORMERLY_SOUND_FROM
     } else {
-        BLAMED_FROM
+        QUARANTINED_FROM
     };
-    match trial_interval(ends, was_sound) {
-        None => Level::Free,
-        Some(_) if ends >= blamed_from => Level::Blamed,
+    match trial_interval(crashes, was_sound) {
+        None => Level::Allowed,
+        Some(_) if crashes >= quarantined_from => Level::Quarantined,
         Some(_) => Level::Suspected,
     }
 }
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -1,9 +1,9 @@
-//! All evidence that a node has, and its decisions.
+//! The crash histories of all parts, and the decisions on requests.
 
 use crate::{
     Part, Server,
-    case::{Case, Evidence, Time},
-    pace::{self, BLAMED_FROM, FORMERLY_SOUND_FROM, Level, trial_interval},
+    history::{Crash, History, Time},
+    pace::{self, FORMERLY_SOUND_FROM, Level, QUARANTINED_FROM, trial_interval},
     sound::Sound,
 };
 use clock::Moment;
@@ -13,26 +13,26 @@
     time::Duration,
 };
 
-/// The maximum number of parts with evidence.
-pub const MAX_CASES: usize = 256;
+/// The maximum number of parts with a history.
+pub const MAX_PARTS: usize = 256;
 
-/// The maximum number of parts of one request that are accused or cleared.
+/// The maximum number of parts of one request whose histories are changed.
 const MAX_PARTS_PER_REQUEST: usize = 64;
 
-/// How long evidence is kept after its part was last accused.
+/// How long a history is kept after its last crash.
 const MAX_AGE: Duration = Duration::from_secs(24 * 3_600);
 
-/// How long evidence is kept after its part was cleared.
+/// How long a cleared history is kept after its last crash.
 ///
-/// It must outlive copies at other nodes that do not know yet.
+/// Other nodes may still send the history as it was before.
 const MAX_CLEARED_AGE: Duration = Duration::from_secs(300);
 
-/// The evidence on one part, as nodes send it to each other.
+/// The history of one part, as nodes send it to each other.
 #[common::value]
 pub struct Record {
     /// The part.
     pub part: Part,
-    /// The servers that ended, the milliseconds since, and whether the part is cleared.
+    /// The servers that crashed, the milliseconds since, and whether the crash is cleared.
     pub servers: Vec<(Server, u64, bool)>,
 }
 
@@ -44,10 +44,10 @@
     pub part: Part,
     /// Its level now.
     pub level: Level,
-    /// The number of ends that it explains.
-    pub ends: u32,
-    /// The time since the last end.
-    pub last_end_age: Duration,
+    /// The number of crashes that it explains.
+    pub crashes: u32,
+    /// The time since the last crash.
+    pub last_crash_age: Duration,
 }
 
 /// Why a request is withheld.
@@ -58,35 +58,35 @@
     pub part: Part,
     /// The level of the part.
     pub level: Level,
-    /// The number of ends that the part explains.
-    pub ends: u32,
-    /// The time until this node lets a request with the part through.
+    /// The number of crashes that the part explains.
+    pub crashes: u32,
+    /// The time until this node sends a request with the part.
     pub wait: Duration,
-    /// The time after which some node may have let one through.
+    /// The mean time between two such requests of all nodes.
     pub interval: Duration,
 }
 
-/// The treatment of a part with evidence.
+/// The treatment of a part with a history.
 #[derive(Debug, Clone)]
 struct Treatment {
-    case: Case,
+    history: History,
     level: Level,
-    ends: u32,
-    /// The time between two requests that all nodes together let through.
+    crashes: u32,
+    /// The mean time between two requests that all nodes together send.
     interval: Option<Duration>,
-    /// When this node next lets a request with the part through.
+    /// When this node may next send a request with the part.
     trial_at: Moment,
 }
 
 impl Treatment {
-    /// Returns the time since the last end.
-    fn last_end_age(&self, now: Moment) -> Duration {
-        let last_at = self.case.last_at();
+    /// Returns the time since the last crash.
+    fn last_crash_age(&self, now: Moment) -> Duration {
+        let last_at = self.history.last_at();
         last_at.map_or(Duration::ZERO, |at| at.age(now))
     }
 }
 
-/// The evidence that a node has on prompt parts.
+/// The crash histories of prompt parts that a node knows.
 #[derive(Debug, Clone, Default)]
 pub struct Table {
     treatments: BTreeMap<Part, Treatment>,
@@ -94,48 +94,53 @@
 }
 
 impl Table {
-    /// Accuses the parts of a request whose answer had just begun when its server ended.
+    /// Records the crash of a server while the answer of a request with these parts had
+    /// just begun.
     ///
-    /// Returns the parts with new evidence. A part that takes the blame already explains
-    /// the end, and then no other part is accused.
-    pub fn accuse(&mut self, parts: &[Part], server: Server, now: Moment) -> Vec<Part> {
-        let is_blamed = |part: &&Part| {
+    /// Returns the parts whose history changed. A quarantined part explains the crash, so
+    /// it is not added to other parts.
+    pub fn record_crash(&mut self, parts: &[Part], server: Server, now: Moment) -> Vec<Part> {
+        let is_quarantined = |part: &&Part| {
             let treatment = self.treatments.get(*part);
-            treatment.is_some_and(|t| t.level == Level::Blamed)
+            treatment.is_some_and(|t| t.level == Level::Quarantined)
         };
-        let blamed: Vec<Part> = parts.iter().filter(is_blamed).copied().collect();
-        let accused = if blamed.is_empty() { parts } else { &blamed };
-        let evidence = Evidence {
+        let quarantined: Vec<Part> = parts.iter().filter(is_quarantined).copied().collect();
+        let affected = if quarantined.is_empty() {
+            parts
+        } else {
+            &quarantined
+        };
+        let crash = Crash {
             server,
             at: Time::before(now, Duration::ZERO),
             is_cleared: false,
         };
-        let accused = accused.iter().take(MAX_PARTS_PER_REQUEST).copied();
-        accused
-            .filter(|part| self.add(*part, evidence, now))
+        let affected = affected.iter().take(MAX_PARTS_PER_REQUEST).copied();
+        affected
+            .filter(|part| self.add(*part, crash, now))
             .collect()
     }
 
     /// Clears the parts of a request whose answer went on past its beginning.
     ///
-    /// Returns the parts that were cleared of an end.
-    pub fn clear(&mut self, parts: &[Part], now: Moment) -> Vec<Part> {
+    /// Returns the parts whose history changed.
+    pub fn record_success(&mut self, parts: &[Part], now: Moment) -> Vec<Part> {
         let mut cleared = Vec::new();
         for part in parts.iter().take(MAX_PARTS_PER_REQUEST) {
             self.sound.record(*part, now);
             let treatment = self.treatments.get_mut(part);
-            if treatment.is_some_and(|t| t.case.clear()) {
+            if treatment.is_some_and(|t| t.history.record_success()) {
                 cleared.push(*part);
             }
         }
         cleared
     }
 
-    /// Adds the evidence that another node sent; returns whether any of it is new.
+    /// Adds the history that another node sent; returns whether any of it is new.
     pub fn merge(&mut self, record: &Record, now: Moment) -> bool {
         let mut is_changed = false;
         for (server, age_ms, is_cleared) in &record.servers {
-            let evidence = Evidence {
+            let crash = Crash {
                 server: *server,
                 at: Time::before(now, Duration::from_millis(*age_ms)),
                 is_cleared: *is_cleared,
@@ -145,34 +150,34 @@
             } else {
                 MAX_AGE
             };
-            let is_expired = evidence.at.age(now) >= max_age;
+            let is_expired = crash.at.age(now) >= max_age;
             if !is_expired {
-                is_changed |= self.add(record.part, evidence, now);
+                is_changed |= self.add(record.part, crash, now);
             }
         }
         is_changed
     }
 
-    /// Returns whether another node's record contains all evidence on its part.
+    /// Returns whether another node's record contains all that this node knows of its part.
     pub fn is_covered_by(&self, record: &Record, now: Moment) -> bool {
-        let mut theirs = Case::default();
+        let mut theirs = History::default();
         for (server, age_ms, is_cleared) in &record.servers {
-            theirs.add(Evidence {
+            theirs.add(Crash {
                 server: *server,
                 at: Time::before(now, Duration::from_millis(*age_ms)),
                 is_cleared: *is_cleared,
             });
         }
         let own = self.treatments.get(&record.part);
-        own.is_none_or(|own| theirs.contains(own.case.evidence()))
+        own.is_none_or(|own| theirs.contains(own.history.crashes()))
     }
 
-    /// Returns the evidence on a part, to send it to other nodes.
+    /// Returns the history of a part, to send it to other nodes.
     pub fn record(&self, part: Part, now: Moment) -> Option<Record> {
         let treatment = self.treatments.get(&part)?;
-        let servers = treatment.case.evidence().iter().map(|evidence| {
-            let age_ms = u64::try_from(evidence.at.age(now).as_millis()).unwrap_or(u64::MAX);
-            (evidence.server, age_ms, evidence.is_cleared)
+        let servers = treatment.history.crashes().iter().map(|crash| {
+            let age_ms = u64::try_from(crash.at.age(now).as_millis()).unwrap_or(u64::MAX);
+            (crash.server, age_ms, crash.is_cleared)
         });
         Some(Record {
             part,
@@ -180,12 +185,12 @@
         })
     }
 
-    /// Returns the parts with evidence, those accused last first.
+    /// Returns the parts with a history, by their last crash, the newest first.
     pub fn parts(&self) -> Vec<Part> {
         let mut parts: Vec<(Option<Time>, Part)> = self
             .treatments
             .iter()
-            .map(|(part, treatment)| (treatment.case.last_at(), *part))
+            .map(|(part, treatment)| (treatment.history.last_at(), *part))
             .collect();
         parts.sort_unstable_by(|a, b| b.cmp(a));
         parts.into_iter().map(|(_, part)| part).collect()
@@ -193,39 +198,38 @@
 
     /// Decides again how parts are treated, and returns those whose level changed.
     ///
-    /// The part that explains the most ends takes the blame for them, and they no longer
-    /// count for other parts. Of `node_count` nodes each has an equal share of the
-    /// trials; its first one falls at random within its share, so that nodes do not let
-    /// requests through together.
+    /// The part that explains the most crashes is quarantined, and they no longer count for
+    /// other parts. Each of `node_count` nodes has an equal share of the trials; the time
+    /// of its first one is random, so that nodes do not send requests together.
     pub fn assess(&mut self, node_count: usize, now: Moment, rng: &mut impl Rng) -> Vec<Change> {
         self.expire(now);
-        let ends = self.explained_ends();
+        let crashes = self.explained_crashes();
         let mut changes = Vec::new();
         for (part, treatment) in &mut self.treatments {
             let was_sound = self.sound.contains(*part);
-            let ends = ends.get(part).copied().unwrap_or(0);
-            let level = pace::level(ends, was_sound);
-            let interval = trial_interval(ends, was_sound);
+            let crashes = crashes.get(part).copied().unwrap_or(0);
+            let level = pace::level(crashes, was_sound);
+            let interval = trial_interval(crashes, was_sound);
             if treatment.interval != interval {
                 treatment.interval = interval;
                 let share = interval.unwrap_or_default() * node_count_u32(node_count);
                 treatment.trial_at = now + share.mul_f64(rng.random_range(0.0..1.0));
             }
-            treatment.ends = ends;
+            treatment.crashes = crashes;
             if treatment.level != level {
                 treatment.level = level;
                 changes.push(Change {
                     part: *part,
                     level,
-                    ends,
-                    last_end_age: treatment.last_end_age(now),
+                    crashes,
+                    last_crash_age: treatment.last_crash_age(now),
                 });
             }
         }
         changes
     }
 
-    /// Lets a request with these parts through, or withholds it.
+    /// Records that a request with these parts is sent, or withholds it.
     ///
     /// # Errors
     ///
@@ -256,7 +260,7 @@
             (!wait.is_zero()).then_some(Refusal {
                 part: *part,
                 level: treatment.level,
-                ends: treatment.ends,
+                crashes: treatment.crashes,
                 wait,
                 interval,
             })
@@ -264,69 +268,69 @@
         refusals.max_by_key(|refusal| refusal.wait)
     }
 
-    /// Returns whether one of these parts takes the blame for the ends of servers.
-    pub fn is_blamed(&self, parts: &[Part]) -> bool {
+    /// Returns whether one of these parts is quarantined.
+    pub fn is_quarantined(&self, parts: &[Part]) -> bool {
         parts.iter().any(|part| {
             let treatment = self.treatments.get(part);
-            treatment.is_some_and(|t| t.level == Level::Blamed)
+            treatment.is_some_and(|t| t.level == Level::Quarantined)
         })
     }
 
-    /// Adds evidence on a part; returns whether it is new.
-    fn add(&mut self, part: Part, evidence: Evidence, now: Moment) -> bool {
-        if !self.treatments.contains_key(&part) && self.treatments.len() >= MAX_CASES {
+    /// Adds a crash to the history of a part; returns whether it is new.
+    fn add(&mut self, part: Part, crash: Crash, now: Moment) -> bool {
+        if !self.treatments.contains_key(&part) && self.treatments.len() >= MAX_PARTS {
             self.evict();
         }
         let treatment = self.treatments.entry(part).or_insert_with(|| Treatment {
-            case: Case::default(),
-            level: Level::Free,
-            ends: 0,
+            history: History::default(),
+            level: Level::Allowed,
+            crashes: 0,
             interval: None,
             trial_at: now,
         });
-        treatment.case.add(evidence)
+        treatment.history.add(crash)
     }
 
-    /// Removes the part whose evidence weighs least, and of several the oldest.
+    /// Removes the part that explains the fewest crashes, and of several the oldest.
     fn evict(&mut self) {
         let least = self
             .treatments
             .iter()
-            .min_by_key(|(_, t)| (t.ends, t.case.last_at()));
+            .min_by_key(|(_, t)| (t.crashes, t.history.last_at()));
         if let Some(part) = least.map(|(part, _)| *part) {
             self.treatments.remove(&part);
         }
     }
 
-    /// Removes evidence that is too old.
+    /// Removes histories that are too old.
     fn expire(&mut self, now: Moment) {
         self.treatments.retain(|_, treatment| {
-            let is_open = treatment.case.open().next().is_some();
+            let is_open = treatment.history.open().next().is_some();
             let max_age = if is_open { MAX_AGE } else { MAX_CLEARED_AGE };
-            treatment.last_end_age(now) < max_age
+            treatment.last_crash_age(now) < max_age
         });
     }
 
-    /// Returns the number of ends that each part explains.
-    fn explained_ends(&self) -> HashMap<Part, u32> {
+    /// Returns the number of crashes that each part explains.
+    fn explained_crashes(&self) -> HashMap<Part, u32> {
         let mut explained: HashSet<Server> = HashSet::new();
-        let mut ends = HashMap::new();
+        let mut crashes = HashMap::new();
         loop {
             let rest = self
                 .treatments
                 .iter()
-                .filter(|(p, _)| !ends.contains_key(*p));
+                .filter(|(p, _)| !crashes.contains_key(*p));
             let weights = rest.map(|(part, treatment)| {
-                let count = treatment.case.separate_ends(&explained);
+                let count = treatment.history.separate_crashes(&explained);
                 let was_sound = self.sound.contains(*part);
                 (!was_sound, count, *part)
             });
-            // A part that was never sound explains an end better than one that was.
+            // A part without sound answers is the more likely cause.
             let heaviest = weights
                 .filter(|(is_new, count, _)| {
                     *count
                         >= if *is_new {
-                            BLAMED_FROM
+                            QUARANTINED_FROM
                         } else {
                             FORMERLY_SOUND_FROM
                         }
@@ -335,14 +339,15 @@
             let Some((_, count, part)) = heaviest else {
                 break;
             };
-            ends.insert(part, count);
-            explained.extend(self.treatments[&part].case.open().map(|e| e.server));
+            crashes.insert(part, count);
+            explained.extend(self.treatments[&part].history.open().map(|e| e.server));
         }
         for (part, treatment) in &self.treatments {
-            ends.entry(*part)
-                .or_insert_with(|| treatment.case.separate_ends(&explained));
+            crashes
+                .entry(*part)
+                .or_insert_with(|| treatment.history.separate_crashes(&explained));
         }
-        ends
+        crashes
     }
 }
 
--- a/crates/quarantine/tests/simulation.rs
+++ b/crates/quarantine/tests/simulation.rs
@@ -62,7 +62,7 @@
     requests: Vec<Request>,
     /// Datagrams on their way, by arrival: where they arrive, and what they carry.
     network: BTreeMap<Moment, Vec<(usize, Record)>>,
-    /// Evidence to be sent: when, by which node, and on which part.
+    /// Crash to be sent: when, by which node, and on which part.
     due: Vec<(Moment, usize, Part)>,
     ends: Vec<Moment>,
     /// When requests with the crashing part were sent.
@@ -241,7 +241,7 @@
             }
         }
         for (node, parts) in past {
-            let cleared = self.tables[node].clear(&parts, now);
+            let cleared = self.tables[node].record_success(&parts, now);
             if !cleared.is_empty() {
                 self.tables[node].assess(self.scenario.nodes, now, &mut self.rng);
             }
@@ -275,7 +275,7 @@
                 continue;
             }
             let table = &mut self.tables[request.node];
-            for part in table.accuse(&request.parts, digest, now) {
+            for part in table.record_crash(&request.parts, digest, now) {
                 self.due.push((now, request.node, part));
             }
             table.assess(self.scenario.nodes, now, &mut self.rng);
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -1,8 +1,8 @@
-//! Which parts are blamed for the ends of servers, and how seldom they are tried.
+//! Which parts are quarantined for the crashes of servers, and how seldom they are tried.
 
 use clock::Moment;
 use name::{Instance, Service};
-use quarantine::{Level, MAX_CASES, Part, Record, Server, Table, trial_interval};
+use quarantine::{Level, MAX_PARTS, Part, Record, Server, Table, trial_interval};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
@@ -36,23 +36,23 @@
 use Answer::{Ended, Sound};
 
 #[test]
-fn part_common_to_separate_ends_is_blamed() {
+fn part_common_to_separate_crashes_is_quarantined() {
     struct Case {
         condition: &'static str,
         /// When each answer ended, in milliseconds.
         answers: Vec<(u64, Answer)>,
-        blamed: &'static str,
+        quarantined: &'static str,
         free: &'static str,
     }
     let cases = [
         Case {
-            condition: "three ends, the other parts differ",
+            condition: "three crashes, the other parts differ",
             answers: vec![
                 (0, Ended("p a", 1)),
                 (300, Ended("b p", 2)),
                 (600, Ended("c p", 3)),
             ],
-            blamed: "p",
+            quarantined: "p",
             free: "",
         },
         Case {
@@ -63,7 +63,7 @@
                 (400, Ended("f p", 2)),
                 (700, Ended("f p", 3)),
             ],
-            blamed: "p",
+            quarantined: "p",
             free: "f",
         },
         Case {
@@ -77,7 +77,7 @@
                 (900, Ended("p", 4)),
                 (901, Ended("v", 4)),
             ],
-            blamed: "p",
+            quarantined: "p",
             free: "v",
         },
         Case {
@@ -88,13 +88,13 @@
                 (20, Ended("p c", 3)),
                 (300, Ended("p d", 4)),
             ],
-            blamed: "p",
+            quarantined: "p",
             free: "",
         },
         Case {
             condition: "servers that ended together",
             answers: (1..=16).map(|n| (n, Ended("f", n))).collect(),
-            blamed: "",
+            quarantined: "",
             free: "",
         },
         Case {
@@ -106,13 +106,13 @@
                 (600, Ended("f", 3)),
                 (900, Ended("f", 4)),
             ],
-            blamed: "",
+            quarantined: "",
             free: "f",
         },
         Case {
             condition: "one server that resets its connections",
             answers: (0..9).map(|n| (n * 300, Ended("f", 1))).collect(),
-            blamed: "",
+            quarantined: "",
             free: "",
         },
         Case {
@@ -124,7 +124,7 @@
                 (900, Ended("f", 3)),
                 (1_200, Ended("f", 4)),
             ],
-            blamed: "f",
+            quarantined: "f",
             free: "",
         },
     ];
@@ -133,20 +133,20 @@
         for (at, answer) in &case.answers {
             let now = Moment::from_millis(*at);
             match answer {
-                Ended(ids, n) => drop(table.accuse(&parts(ids), server(*n), now)),
-                Sound(ids) => drop(table.clear(&parts(ids), now)),
+                Ended(ids, n) => drop(table.record_crash(&parts(ids), server(*n), now)),
+                Sound(ids) => drop(table.record_success(&parts(ids), now)),
             }
             table.assess(9, now, &mut rng());
         }
         let now = Moment::from_millis(case.answers.last().expect("an answer").0);
-        for id in parts(case.blamed) {
-            assert!(table.is_blamed(&[id]), "{}", case.condition);
+        for id in parts(case.quarantined) {
+            assert!(table.is_quarantined(&[id]), "{}", case.condition);
         }
         for id in parts(case.free) {
             assert_eq!(table.refusal(&[id], now), None, "{}", case.condition);
         }
-        if case.blamed.is_empty() {
-            assert!(!table.is_blamed(&table.parts()), "{}", case.condition);
+        if case.quarantined.is_empty() {
+            assert!(!table.is_quarantined(&table.parts()), "{}", case.condition);
         }
     }
 }
@@ -157,9 +157,9 @@
     let mut seen = [Table::default(), Table::default(), Table::default()];
     for (n, table) in seen.iter_mut().enumerate() {
         let at = Moment::from_millis(1_000 + 300 * n as u64);
-        table.accuse(&parts("p q"), server(n as u64), at);
+        table.record_crash(&parts("p q"), server(n as u64), at);
     }
-    seen[2].clear(&parts("q"), now);
+    seen[2].record_success(&parts("q"), now);
     let records: Vec<Record> = seen
         .iter()
         .flat_map(|table| table.parts().into_iter().map(move |p| (table, p)))
@@ -173,46 +173,46 @@
             table.merge(record, now);
         }
         table.assess(9, now, &mut rng());
-        assert!(table.is_blamed(&parts("p")));
-        assert!(!table.is_blamed(&parts("q")));
+        assert!(table.is_quarantined(&parts("p")));
+        assert!(!table.is_quarantined(&parts("q")));
         assert!(rotated.iter().all(|record| !table.merge(record, now)));
     }
 }
 
-/// Guards against ends that other nodes saw before the start of a node counting as one.
+/// Guards against crashes that other nodes saw before the start of a node counting as one.
 #[test]
 fn evidence_from_before_the_start_of_a_node_counts_in_full() {
     let ended_at = [5_000, 6_000, 7_000];
     let mut other = Table::default();
     for (n, at) in ended_at.into_iter().enumerate() {
-        other.accuse(&parts("p"), server(n as u64), Moment::from_millis(at));
+        other.record_crash(&parts("p"), server(n as u64), Moment::from_millis(at));
     }
     let record = other.record(part("p"), Moment::from_millis(60_000));
     let mut table = Table::default();
     let now = Moment::from_millis(50);
     assert!(table.merge(&record.expect("evidence"), now));
     table.assess(9, now, &mut rng());
-    assert!(table.is_blamed(&parts("p")));
+    assert!(table.is_quarantined(&parts("p")));
 }
 
 #[test]
-fn later_answer_on_a_blamed_part_frees_it_at_other_nodes() {
+fn later_answer_on_a_quarantined_part_frees_it_at_other_nodes() {
     let now = Moment::from_millis(5_000);
     let mut tables = [Table::default(), Table::default()];
     for n in 0..4 {
         for table in &mut tables {
-            table.accuse(&parts("p"), server(n), Moment::from_millis(1_000 * n));
+            table.record_crash(&parts("p"), server(n), Moment::from_millis(1_000 * n));
             table.assess(2, now, &mut rng());
         }
     }
-    assert!(tables.iter().all(|table| table.is_blamed(&parts("p"))));
-    assert_eq!(tables[0].clear(&parts("p"), now), parts("p"));
+    assert!(tables.iter().all(|table| table.is_quarantined(&parts("p"))));
+    assert_eq!(tables[0].record_success(&parts("p"), now), parts("p"));
     let record = tables[0].record(part("p"), now).expect("evidence");
     assert!(tables[1].is_covered_by(&record, now));
     assert!(tables[1].merge(&record, now));
     let changes = tables[1].assess(2, now, &mut rng());
     assert_eq!(changes.len(), 1);
-    assert_eq!(changes[0].level, Level::Free);
+    assert_eq!(changes[0].level, Level::Allowed);
     assert_eq!(tables[1].refusal(&parts("p"), now), None);
 }
 
@@ -220,7 +220,7 @@
 fn trials_of_all_nodes_together_are_as_seldom_as_the_interval() {
     struct Case {
         nodes: usize,
-        ends: u64,
+        crashes: u64,
         /// How long requests with the part come to each node, in seconds.
         seconds: u64,
         /// The most requests that all nodes let through.
@@ -229,25 +229,25 @@
     let cases = [
         Case {
             nodes: 9,
-            ends: 3,
+            crashes: 3,
             seconds: 110,
             max_trials: 3,
         },
         Case {
             nodes: 72,
-            ends: 3,
+            crashes: 3,
             seconds: 110,
             max_trials: 3,
         },
         Case {
             nodes: 340,
-            ends: 3,
+            crashes: 3,
             seconds: 110,
             max_trials: 3,
         },
         Case {
             nodes: 340,
-            ends: 5,
+            crashes: 5,
             seconds: 1_200,
             max_trials: 3,
         },
@@ -257,11 +257,11 @@
         let mut trials = 0;
         for _ in 0..case.nodes {
             let mut table = Table::default();
-            for n in 0..case.ends {
+            for n in 0..case.crashes {
                 let at = Moment::from_millis(1_000 * n);
-                table.accuse(&parts("p"), server(n), at);
+                table.record_crash(&parts("p"), server(n), at);
             }
-            let begin = Moment::from_millis(1_000 * case.ends);
+            let begin = Moment::from_millis(1_000 * case.crashes);
             table.assess(case.nodes, begin, &mut rng);
             for tenth in 0..case.seconds * 10 {
                 let now = begin + Duration::from_millis(100 * tenth);
@@ -281,7 +281,7 @@
 fn interval_grows_with_each_end() {
     for was_sound in [false, true] {
         let intervals: Vec<Duration> = (0..40)
-            .map(|ends| trial_interval(ends, was_sound).unwrap_or_default())
+            .map(|crashes| trial_interval(crashes, was_sound).unwrap_or_default())
             .collect();
         assert!(intervals.is_sorted(), "{intervals:?}");
         assert_eq!(intervals[39], Duration::from_secs(24 * 3_600));
@@ -295,16 +295,16 @@
     let mut now = Moment::START;
     for n in 0..3 {
         now = now + Duration::from_secs(1);
-        table.accuse(&parts("p"), server(n), now);
+        table.record_crash(&parts("p"), server(n), now);
         table.assess(9, now, &mut rng());
     }
-    for n in 0..10 * MAX_CASES as u64 {
+    for n in 0..10 * MAX_PARTS as u64 {
         let other = part(&format!("other{n}"));
-        table.accuse(&[other], server(100 + n), now);
+        table.record_crash(&[other], server(100 + n), now);
         if n % 50 == 0 {
             table.assess(9, now, &mut rng());
         }
     }
-    assert_eq!(table.parts().len(), MAX_CASES);
-    assert!(table.is_blamed(&parts("p")));
+    assert_eq!(table.parts().len(), MAX_PARTS);
+    assert!(table.is_quarantined(&parts("p")));
 }
--- a/crates/wire/src/generated.rs
+++ b/crates/wire/src/generated.rs
@@ -53,7 +53,7 @@
     /// The grants for the demands of the request.
     #[prost(bytes = "vec", tag = "7")]
     pub grants: ::prost::alloc::vec::Vec<u8>,
-    /// The evidence on parts of prompts that end backend servers; empty if there is none.
+    /// The crash histories of parts of prompts; empty if there are none.
     #[prost(bytes = "vec", tag = "8")]
     pub evidence: ::prost::alloc::vec::Vec<u8>,
 }
