Forward complete events before a stream is broken off for its memory

Found by reading the change: if memory was short, a piece with a complete event and the beginning of the next broke the stream off before the complete one was forwarded, though it counted as delivered, so that a resumed stream lacked it. No test: memory at a node can't be exhausted at a chosen piece.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -208,8 +208,8 @@
 ///
 /// # Errors
 ///
-/// Returns the reason if the body breaks off, is longer than [`MAX_RESPONSE_BYTES`], or if too much
-/// memory is used by the responses that this node reads.
+/// Returns the reason if the body breaks off or is longer than [`MAX_RESPONSE_BYTES`], or
+/// if the responses that this node reads use too much memory.
 async fn read_response(shared: &Shared, mut body: Incoming) -> Result<Bytes, &'static str> {
     let mut reservation = shared.memory.reserve();
     let mut whole = BytesMut::new();
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -288,10 +288,6 @@
                 self.job.record_first_token(&self.shared, &answer.slot);
             }
             let complete_events = self.events.push(&bytes);
-            let partial = self.events.partial_bytes();
-            if partial > MAX_EVENT_BYTES || !self.reservation.resize(partial) {
-                return End::Broken(Fault::EventTooLong);
-            }
             let since_first = first_piece_at.map(|at| last_piece_at - at);
             if !is_past_beginning
                 && self.attempt_events() >= PAST_BEGINNING_EVENTS
@@ -310,6 +306,11 @@
             {
                 return End::CallerDisconnected;
             }
+            // Complete events count as delivered, so they are forwarded before.
+            let partial = self.events.partial_bytes();
+            if partial > MAX_EVENT_BYTES || !self.reservation.resize(partial) {
+                return End::Broken(Fault::EventTooLong);
+            }
         }
     }
 
