Name the digest of the request in the lines on failed attempts

The digest covers the client account, the method, the host, the path and the body; it is computed for these lines only.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admit::Job,
-    evidence::withheld_error,
+    evidence::{format_digest, withheld_error},
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
 };
@@ -200,7 +200,7 @@
                 shared.tables().load.record_failure(&server, now);
                 attempts.exclude(server.clone());
                 info!(shared.log, "attempt failed"; "id" => &*job.call.attempt_id, "server" => %server,
-                    "reason" => reason, "runs" => attempts.executions);
+                    "reason" => reason, "runs" => attempts.executions, "request" => format_digest(job.digest()));
                 let is_retry_allowed = job.is_repeatable() && attempts.has_executions_left(job);
                 if attempts.executions > 0 && !is_retry_allowed {
                     return Err(job.error(attempts, Kind::Upstream, "the server gave no answer"));
--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -155,6 +155,18 @@
         tables.quarantine.admit(&self.parts, nodes, now)
     }
 
+    /// Returns the digest of the request, which is the same for each attempt of its caller.
+    pub(crate) fn digest(&self) -> u64 {
+        let account = self.account.as_ref().map_or("", |account| account.as_str());
+        quarantine::request_digest(&[
+            account.as_bytes(),
+            self.outgoing.method.as_str().as_bytes(),
+            self.call.host.as_bytes(),
+            self.outgoing.path_and_query.as_bytes(),
+            &self.outgoing.body,
+        ])
+    }
+
     /// Returns whether a part of the prompt is quarantined.
     pub(crate) fn is_quarantined(&self, shared: &Shared) -> bool {
         !self.parts.is_empty() && shared.tables().quarantine.is_quarantined(&self.parts)
@@ -179,9 +191,14 @@
     )
 }
 
+/// Returns the text of a digest.
+pub(crate) fn format_digest(digest: u64) -> String {
+    format!("{digest:016x}")
+}
+
 /// Returns the text of a part's digest.
 fn format_part(part: Part) -> String {
-    format!("{:016x}", part.0)
+    format_digest(part.0)
 }
 
 /// Returns the text of several parts' digests.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -3,6 +3,7 @@
 use crate::{
     admit::{Job, RETRY_ELSEWHERE, admit},
     attempt::{Answer, Attempts, BodyEnd, attempt},
+    evidence::format_digest,
     memory::MAX_RESPONSE_BYTES,
     state::Shared,
     stream::{Body, full_body, relay},
@@ -152,7 +153,7 @@
             Err(reason) => {
                 shared.metrics.count("attempts", reason);
                 info!(shared.log, "response interrupted"; "id" => &*job.call.attempt_id, "server" => %server,
-                    "reason" => reason, "framing" => framing.as_str());
+                    "reason" => reason, "framing" => framing.as_str(), "request" => format_digest(job.digest()));
                 attempts.exclude(server);
                 let next = if job.is_repeatable() && attempts.has_executions_left(&job) {
                     attempt(shared, &job, &mut attempts).await
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,6 +4,7 @@
     admit::Job,
     attempt::{Answer, Attempts, BodyEnd, attempt},
     events::EventSplitter,
+    evidence::format_digest,
     memory::{MAX_EVENT_BYTES, Reservation},
     state::Shared,
 };
@@ -232,6 +233,7 @@
                         "server" => %server, "reason" => fault.as_str(),
                         "last_event" => self.events.last_id(), "framing" => body_end.framing.as_str(),
                         "events" => self.attempt_events(), "parts" => self.job.call.shared_parts.join(","),
+                        "request" => format_digest(self.job.digest()),
                         "body_bytes" => body_end.bytes, "partial_event_bytes" => body_end.partial_event_bytes);
                     self.shared.metrics.count("streams_broken", fault.as_str());
                     match self.resume(server.clone()).await {
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -1,6 +1,7 @@
-//! Digests of prompt parts and of backend servers.
+//! Digests of prompt parts, of whole requests and of backend servers.
 
 use name::{Instance, Service};
+use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The digest of a prompt's part at a service.
@@ -28,3 +29,21 @@
         Self(xxh3_64_with_seed(instance.as_str().as_bytes(), incarnation))
     }
 }
+
+/// Returns the digest of a whole request, given by its fields in a fixed order.
+///
+/// The hash is cryptographic, since callers choose the content: none can make a request
+/// whose digest is that of another caller's request.
+pub fn request_digest(fields: &[&[u8]]) -> u64 {
+    let mut hasher = Sha256::new();
+    for field in fields {
+        // The length separates a field from the next one.
+        hasher.update((field.len() as u64).to_be_bytes());
+        hasher.update(field);
+    }
+    let hash = hasher.finalize();
+    let (first, _) = hash.split_at(size_of::<u64>());
+    first
+        .iter()
+        .fold(0, |digest, byte| digest << 8 | u64::from(*byte))
+}
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -17,7 +17,7 @@
 mod sound;
 mod table;
 
-pub use digest::{Part, Server};
+pub use digest::{Part, Server, request_digest};
 pub use history::MAX_SERVERS;
 pub use pace::{Level, trial_interval};
 pub use table::{Change, MAX_PARTS, Record, Refusal, Table};
