Quarantine whole requests that crash each server that runs them

Cause: evidence was taken only of responses that had begun, and only for parts of prompts. A request without parts, or whose server ended before the head, was sent to the next server and, by its caller, to other nodes.

The digest of client account, method, host, path and body is now one more kind of part in the crash histories, for all kinds of route. A crash is separate from the one before if the server began to work on the request after that, so one request that is sent from server to server counts each of them. The requests below a crash are sent again within 0.2 s, each at a time and a server that its digest selects, the same at all nodes; after the second crash one in 0.5 s over all nodes, from 2 s on; after the third one in 10 minutes. The share of a node in these follows the number of nodes at the time of the trial. Quarantined parts are sent first to nodes that start, and prompts and requests no longer displace each other. The digest is computed only while a request has a history.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -7,7 +7,10 @@
 use quarantine::Part;
 use rand::Rng;
 use site::{CallerRequest, Config, call::OutgoingRequest, config::Route};
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, OnceLock},
+    time::Duration,
+};
 use tokio::time::Instant;
 use verdict::{Error, Kind};
 
@@ -22,7 +25,9 @@
     pub(crate) service: Service,
     pub(crate) account: Option<Account>,
     /// The digests of the prompt's shared parts.
-    pub(crate) parts: Arc<[Part]>,
+    pub(crate) prompt_parts: Arc<[Part]>,
+    /// The digest of the whole request, once it was needed.
+    pub(crate) whole: OnceLock<Part>,
     pub(crate) outgoing: Arc<OutgoingRequest>,
     pub(crate) rank: Urgency,
     pub(crate) arrived: Moment,
@@ -85,14 +90,15 @@
     }
     let service = pick_service(route).ok_or_else(|| unavailable("the route has no service"))?;
     let parts = call.shared_parts.iter();
-    let parts = parts.map(|id| Part::new(&service, id)).collect();
+    let prompt_parts = parts.map(|id| Part::prompt(&service, id)).collect();
     let wait = call.timeout.unwrap_or(route.timeout).min(route.timeout);
     let due = arrived + route.latency_objective;
     Ok(Job {
         route: Arc::clone(route),
         service,
         account,
-        parts,
+        prompt_parts,
+        whole: OnceLock::new(),
         outgoing: Arc::new(outgoing),
         rank: Urgency { priority, due },
         arrived,
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     admit::Job,
-    evidence::{format_digest, withheld_error},
+    evidence::{Progress, format_digest, withheld_error},
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
 };
@@ -153,7 +153,7 @@
     Refused(Option<Instance>),
     /// The attempt failed for the given reason; the request may have run.
     Failed(&'static str),
-    /// A part of the prompt was quarantined meanwhile.
+    /// A part of the request was quarantined meanwhile.
     Withheld,
     /// The request's deadline passed.
     DeadlineExceeded,
@@ -168,20 +168,27 @@
     job: &Job,
     attempts: &mut Attempts,
 ) -> Result<Answer, Error> {
-    if let Err(refusal) = job.wait_for_trial(shared).await {
-        return Err(job.withheld(shared, attempts, &refusal));
-    }
-    record_demand(shared, job, attempts);
+    let mut is_demand_recorded = false;
+    let mut has_credit = false;
     loop {
-        if attempts.sent > 0 && !job.take_retry_credit(shared) {
+        if let Err(refusal) = job.wait_for_trial(shared).await {
+            return Err(job.withheld(shared, attempts, &refusal));
+        }
+        if !std::mem::replace(&mut is_demand_recorded, true) {
+            record_demand(shared, job, attempts);
+        }
+        has_credit = has_credit || attempts.sent == 0 || job.take_retry_credit(shared);
+        if !has_credit {
             shared.metrics.count("retries_refused", "budget");
             return Err(attempts.credit_exhausted());
         }
         let slot = job.acquire_slot(shared, attempts).await?;
-        if let Err(refusal) = job.begin_trial(shared) {
+        if job.begin_trial(shared).is_err() {
+            // Another request of this node took the trial, or the part is quarantined now.
             drop(slot);
-            return Err(job.withheld(shared, attempts, &refusal));
+            continue;
         }
+        has_credit = false;
         let server = slot.choice.target.server.clone();
         let failure = match job.send(shared, slot, attempts).await {
             Ok(answer) => return Ok(answer),
@@ -200,7 +207,7 @@
                 shared.tables().load.record_failure(&server, now);
                 attempts.exclude(server.clone());
                 info!(shared.log, "attempt failed"; "id" => &*job.call.attempt_id, "server" => %server,
-                    "reason" => reason, "runs" => attempts.executions, "request" => format_digest(job.digest()));
+                    "reason" => reason, "runs" => attempts.executions, "request" => format_digest(job.whole().digest()));
                 let is_retry_allowed = job.is_repeatable() && attempts.has_executions_left(job);
                 if attempts.executions > 0 && !is_retry_allowed {
                     return Err(job.error(attempts, Kind::Upstream, "the server gave no answer"));
@@ -265,6 +272,7 @@
             model: self.call.model.clone(),
             prompt: self.call.prompt_tokens,
             excluded: attempts.excluded.clone(),
+            trial: self.trial_digest(shared),
         };
         let begin = shared.now();
         let left = begin.until(self.deadline);
@@ -300,7 +308,7 @@
         })
     }
 
-    /// Returns the error for a request that is withheld for a part of its prompt.
+    /// Returns the error for a request that is withheld for one of its parts.
     fn withheld(&self, shared: &Shared, attempts: &Attempts, refusal: &Refusal) -> Error {
         let (kind, message, after) = withheld_error(shared, self, refusal);
         self.error(attempts, kind, message)
@@ -353,6 +361,8 @@
             Ok(Err(error)) => {
                 if error.is_unsent {
                     attempts.executions -= 1;
+                } else {
+                    shared.record_loss(self, &slot, Progress::Begun);
                 }
                 return Err(AttemptError::Failed("no answer"));
             }
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,6 +1,6 @@
 //! The exchange between nodes of what they learn from servers' answers.
 //!
-//! Two things are exchanged: the crash histories of prompt parts, and the limits
+//! Two things are exchanged: the crash histories of parts of requests, and the limits
 //! that servers name. What all nodes must act on at once is sent to all at once; what
 //! several nodes learn at about the same time is sent after a random delay that grows
 //! with the number of nodes, and not at all if another node sent it first. Each node
@@ -22,7 +22,7 @@
 };
 
 /// The first byte of a datagram, which identifies its format.
-pub(crate) const FORMAT: u8 = 2;
+pub(crate) const FORMAT: u8 = 3;
 
 /// The time between two transmissions of everything to some other nodes.
 const EXCHANGE_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/edge/src/exchange/tests.rs
+++ b/crates/edge/src/exchange/tests.rs
@@ -1,7 +1,7 @@
 //! Datagrams stay small, however much there is to exchange.
 
 use super::{FORMAT, LimitRecord, MAX_LIMITS, MAX_RECORDS, Message};
-use quarantine::{MAX_SERVERS, Part, Record, Server};
+use quarantine::{CrashRecord, MAX_SERVERS, Part, Record, Server};
 
 /// The largest datagram that is sent with histories or limits only, in bytes.
 const MAX_BYTES: usize = 20_000;
@@ -14,9 +14,14 @@
 #[test]
 fn full_datagrams_are_bounded() {
     let record = |n: u64| Record {
-        part: Part(u64::MAX - n),
-        servers: (0..MAX_SERVERS as u64)
-            .map(|m| (Server(u64::MAX - m), 86_400_000, false))
+        part: Part::Request(u64::MAX - n),
+        crashes: (0..MAX_SERVERS as u64)
+            .map(|m| CrashRecord {
+                server: Server(u64::MAX - m),
+                age_ms: 86_400_000,
+                run_ms: 10_000,
+                is_cleared: false,
+            })
             .collect(),
     };
     let limit = |n: usize| LimitRecord {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -3,7 +3,7 @@
 use crate::{
     admit::{Job, RETRY_ELSEWHERE, admit},
     attempt::{Answer, Attempts, BodyEnd, attempt},
-    evidence::format_digest,
+    evidence::{Progress, format_digest},
     memory::MAX_RESPONSE_BYTES,
     state::Shared,
     stream::{Body, full_body, relay},
@@ -153,7 +153,7 @@
             Err(reason) => {
                 shared.metrics.count("attempts", reason);
                 info!(shared.log, "response interrupted"; "id" => &*job.call.attempt_id, "server" => %server,
-                    "reason" => reason, "framing" => framing.as_str(), "request" => format_digest(job.digest()));
+                    "reason" => reason, "framing" => framing.as_str(), "request" => format_digest(job.whole().digest()));
                 attempts.exclude(server);
                 let next = if job.is_repeatable() && attempts.has_executions_left(&job) {
                     attempt(shared, &job, &mut attempts).await
@@ -189,14 +189,14 @@
             Ok(Ok(whole)) => whole,
             Ok(Err(reason)) => {
                 if reason == BROKE_OFF {
-                    shared.record_crash(self, &slot);
+                    shared.record_loss(self, &slot, Progress::Begun);
                 }
                 return Err(reason);
             }
             Err(_) => return Err("late"),
         };
         if framing != Framing::Close {
-            shared.record_success(self);
+            shared.record_completion(self);
         }
         slot.record_first_token();
         self.record_first_token(shared, &slot);
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -14,6 +14,8 @@
     pub(crate) model: Option<Model>,
     pub(crate) prompt: u32,
     pub(crate) excluded: Vec<Instance>,
+    /// The digest of a request that may crash servers, which goes to one server only.
+    pub(crate) trial: Option<u64>,
 }
 
 /// A request that waits for a slot.
@@ -194,11 +196,15 @@
             .get(&request.service)
             .map_or(0.0, |s| s.cold_requests_per_s);
         let cost = tables.cost(&request.service, request.model.as_ref());
+        let excluded = match request.trial {
+            Some(digest) => all_but_one(&tables.targets, request, digest),
+            None => request.excluded.clone(),
+        };
         let query = Query {
             service: &request.service,
             model: request.model.as_ref(),
             prompt_tokens: request.prompt,
-            excluded: &request.excluded,
+            excluded: &excluded,
             domain: &self.settings.domain,
             contention: Contention {
                 node: self.settings.node.as_str(),
@@ -319,6 +325,19 @@
     serving.all(|target| request.excluded.contains(&target.server))
 }
 
+/// Returns all servers but the one to which a request under suspicion may go.
+///
+/// It depends on the digest alone, so that copies of the request at several nodes go to the
+/// same server, and the requests below a crash to different ones.
+fn all_but_one(targets: &[place::Target], request: &SlotRequest, digest: u64) -> Vec<Instance> {
+    let key = format!("{digest:016x}");
+    let serving = || targets.iter().filter(|t| serves(t, request));
+    let allowed = serving().filter(|t| !request.excluded.contains(&t.server));
+    let chosen = allowed.max_by_key(|t| name::rendezvous_score(&key, t.server.as_str()));
+    let others = serving().filter(|t| chosen.is_none_or(|c| c.server != t.server));
+    others.map(|t| t.server.clone()).collect()
+}
+
 /// Returns whether a target serves the requested service and model.
 fn serves(target: &place::Target, request: &SlotRequest) -> bool {
     target.service == request.service && target.model == request.model
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -4,7 +4,7 @@
     admit::Job,
     attempt::{Answer, Attempts, BodyEnd, attempt},
     events::EventSplitter,
-    evidence::format_digest,
+    evidence::{Progress, format_digest},
     memory::{MAX_EVENT_BYTES, Reservation},
     state::Shared,
 };
@@ -198,7 +198,7 @@
                 End::Complete => {
                     // A response without an explicit end may have been cut off between events.
                     if answer.framing != Framing::Close {
-                        self.shared.record_success(&self.job);
+                        self.shared.record_completion(&self.job);
                     }
                     let keep_alive = answer.head.keep_alive;
                     let Answer {
@@ -222,8 +222,14 @@
                     return self.log_end(server, "deadline", body_end);
                 }
                 End::Broken(fault) => {
-                    if fault.is_server_end() && self.attempt_events() <= MAX_BEGINNING_EVENTS {
-                        self.shared.record_crash(&self.job, &answer.slot);
+                    if fault.is_server_end() {
+                        let progress = if self.attempt_events() <= MAX_BEGINNING_EVENTS {
+                            Progress::Begun
+                        } else {
+                            Progress::PastBeginning
+                        };
+                        let (job, slot) = (&self.job, &answer.slot);
+                        self.shared.record_loss(job, slot, progress);
                     }
                     let server = answer.slot.choice.target.server.clone();
                     self.events.discard_partial();
@@ -233,7 +239,7 @@
                         "server" => %server, "reason" => fault.as_str(),
                         "last_event" => self.events.last_id(), "framing" => body_end.framing.as_str(),
                         "events" => self.attempt_events(), "parts" => self.job.call.shared_parts.join(","),
-                        "request" => format_digest(self.job.digest()),
+                        "request" => format_digest(self.job.whole().digest()),
                         "body_bytes" => body_end.bytes, "partial_event_bytes" => body_end.partial_event_bytes);
                     self.shared.metrics.count("streams_broken", fault.as_str());
                     match self.resume(server.clone()).await {
@@ -296,7 +302,7 @@
                 && since_first >= Some(PAST_BEGINNING_TIME)
             {
                 is_past_beginning = true;
-                self.shared.record_success(&self.job);
+                self.shared.record_progress(&self.job);
             }
             let bytes = if self.job.is_repeatable() {
                 complete_events
--- a/crates/entry/src/peer/tests.rs
+++ b/crates/entry/src/peer/tests.rs
@@ -72,8 +72,13 @@
             in_progress: BTreeMap::from([(Domain::try_from("teifi").unwrap(), count)]),
             grants: Vec::new(),
             evidence: vec![quarantine::Record {
-                part: quarantine::Part(offset),
-                servers: vec![(quarantine::Server(offset), u64::from(count), true)],
+                part: quarantine::Part::Prompt(offset),
+                crashes: vec![quarantine::CrashRecord {
+                    server: quarantine::Server(offset),
+                    age_ms: u64::from(count),
+                    run_ms: u64::from(count),
+                    is_cleared: true,
+                }],
             }],
         };
         let message = ObserveReply::from(observation.clone());
--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -96,7 +96,8 @@
     drop(stream);
     let generated = delivery.progress().tokens().saturating_sub(tokens_before);
     if has_ended && generated <= MAX_BEGINNING_TOKENS {
-        evidence::record_crash(node, parts, &offer);
+        let run = node.clock.now().since(sent_at);
+        evidence::record_crash(node, parts, &offer, run);
     }
     let is_complete = matches!(outcome, Outcome::Complete { .. });
     if is_complete || generated >= PAST_BEGINNING_TOKENS {
--- a/crates/entry/src/serve/evidence.rs
+++ b/crates/entry/src/serve/evidence.rs
@@ -31,9 +31,9 @@
 pub(crate) fn parts(draft: &Draft) -> Vec<Part> {
     let mut parts: Vec<Part> = route::prefix::hashes("", &draft.prompt)
         .into_iter()
-        .map(Part)
+        .map(Part::Prompt)
         .collect();
-    parts.push(Part(route::prefix::prompt_hash(&draft.prompt)));
+    parts.push(Part::Prompt(route::prefix::prompt_hash(&draft.prompt)));
     parts
 }
 
@@ -46,7 +46,7 @@
     let give_up_at = node.clock.now() + MAX_TRIAL_WAIT;
     loop {
         let now = node.clock.now();
-        let Some(refusal) = node.quarantine().refusal(parts, now) else {
+        let Some(refusal) = node.quarantine().refusal(parts, node_count(node), now) else {
             return Ok(());
         };
         if refusal.level == Level::Quarantined || now + refusal.wait > give_up_at {
@@ -69,14 +69,13 @@
 }
 
 /// Records that a stream ended while the answer of a draft had just begun.
-pub(crate) fn record_crash(node: &Node, parts: &[Part], offer: &Offer) {
+pub(crate) fn record_crash(node: &Node, parts: &[Part], offer: &Offer, run: Duration) {
     let boot = offer.capacity.boot.as_u64_pair().0;
     let server = Server::new(&offer.instance, boot);
-    let nodes = node_count(node);
     let now = node.clock.now();
     let mut table = node.quarantine();
-    let affected = table.record_crash(parts, server, now);
-    let changes = table.assess(nodes, now, &mut rand::rng());
+    let affected = table.record_crash(parts, server, run, now);
+    let changes = table.assess(now, &mut rand::rng());
     drop(table);
     if !affected.is_empty() {
         info!(node.log, "server crashed while an answer began"; "instance" => %offer.instance,
@@ -87,13 +86,12 @@
 
 /// Clears the parts of a draft whose answer went on past its beginning.
 pub(crate) fn record_success(node: &Node, parts: &[Part]) {
-    let nodes = node_count(node);
     let now = node.clock.now();
     let mut table = node.quarantine();
     if table.record_success(parts, now).is_empty() {
         return;
     }
-    let changes = table.assess(nodes, now, &mut rand::rng());
+    let changes = table.assess(now, &mut rand::rng());
     drop(table);
     log_changes(node, &changes, "own");
 }
@@ -110,7 +108,6 @@
     if records.is_empty() {
         return;
     }
-    let nodes = node_count(node);
     let mut table = node.quarantine();
     let mut is_changed = false;
     for record in records.iter().take(MAX_RECORDS) {
@@ -119,7 +116,7 @@
     if !is_changed {
         return;
     }
-    let changes = table.assess(nodes, now, &mut rand::rng());
+    let changes = table.assess(now, &mut rand::rng());
     drop(table);
     log_changes(node, &changes, from.as_str());
 }
@@ -136,7 +133,7 @@
 /// Logs parts whose level changed.
 fn log_changes(node: &Node, changes: &[Change], source: &str) {
     for change in changes {
-        info!(node.log, "treatment of a prompt part changed"; "part" => format!("{:016x}", change.part.0),
+        info!(node.log, "treatment of a prompt part changed"; "part" => format!("{:016x}", change.part.digest()),
             "level" => ?change.level, "crashes" => change.crashes, "source" => source,
             "last_crash_age_ms" => change.last_crash_age.as_millis() as u64);
     }
@@ -144,7 +141,7 @@
 
 /// Returns the error for the caller of a withheld draft.
 fn withheld_error(node: &Node, refusal: &Refusal) -> Error {
-    info!(node.log, "draft withheld"; "part" => format!("{:016x}", refusal.part.0), "level" => ?refusal.level,
+    info!(node.log, "draft withheld"; "part" => format!("{:016x}", refusal.part.digest()), "level" => ?refusal.level,
         "crashes" => refusal.crashes, "wait_ms" => refusal.wait.as_millis() as u64,
         "interval_ms" => refusal.interval.as_millis() as u64);
     let message = "a part of the prompt is quarantined because servers crashed on it";
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -4,18 +4,48 @@
 use sha2::{Digest, Sha256};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// The digest of a prompt's part at a service.
-///
-/// A part is judged for the service whatever else a request holds, its model and
-/// client account included.
+/// What a request consists of that may crash backend servers.
 #[common::key]
-pub struct Part(pub u64);
+pub enum Part {
+    /// The digest of a part of prompts that other requests share.
+    ///
+    /// It is judged for the service whatever else a request holds, its model and client
+    /// account included.
+    Prompt(u64),
+    /// The digest of a whole request, which its caller may send again.
+    Request(u64),
+}
 
 impl Part {
-    /// Returns the digest of the part `id` of prompts for `service`.
-    pub fn new(service: &Service, id: &str) -> Self {
+    /// Returns the part `id` of prompts for `service`.
+    pub fn prompt(service: &Service, id: &str) -> Self {
         let seed = xxh3_64_with_seed(service.as_str().as_bytes(), 0);
-        Self(xxh3_64_with_seed(id.as_bytes(), seed))
+        Self::Prompt(xxh3_64_with_seed(id.as_bytes(), seed))
+    }
+
+    /// Returns the whole request that has these fields, in a fixed order.
+    pub fn request(fields: &[&[u8]]) -> Self {
+        Self::Request(request_digest(fields))
+    }
+
+    /// Returns the digest.
+    pub fn digest(self) -> u64 {
+        match self {
+            Self::Prompt(digest) | Self::Request(digest) => digest,
+        }
+    }
+
+    /// Returns whether this is a whole request.
+    pub fn is_request(self) -> bool {
+        matches!(self, Self::Request(_))
+    }
+
+    /// Returns what it is, for logs.
+    pub fn kind(self) -> &'static str {
+        match self {
+            Self::Prompt(_) => "prompt",
+            Self::Request(_) => "request",
+        }
     }
 }
 
--- a/crates/quarantine/src/history.rs
+++ b/crates/quarantine/src/history.rs
@@ -1,6 +1,6 @@
 //! The crashes that coincided with requests on one part.
 
-use crate::Server;
+use crate::{Part, Server};
 use clock::Moment;
 use std::{collections::HashSet, time::Duration};
 
@@ -21,6 +21,11 @@
         Self::before(now, Duration::ZERO).since(self)
     }
 
+    /// Returns the time that is `duration` earlier.
+    fn minus(self, duration: Duration) -> Self {
+        Self(self.0.saturating_sub(millis(duration)))
+    }
+
     /// Returns the time since `earlier`; zero if that is later.
     fn since(self, earlier: Self) -> Duration {
         let millis = self.0.saturating_sub(earlier.0);
@@ -46,7 +51,7 @@
 /// The number of servers that count as many.
 const MANY_SERVERS: usize = 4;
 
-/// The crash of a server while an answer on a part had just begun.
+/// The crash of a server while it ran a request with a part.
 #[common::plain]
 #[derive(Copy)]
 pub(crate) struct Crash {
@@ -54,6 +59,8 @@
     pub(crate) server: Server,
     /// When it crashed.
     pub(crate) at: Time,
+    /// How long it had worked on the request.
+    pub(crate) run: Duration,
     /// Whether an answer on the part has gone on past its beginning since.
     pub(crate) is_cleared: bool,
 }
@@ -117,19 +124,25 @@
         self.crashes.iter().filter(|e| !e.is_cleared)
     }
 
-    /// Returns the number of separate crashes, without cleared ones and those in
-    /// `explained`.
+    /// Returns the number of separate crashes below requests with `part`, without cleared
+    /// ones and those in `explained`.
     ///
-    /// Many servers that crashed at two separate times count as three crashes.
-    pub(crate) fn separate_crashes(&self, explained: &HashSet<Server>) -> u32 {
+    /// Many servers that crashed at two separate times count as three crashes. If the part
+    /// is a whole request, a crash is also separate if the server began to work on the
+    /// request after the crash before.
+    pub(crate) fn separate_crashes(&self, part: Part, explained: &HashSet<Server>) -> u32 {
         let open = self.open().filter(|e| !explained.contains(&e.server));
-        let mut times: Vec<Time> = open.map(|e| e.at).collect();
-        times.sort_unstable();
-        let servers = times.len();
+        let mut crashes: Vec<(Time, Duration)> = open.map(|e| (e.at, e.run)).collect();
+        crashes.sort_unstable();
+        let servers = crashes.len();
         let mut count = 0;
         let mut counted_at: Option<Time> = None;
-        for at in times {
-            if counted_at.is_none_or(|counted_at| at.since(counted_at) >= EPISODE_TIME) {
+        for (at, run) in crashes {
+            let is_separate = counted_at.is_none_or(|counted_at| {
+                at.since(counted_at) >= EPISODE_TIME
+                    || part.is_request() && at.minus(run) >= counted_at
+            });
+            if is_separate {
                 count += 1;
                 counted_at = Some(at);
             }
@@ -140,6 +153,11 @@
         count
     }
 
+    /// Returns the last crash that is not cleared.
+    pub(crate) fn last_open(&self) -> Option<&Crash> {
+        self.open().max_by_key(|crash| (crash.at, crash.server))
+    }
+
     /// Returns when the last server crashed.
     pub(crate) fn last_at(&self) -> Option<Time> {
         self.crashes.iter().map(|e| e.at).max()
--- a/crates/quarantine/src/pace.rs
+++ b/crates/quarantine/src/pace.rs
@@ -1,6 +1,8 @@
 //! How often requests with a suspected part are sent.
 
+use crate::{Part, Server};
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// The number of crashes from which a part is quarantined.
 ///
@@ -12,7 +14,23 @@
 /// An answer on such a part clears it soon, unless the part no longer works.
 pub(crate) const FORMERLY_SOUND_FROM: u32 = 4;
 
+/// The longest delay before a whole request is sent again after its first crash.
+const FIRST_TRIAL_SPREAD: Duration = Duration::from_millis(200);
+
+/// The delay before a whole request is sent again after its second crash.
+///
+/// It lets the first servers start again, since three crashes of one cause can be all
+/// servers of a service.
+pub(crate) const SECOND_TRIAL_DELAY: Duration = Duration::from_secs(2);
+
+/// The time after which a crash does not count as caused by the beginning of a request.
+///
+/// A request that ran longer is sent again without a delay.
+const EARLY_CRASH_TIME: Duration = Duration::from_millis(500);
+
 /// The trial intervals after the first and the second crash.
+///
+/// Whole requests wait after the first crash as [`first_trial_delay`] has it.
 const SUSPECT_INTERVALS: [Duration; 2] = [Duration::from_millis(100), Duration::from_millis(500)];
 
 /// The first trial interval of a quarantined part.
@@ -57,6 +75,19 @@
     }
 }
 
+/// Returns the delay before a whole request is sent again after its first crash, of
+/// `server` after it had worked on the request for `run`.
+///
+/// It is the same at all nodes, and differs between the requests below a crash, so that
+/// the next crash tells which of them is the cause.
+pub(crate) fn first_trial_delay(request: Part, server: Server, run: Duration) -> Duration {
+    if run >= EARLY_CRASH_TIME {
+        return Duration::ZERO;
+    }
+    let hash = xxh3_64_with_seed(&request.digest().to_be_bytes(), server.0);
+    FIRST_TRIAL_SPREAD.mul_f64(hash as f64 / u64::MAX as f64)
+}
+
 /// Returns the level of a part.
 pub(crate) fn level(crashes: u32, was_sound: bool) -> Level {
     let quarantined_from = if was_sound {
--- a/crates/quarantine/tests/simulation.rs
+++ b/crates/quarantine/tests/simulation.rs
@@ -10,10 +10,29 @@
 /// The time within which all nodes act on what one of them has seen.
 const CONTACT_TIME: Duration = Duration::from_secs(3);
 
-/// The most requests with the part that may reach servers after [`CONTACT_TIME`] from
-/// the fifth end.
+/// The most crashing requests that may reach servers after [`CONTACT_TIME`] from the end
+/// number [`Cause::last_end`].
 const MAX_LATE: usize = 3;
 
+/// What ends servers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Cause {
+    /// A part that many requests share.
+    Part,
+    /// One request that callers send again and again.
+    Request,
+}
+
+impl Cause {
+    /// Returns the end after which the cause is withheld.
+    fn last_end(self) -> usize {
+        match self {
+            Self::Part => 5,
+            Self::Request => 3,
+        }
+    }
+}
+
 const STEP: Duration = Duration::from_millis(10);
 
 /// When an answer begins, after its request was sent.
@@ -32,8 +51,9 @@
 const FIRST_PARTS: usize = 60;
 
 struct Scenario {
+    cause: Cause,
     nodes: usize,
-    /// Requests with the crashing part, per second.
+    /// Requests that end servers, per second.
     crashing_per_s: f64,
     /// Other requests, per second.
     sound_per_s: f64,
@@ -65,15 +85,17 @@
     /// Crash to be sent: when, by which node, and on which part.
     due: Vec<(Moment, usize, Part)>,
     ends: Vec<Moment>,
-    /// When requests with the crashing part were sent.
+    /// When crashing requests were sent.
     sent: Vec<Moment>,
+    /// The number of requests made so far.
+    made: u64,
     /// When other requests came, and whether they were sent.
     sound: Vec<(Moment, bool)>,
 }
 
 fn part(id: &str) -> Part {
     let service: Service = "llm".parse().expect("a name");
-    Part::new(&service, id)
+    Part::prompt(&service, id)
 }
 
 impl Simulation {
@@ -90,6 +112,7 @@
             due: Vec::new(),
             ends: Vec::new(),
             sent: Vec::new(),
+            made: 0,
             sound: Vec::new(),
         }
     }
@@ -161,7 +184,7 @@
                     .retain(|(_, by, part)| *by != node || *part != record.part);
             }
             if is_changed {
-                table.assess(self.scenario.nodes, now, &mut self.rng);
+                table.assess(now, &mut self.rng);
             }
         }
     }
@@ -195,12 +218,24 @@
     fn send_request(&mut self, is_crashing: bool) {
         let node = self.rng.random_range(0..self.scenario.nodes);
         let first = part(&format!("first{}", self.rng.random_range(0..FIRST_PARTS)));
-        let second = if is_crashing {
+        let is_part = self.scenario.cause == Cause::Part;
+        let second = if is_crashing && is_part {
             part("crashing")
         } else {
             part(&format!("second{}", self.rng.random_range(0..FIRST_PARTS)))
         };
-        let parts = vec![first, second];
+        self.made += 1;
+        let whole = if is_crashing && !is_part {
+            Part::request(&[b"crashing"])
+        } else {
+            Part::request(&[&self.made.to_be_bytes()])
+        };
+        let parts = vec![whole, first, second];
+        let server = if self.tables[node].is_suspected(whole) {
+            whole.digest() as usize % SERVERS
+        } else {
+            self.rng.random_range(0..SERVERS)
+        };
         let is_sent = self.tables[node]
             .admit(&parts, self.scenario.nodes, self.now)
             .is_ok();
@@ -213,7 +248,7 @@
             self.requests.push(Request {
                 node,
                 parts,
-                server: self.rng.random_range(0..SERVERS),
+                server,
                 sent_at: self.now,
                 is_crashing,
                 is_past_beginning: false,
@@ -243,7 +278,7 @@
         for (node, parts) in past {
             let cleared = self.tables[node].record_success(&parts, now);
             if !cleared.is_empty() {
-                self.tables[node].assess(self.scenario.nodes, now, &mut self.rng);
+                self.tables[node].assess(now, &mut self.rng);
             }
             for part in cleared {
                 let max_ms = 2 * self.scenario.nodes as u64;
@@ -275,20 +310,20 @@
                 continue;
             }
             let table = &mut self.tables[request.node];
-            for part in table.record_crash(&request.parts, digest, now) {
+            for part in table.record_crash(&request.parts, digest, age, now) {
                 self.due.push((now, request.node, part));
             }
-            table.assess(self.scenario.nodes, now, &mut self.rng);
+            table.assess(now, &mut self.rng);
         }
     }
 
-    /// Returns the number of requests with the crashing part that were sent later than
+    /// Returns the number of crashing requests that were sent later than
     /// all nodes should have acted.
     fn late(&self) -> usize {
-        let Some(fifth) = self.ends.get(4) else {
+        let Some(last) = self.ends.get(self.scenario.cause.last_end() - 1) else {
             return 0;
         };
-        let late = self.sent.iter().filter(|at| **at > *fifth + CONTACT_TIME);
+        let late = self.sent.iter().filter(|at| **at > *last + CONTACT_TIME);
         late.count()
     }
 
@@ -313,8 +348,9 @@
 }
 
 #[test]
-fn crashing_part_is_withheld_and_its_neighbors_are_not() {
+fn what_crashes_servers_is_withheld_and_its_neighbors_are_not() {
     struct Case {
+        cause: Cause,
         nodes: usize,
         crashing_per_s: f64,
         sound_per_s: f64,
@@ -322,7 +358,8 @@
         restart_at_s: Option<u64>,
         seeds: u64,
     }
-    let case = |nodes, crashing_per_s, sound_per_s, loss, restart_at_s, seeds| Case {
+    let case = |cause, nodes, crashing_per_s, sound_per_s, loss, restart_at_s, seeds| Case {
+        cause,
         nodes,
         crashing_per_s,
         sound_per_s,
@@ -330,16 +367,22 @@
         restart_at_s,
         seeds,
     };
+    let (part, request) = (Cause::Part, Cause::Request);
     let cases = [
-        case(9, 10.0, 50.0, 0.0, None, 6),
-        case(9, 10.0, 50.0, 0.05, Some(8), 6),
-        case(9, 1.0, 50.0, 0.05, Some(8), 3),
-        case(72, 10.0, 200.0, 0.05, Some(8), 1),
-        case(340, 30.0, 400.0, 0.05, Some(8), 1),
+        case(part, 9, 10.0, 50.0, 0.0, None, 6),
+        case(part, 9, 10.0, 50.0, 0.05, Some(8), 6),
+        case(part, 9, 1.0, 50.0, 0.05, Some(8), 3),
+        case(part, 72, 10.0, 200.0, 0.05, Some(8), 1),
+        case(part, 340, 30.0, 400.0, 0.05, Some(8), 1),
+        case(request, 9, 2.0, 50.0, 0.0, None, 6),
+        case(request, 9, 20.0, 50.0, 0.05, Some(8), 6),
+        case(request, 72, 10.0, 200.0, 0.05, Some(8), 1),
+        case(request, 340, 30.0, 400.0, 0.05, Some(8), 1),
     ];
     for case in cases {
         for seed in 0..case.seeds {
             let scenario = Scenario {
+                cause: case.cause,
                 nodes: case.nodes,
                 crashing_per_s: case.crashing_per_s,
                 sound_per_s: case.sound_per_s,
@@ -349,13 +392,15 @@
             let mut simulation = Simulation::new(scenario, seed);
             simulation.run(20);
             let what = format!(
-                "{} nodes, {} per s, seed {seed}: {} ends, {} late, {:.2} of the others sent",
+                "{:?}, {} nodes, {} per s, seed {seed}: {} ends, {} late, {:.2} of the others sent",
+                case.cause,
                 case.nodes,
                 case.crashing_per_s,
                 simulation.ends.len(),
                 simulation.late(),
                 simulation.sound_fraction()
             );
+            println!("{what}");
             assert!(simulation.late() <= MAX_LATE, "{what}");
             assert!(simulation.sound_fraction() >= 0.5, "{what}");
         }
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -7,9 +7,14 @@
 use rand_chacha::ChaCha8Rng;
 use std::time::Duration;
 
+/// Returns a whole request for an identifier that begins with `request`, and else a part of
+/// prompts.
 fn part(id: &str) -> Part {
+    if id.starts_with("request") {
+        return Part::request(&[id.as_bytes()]);
+    }
     let service: Service = "llm".parse().expect("a name");
-    Part::new(&service, id)
+    Part::prompt(&service, id)
 }
 
 fn server(n: u64) -> Server {
@@ -21,6 +26,9 @@
     ids.split_whitespace().map(part).collect()
 }
 
+/// How long servers had worked on the requests below which they crashed.
+const RUN: Duration = Duration::from_millis(80);
+
 fn rng() -> ChaCha8Rng {
     ChaCha8Rng::seed_from_u64(1)
 }
@@ -115,6 +123,66 @@
             quarantined: "",
             free: "",
         },
+        Case {
+            condition: "one request sent to one server after the other",
+            answers: vec![
+                (0, Ended("request", 1)),
+                (100, Ended("request", 2)),
+                (200, Ended("request", 3)),
+            ],
+            quarantined: "request",
+            free: "",
+        },
+        Case {
+            condition: "copies of one request at servers that ended together",
+            answers: (1..=3).map(|n| (n, Ended("request", n))).collect(),
+            quarantined: "",
+            free: "",
+        },
+        Case {
+            condition: "one request, and others below single crashes of it",
+            answers: vec![
+                (0, Ended("request", 1)),
+                (1, Ended("request1", 1)),
+                (100, Ended("request", 2)),
+                (101, Ended("request2", 2)),
+                (3_000, Ended("request", 3)),
+                (3_001, Ended("request3", 3)),
+            ],
+            quarantined: "request",
+            free: "request1 request2 request3",
+        },
+        Case {
+            condition: "one request, rather than the parts of its prompt",
+            answers: vec![
+                (0, Ended("request p q", 1)),
+                (100, Ended("request p q", 2)),
+                (3_000, Ended("request p q", 3)),
+            ],
+            quarantined: "request",
+            free: "p q",
+        },
+        Case {
+            condition: "a part of the prompts, rather than the requests",
+            answers: vec![
+                (0, Ended("request1 p", 1)),
+                (300, Ended("request1 p", 2)),
+                (600, Ended("request2 p", 3)),
+            ],
+            quarantined: "p",
+            free: "request1 request2",
+        },
+        Case {
+            condition: "a request with a complete answer in between",
+            answers: vec![
+                (0, Ended("request", 1)),
+                (100, Ended("request", 2)),
+                (2_500, Sound("request")),
+                (2_600, Ended("request", 3)),
+            ],
+            quarantined: "",
+            free: "",
+        },
         Case {
             condition: "a part that was sound until it changed",
             answers: vec![
@@ -133,17 +201,17 @@
         for (at, answer) in &case.answers {
             let now = Moment::from_millis(*at);
             match answer {
-                Ended(ids, n) => drop(table.record_crash(&parts(ids), server(*n), now)),
+                Ended(ids, n) => drop(table.record_crash(&parts(ids), server(*n), RUN, now)),
                 Sound(ids) => drop(table.record_success(&parts(ids), now)),
             }
-            table.assess(9, now, &mut rng());
+            table.assess(now, &mut rng());
         }
         let now = Moment::from_millis(case.answers.last().expect("an answer").0);
         for id in parts(case.quarantined) {
             assert!(table.is_quarantined(&[id]), "{}", case.condition);
         }
         for id in parts(case.free) {
-            assert_eq!(table.refusal(&[id], now), None, "{}", case.condition);
+            assert_eq!(table.refusal(&[id], 9, now), None, "{}", case.condition);
         }
         if case.quarantined.is_empty() {
             assert!(!table.is_quarantined(&table.parts()), "{}", case.condition);
@@ -151,13 +219,91 @@
     }
 }
 
+/// Guards against one request that crashes all servers of a service in a moment.
+#[test]
+fn requests_below_a_crash_are_sent_again_one_after_the_other() {
+    let ids: Vec<String> = (0..6).map(|n| format!("request{n}")).collect();
+    let now = Moment::from_millis(1_000);
+    let mut tables = [Table::default(), Table::default()];
+    for table in &mut tables {
+        for id in &ids {
+            table.record_crash(&parts(id), server(1), RUN, now);
+        }
+        table.assess(now, &mut rng());
+    }
+    let wait = |table: &Table, id: &str, at| {
+        let refusal = table.refusal(&parts(id), 9, at);
+        refusal.map_or(Duration::ZERO, |refusal| refusal.wait)
+    };
+    let mut waits: Vec<Duration> = ids.iter().map(|id| wait(&tables[0], id, now)).collect();
+    for (id, expected) in ids.iter().zip(&waits) {
+        assert_eq!(wait(&tables[1], id, now), *expected, "{id}");
+    }
+    waits.sort();
+    waits.dedup();
+    assert_eq!(waits.len(), ids.len(), "{waits:?}");
+    assert!(waits[5] <= Duration::from_millis(200), "{waits:?}");
+
+    // The cause ends a second server; the others are sent at once from then on.
+    let later = now + Duration::from_millis(300);
+    tables[0].record_crash(&parts(&ids[0]), server(2), RUN, later);
+    for id in &ids[1..] {
+        tables[0].record_success(&parts(id), later);
+    }
+    tables[0].assess(later, &mut rng());
+    assert!(wait(&tables[0], &ids[0], later) >= Duration::from_secs(2));
+    for id in &ids[1..] {
+        assert_eq!(wait(&tables[0], id, later), Duration::ZERO, "{id}");
+    }
+}
+
+/// Guards against a history of many servers that hides an older quarantine from other nodes.
+#[test]
+fn quarantined_requests_are_sent_first_and_outlive_many_others() {
+    let mut table = Table::default();
+    let mut now = Moment::START;
+    for n in 0..3 {
+        now = now + Duration::from_secs(3);
+        table.record_crash(&parts("request"), server(n), RUN, now);
+        table.assess(now, &mut rng());
+    }
+    for n in 0..3 * MAX_PARTS as u64 {
+        now = now + Duration::from_millis(1);
+        table.record_crash(&parts(&format!("request{n} p{n}")), server(9 + n), RUN, now);
+        table.assess(now, &mut rng());
+    }
+    assert_eq!(table.parts().len(), 2 * MAX_PARTS);
+    assert_eq!(table.parts().first(), Some(&part("request")));
+    assert!(table.is_quarantined(&parts("request")));
+    now = now + Duration::from_secs(7_200);
+    table.assess(now, &mut rng());
+    assert!(table.is_quarantined(&parts("request")));
+}
+
+/// Guards against a node that joins, and does not know yet how many others try a request.
+#[test]
+fn share_of_the_trials_follows_the_number_of_nodes() {
+    let mut table = Table::default();
+    for n in 0..3 {
+        let at = Moment::from_millis(3_000 * n);
+        table.record_crash(&parts("request"), server(n), RUN, at);
+    }
+    let now = Moment::from_millis(9_000);
+    table.assess(now, &mut rng());
+    let wait = |nodes| {
+        let refusal = table.refusal(&parts("request"), nodes, now);
+        refusal.expect("a refusal").wait.as_secs_f64()
+    };
+    assert!((wait(340) / wait(1) - 340.0).abs() < 0.01);
+}
+
 #[test]
 fn nodes_agree_on_evidence_in_any_order() {
     let now = Moment::from_millis(10_000);
     let mut seen = [Table::default(), Table::default(), Table::default()];
     for (n, table) in seen.iter_mut().enumerate() {
         let at = Moment::from_millis(1_000 + 300 * n as u64);
-        table.record_crash(&parts("p q"), server(n as u64), at);
+        table.record_crash(&parts("p q"), server(n as u64), RUN, at);
     }
     seen[2].record_success(&parts("q"), now);
     let records: Vec<Record> = seen
@@ -172,7 +318,7 @@
         for record in rotated.iter().chain(&rotated) {
             table.merge(record, now);
         }
-        table.assess(9, now, &mut rng());
+        table.assess(now, &mut rng());
         assert!(table.is_quarantined(&parts("p")));
         assert!(!table.is_quarantined(&parts("q")));
         assert!(rotated.iter().all(|record| !table.merge(record, now)));
@@ -185,13 +331,13 @@
     let ended_at = [5_000, 6_000, 7_000];
     let mut other = Table::default();
     for (n, at) in ended_at.into_iter().enumerate() {
-        other.record_crash(&parts("p"), server(n as u64), Moment::from_millis(at));
+        other.record_crash(&parts("p"), server(n as u64), RUN, Moment::from_millis(at));
     }
     let record = other.record(part("p"), Moment::from_millis(60_000));
     let mut table = Table::default();
     let now = Moment::from_millis(50);
     assert!(table.merge(&record.expect("evidence"), now));
-    table.assess(9, now, &mut rng());
+    table.assess(now, &mut rng());
     assert!(table.is_quarantined(&parts("p")));
 }
 
@@ -201,8 +347,8 @@
     let mut tables = [Table::default(), Table::default()];
     for n in 0..4 {
         for table in &mut tables {
-            table.record_crash(&parts("p"), server(n), Moment::from_millis(1_000 * n));
-            table.assess(2, now, &mut rng());
+            table.record_crash(&parts("p"), server(n), RUN, Moment::from_millis(1_000 * n));
+            table.assess(now, &mut rng());
         }
     }
     assert!(tables.iter().all(|table| table.is_quarantined(&parts("p"))));
@@ -210,10 +356,10 @@
     let record = tables[0].record(part("p"), now).expect("evidence");
     assert!(tables[1].is_covered_by(&record, now));
     assert!(tables[1].merge(&record, now));
-    let changes = tables[1].assess(2, now, &mut rng());
+    let changes = tables[1].assess(now, &mut rng());
     assert_eq!(changes.len(), 1);
     assert_eq!(changes[0].level, Level::Allowed);
-    assert_eq!(tables[1].refusal(&parts("p"), now), None);
+    assert_eq!(tables[1].refusal(&parts("p"), 2, now), None);
 }
 
 #[test]
@@ -259,10 +405,10 @@
             let mut table = Table::default();
             for n in 0..case.crashes {
                 let at = Moment::from_millis(1_000 * n);
-                table.record_crash(&parts("p"), server(n), at);
+                table.record_crash(&parts("p"), server(n), RUN, at);
             }
             let begin = Moment::from_millis(1_000 * case.crashes);
-            table.assess(case.nodes, begin, &mut rng);
+            table.assess(begin, &mut rng);
             for tenth in 0..case.seconds * 10 {
                 let now = begin + Duration::from_millis(100 * tenth);
                 trials += usize::from(table.admit(&parts("p"), case.nodes, now).is_ok());
@@ -295,14 +441,14 @@
     let mut now = Moment::START;
     for n in 0..3 {
         now = now + Duration::from_secs(1);
-        table.record_crash(&parts("p"), server(n), now);
-        table.assess(9, now, &mut rng());
+        table.record_crash(&parts("p"), server(n), RUN, now);
+        table.assess(now, &mut rng());
     }
     for n in 0..10 * MAX_PARTS as u64 {
         let other = part(&format!("other{n}"));
-        table.record_crash(&[other], server(100 + n), now);
+        table.record_crash(&[other], server(100 + n), RUN, now);
         if n % 50 == 0 {
-            table.assess(9, now, &mut rng());
+            table.assess(now, &mut rng());
         }
     }
     assert_eq!(table.parts().len(), MAX_PARTS);
