Tell servers that ended from connections that were lost

Cause: every lost connection counted as the end of its server. To one attempt a server that ended looks like one that resets single connections, a cut link or a server that leaves.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -362,7 +362,7 @@
                 if error.is_unsent {
                     attempts.executions -= 1;
                 } else {
-                    shared.record_loss(self, &slot, Progress::Begun);
+                    shared.record_loss(self, &slot, Progress::Begun).await;
                 }
                 return Err(AttemptError::Failed("no answer"));
             }
--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -1,10 +1,11 @@
 //! Requests that crash servers, and those that are withheld for it.
 //!
-//! The decisions are those of [`quarantine::Table`]; [`crate::exchange`] sends the crash
-//! histories to the other nodes.
+//! The decisions are those of [`quarantine::Table`]; [`crate::end_check`] tells crashes from
+//! lost connections, and [`crate::exchange`] sends the crash histories to the other nodes.
 
 use crate::{
     admit::Job,
+    end_check::check_reported,
     slot::Slot,
     state::{Shared, Tables},
 };
@@ -12,7 +13,7 @@
 use name::Instance;
 use quarantine::{Change, Level, Part, Record, Refusal, Server};
 use slog::info;
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 use tokio::time::timeout;
 use verdict::Kind;
 
@@ -56,9 +57,9 @@
 impl Shared {
     /// Records that a server lost the connection on which it ran a request.
     ///
-    /// The whole request may be the cause, and if the response had just begun, also each
-    /// shared part of its prompt.
-    pub(crate) fn record_loss(&self, job: &Job, slot: &Slot, progress: Progress) {
+    /// If the server has ended, the whole request may be the cause, and if the response
+    /// had just begun, also each shared part of its prompt.
+    pub(crate) async fn record_loss(&self, job: &Job, slot: &Slot, progress: Progress) {
         let target = &slot.choice.target;
         let at = self.now();
         let mut parts = vec![job.whole()];
@@ -72,7 +73,21 @@
             run: at.since(slot.acquired_at),
             at,
         };
-        self.record_crash(&mut self.tables(), &loss);
+        if self.has_ended(&loss, target).await {
+            self.record_crash(&mut self.tables(), &loss);
+        }
+    }
+
+    /// Records the crashes of servers that were seen to start again.
+    pub(crate) fn record_restarts(&self, tables: &mut Tables) {
+        let Tables {
+            fleet, end_checks, ..
+        } = tables;
+        let incarnation = |id: &_| fleet.server(id).map(|server| server.incarnation);
+        let confirmed = end_checks.take_confirmed(incarnation, self.now());
+        for loss in confirmed {
+            self.record_crash(tables, &loss);
+        }
     }
 
     /// Records the crash of a server while it ran a request.
@@ -115,19 +130,31 @@
         let now = self.now();
         let mut tables = self.tables();
         let cleared = tables.quarantine.record_success(parts, now);
+        self.apply_cleared(&mut tables, &cleared, now);
+        cleared
+    }
+
+    /// Clears all crashes of a server that has not ended.
+    pub(crate) fn refute(&self, server: Server) {
+        let now = self.now();
+        let mut tables = self.tables();
+        let cleared = tables.quarantine.refute(server);
+        self.apply_cleared(&mut tables, &cleared, now);
+    }
+
+    /// Decides again after crashes of parts were cleared, and sends them to all nodes.
+    fn apply_cleared(&self, tables: &mut Tables, cleared: &[Part], now: Moment) {
         if cleared.is_empty() {
-            return cleared;
+            return;
         }
         let at = now + tables.random_send_delay();
-        for part in &cleared {
+        for part in cleared {
             tables.outbox.add_part(*part, at);
         }
         let changes = tables.assess_parts(now);
-        drop(tables);
         self.metrics.count("quarantine", "cleared");
         self.apply_changes(&changes, "own");
         self.exchange_due.notify_one();
-        cleared
     }
 
     /// Logs parts whose level changed, and wakes the requests that depend on them.
@@ -149,7 +176,7 @@
     }
 
     /// Applies crash histories that another node sent.
-    pub(crate) fn apply_records(&self, records: &[Record], source: &str) {
+    pub(crate) fn apply_records(self: &Arc<Self>, records: &[Record], source: &str) {
         let now = self.now();
         let mut tables = self.tables();
         let mut is_changed = false;
@@ -165,6 +192,7 @@
         let changes = tables.assess_parts(now);
         drop(tables);
         self.apply_changes(&changes, source);
+        check_reported(self, records, source);
     }
 }
 
--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -286,7 +286,7 @@
 }
 
 /// Applies a datagram of another node.
-pub(crate) fn receive(shared: &Shared, bytes: &[u8], from: SocketAddr) {
+pub(crate) fn receive(shared: &Arc<Shared>, bytes: &[u8], from: SocketAddr) {
     let message = match postcard::from_bytes::<Message>(bytes) {
         Ok(message) => message,
         Err(error) => {
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -20,6 +20,7 @@
 mod admit;
 mod attempt;
 mod directory;
+mod end_check;
 mod events;
 mod evidence;
 mod exchange;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -189,7 +189,7 @@
             Ok(Ok(whole)) => whole,
             Ok(Err(reason)) => {
                 if reason == BROKE_OFF {
-                    shared.record_loss(self, &slot, Progress::Begun);
+                    shared.record_loss(self, &slot, Progress::Begun).await;
                 }
                 return Err(reason);
             }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,6 +1,9 @@
 //! The state that a node's tasks share.
 
-use crate::{exchange::Outbox, memory::Memory, metrics::Metrics, peers::Peers, slot::Waiter};
+use crate::{
+    end_check::EndChecks, exchange::Outbox, memory::Memory, metrics::Metrics, peers::Peers,
+    slot::Waiter,
+};
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
 use place::{CostModel, Fleet, Limits, LoadTracker, Queue, RetryBudget, Target};
@@ -48,7 +51,7 @@
     pub(crate) heartbeat_requested: Notify,
     /// Wakes the sender of crash histories and limits.
     pub(crate) exchange_due: Notify,
-    /// The number of changes of how prompt parts are treated.
+    /// The number of changes of how parts of requests are treated.
     pub(crate) treatment_changes: watch::Sender<u64>,
     tables: Mutex<Tables>,
     is_stopping: AtomicBool,
@@ -95,8 +98,10 @@
     pub(crate) budgets: HashMap<Service, RetryBudget>,
     pub(crate) peers: Peers,
     pub(crate) demand: Demand,
-    /// The crash histories of prompt parts.
+    /// The crash histories of prompt parts and whole requests.
     pub(crate) quarantine: quarantine::Table,
+    /// The checks of servers that lost connections.
+    pub(crate) end_checks: EndChecks,
     /// What is to be sent to other nodes.
     pub(crate) outbox: Outbox,
 }
@@ -188,6 +193,7 @@
             tables.load.set_targets(servers, self.now());
         }
         self.fleet_changes.send_modify(|count| *count += 1);
+        self.record_restarts(tables);
         if is_changed {
             self.assign_slots(tables);
         }
@@ -217,6 +223,7 @@
             peers: Peers::default(),
             demand: Demand::default(),
             quarantine: quarantine::Table::default(),
+            end_checks: EndChecks::default(),
             outbox: Outbox::default(),
         }
     }
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -229,7 +229,7 @@
                             Progress::PastBeginning
                         };
                         let (job, slot) = (&self.job, &answer.slot);
-                        self.shared.record_loss(job, slot, progress);
+                        self.shared.record_loss(job, slot, progress).await;
                     }
                     let server = answer.slot.choice.target.server.clone();
                     self.events.discard_partial();
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -54,6 +54,33 @@
     SockRef::from(stream).set_tcp_user_timeout(Some(TCP_USER_TIMEOUT))
 }
 
+/// How a server reacted to a new connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reach {
+    /// It accepted the connection.
+    Accepted,
+    /// It, or a device on the way, refused or reset the connection.
+    Refused,
+    /// Nothing answered.
+    Unreachable,
+}
+
+/// Opens a connection without sending anything, and closes it.
+pub async fn probe(address: SocketAddr, time_limit: Duration) -> Reach {
+    match timeout(time_limit, TcpStream::connect(address)).await {
+        Ok(Ok(_)) => Reach::Accepted,
+        Ok(Err(error))
+            if matches!(
+                error.kind(),
+                io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
+            ) =>
+        {
+            Reach::Refused
+        }
+        Ok(Err(_)) | Err(_) => Reach::Unreachable,
+    }
+}
+
 /// How a response marks the end of its body.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -187,6 +187,15 @@
         self.dead.get(&server.id) == Some(&server.incarnation)
     }
 
+    /// Returns whether a target's server should be running: it has an entry of the same
+    /// incarnation or a later one, and is not leaving.
+    pub fn is_expected(&self, target: &Target) -> bool {
+        let server = self.servers.get(&target.server);
+        server.is_some_and(|server| {
+            server.incarnation >= target.incarnation && !self.is_leaving(server)
+        })
+    }
+
     /// Returns the targets that accept new requests.
     pub fn targets(&self, config: &Config) -> Vec<Target> {
         let mut members: Members<'_> = HashMap::new();
--- a/crates/quarantine/src/history.rs
+++ b/crates/quarantine/src/history.rs
@@ -111,6 +111,16 @@
         is_changed
     }
 
+    /// Clears the crash of a server that has not ended; returns whether the history changed.
+    pub(crate) fn refute(&mut self, server: Server) -> bool {
+        let mut crashes = self.crashes.iter_mut();
+        let known = crashes.find(|crash| crash.server == server && !crash.is_cleared);
+        known.is_some_and(|crash| {
+            crash.is_cleared = true;
+            true
+        })
+    }
+
     /// Returns whether all of `other` is known here.
     pub(crate) fn contains(&self, other: &[Crash]) -> bool {
         other.iter().all(|crash| {
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -230,6 +230,14 @@
         cleared
     }
 
+    /// Clears all crashes of a server that has not ended; returns the parts whose history
+    /// changed.
+    pub fn refute(&mut self, server: Server) -> Vec<Part> {
+        let treatments = self.treatments.iter_mut();
+        let changed = treatments.filter_map(|(part, t)| t.history.refute(server).then_some(*part));
+        changed.collect()
+    }
+
     /// Adds the history that another node sent; returns whether any of it is new.
     pub fn merge(&mut self, record: &Record, now: Moment) -> bool {
         let mut is_changed = false;
