Quarantine calls that crash each server that runs them, on the path entry too

A call is now a whole request in the crash histories. Calls with a key wait for their trial before they take a slot.

--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -76,6 +76,10 @@
                 Verdict::NotRun => guard.release(ending, None, 0),
                 _ => guard.release_after_abort(ending, 0),
             }
+            if is_lost_connection(&error) {
+                let run = node.clock.now().since(sent_at);
+                evidence::record_loss(node, parts, &offer, run).await;
+            }
             return Outcome::Failed(error);
         }
     };
@@ -97,7 +101,7 @@
     let generated = delivery.progress().tokens().saturating_sub(tokens_before);
     if has_ended && generated <= MAX_BEGINNING_TOKENS {
         let run = node.clock.now().since(sent_at);
-        evidence::record_crash(node, parts, &offer, run);
+        evidence::record_loss(node, parts, &offer, run).await;
     }
     let is_complete = matches!(outcome, Outcome::Complete { .. });
     if is_complete || generated >= PAST_BEGINNING_TOKENS {
@@ -132,6 +136,11 @@
     }
 }
 
+/// Returns whether the server may have ended while it ran the request.
+pub(crate) fn is_lost_connection(error: &Error) -> bool {
+    error.verdict() != Verdict::NotRun && error.kind() == Kind::Upstream
+}
+
 /// Returns how an attempt ended that failed before the stream started.
 ///
 /// A refusal for overload counts as [`Ending::Failed`]; any other error, or a
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -9,8 +9,8 @@
     node::Node,
     serve::{
         accounts,
-        attempt::pre_send_check,
-        forward,
+        attempt::{is_lost_connection, pre_send_check},
+        evidence, forward,
         job::Call,
         queue::SlotRequest,
         servers::Target,
@@ -139,7 +139,10 @@
     let mut avoid = Vec::new();
     let mut tried = Vec::new();
     let mut verdict = Verdict::NotRun;
+    let parts = [evidence::whole(call)];
     loop {
+        let trial = evidence::wait_for_trial(node, &parts).await;
+        trial.map_err(|error| error.with_earlier_verdict(verdict))?;
         let result = match find_slot(node, call, &avoid, &mut tried).await {
             Err(error) => return Err(error.with_earlier_verdict(verdict)),
             Ok(Placement::Local(guard)) => {
@@ -401,14 +404,21 @@
         key,
         body: call.body.to_vec().into(),
     };
+    let parts = [evidence::whole(call)];
+    if let Err(error) = evidence::begin_trial(node, &parts) {
+        guard.release(Ending::Failed, None, 0);
+        return Err(error);
+    }
     let sent_at = node.clock.now();
     let may_send = pre_send_check(node, guard.lease());
     let remaining = sent_at.until(call.deadline);
     let target = guard.lease().target();
+    let offer = Arc::clone(&guard.lease().offer);
     guard.mark_sent();
     match service::call(&node.pool, target, &request, may_send, remaining).await {
         Ok(answer) => {
             guard.release(Ending::Whole, None, CALL_TOKENS);
+            evidence::record_success(node, &parts);
             Ok(serde_json::to_vec(&answer.result).unwrap_or_default())
         }
         Err(failure) => {
@@ -421,6 +431,10 @@
                 Verdict::NotRun => guard.release(ending, None, 0),
                 _ => guard.release_after_abort(ending, 0),
             }
+            if is_lost_connection(&error) {
+                let run = node.clock.now().since(sent_at);
+                evidence::record_loss(node, &parts, &offer, run).await;
+            }
             Err(error)
         }
     }
--- a/crates/entry/src/serve/keyed.rs
+++ b/crates/entry/src/serve/keyed.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     node::Node,
-    serve::{call, claims::Subscription, forward, job::Call},
+    serve::{call, claims::Subscription, evidence, forward, job::Call},
 };
 use clock::Moment;
 use name::Incarnation;
@@ -221,7 +221,9 @@
     before: Moment,
 ) -> Result<Response, Error> {
     let mut avoid = Vec::new();
+    let parts = [evidence::whole(call)];
     loop {
+        evidence::wait_for_trial(node, &parts).await?;
         let guard = call::local_slot(node, call, &avoid, before).await?;
         if node.clock.now() >= before {
             return Err(Error::not_run(
--- a/crates/standin/src/server.rs
+++ b/crates/standin/src/server.rs
@@ -42,6 +42,8 @@
     pub cut_after: Option<u32>,
     /// Restarts after the first frame of a stream whose prompt contains this text.
     pub crash_prompts: Option<Arc<str>>,
+    /// Restarts while it runs a call whose body contains this text.
+    pub crash_calls: Option<Arc<str>>,
     /// Stalls each stream after this number of frames.
     pub stall_after: Option<u32>,
     /// Sends each frame twice.
@@ -64,6 +66,7 @@
             checks_members: true,
             cut_after: None,
             crash_prompts: None,
+            crash_calls: None,
             stall_after: None,
             repeat_frames: false,
             crossed_at: None,
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -60,8 +60,13 @@
         server.environment.shared.count(count);
     }
     time::sleep(server.scaled_delay(server.environment.speed.call_ms)).await;
-    running.complete();
     let faults = server.faults();
+    let crash_calls = faults.crash_calls.as_deref();
+    if crash_calls.is_some_and(|text| body.to_string().contains(text)) {
+        server.restart(true);
+        return Response::new(broken_body());
+    }
+    running.complete();
     if faults.lose_answers {
         return Response::new(broken_body());
     }
--- a/tests/all/routing.rs
+++ b/tests/all/routing.rs
@@ -456,3 +456,31 @@
     assert!(streamed.is_complete, "{streamed:?}");
     deployment.stop().await;
 }
+
+/// Guards against sending a call that ends each server that runs it again and again.
+#[tokio::test(flavor = "multi_thread")]
+async fn calls_that_crash_servers_are_withheld_by_all_nodes() {
+    /// Three ends suffice; copies may run at other servers at the same time.
+    const MAX_RUNS: usize = 6;
+    const CALLS: usize = 60;
+    let mut deployment = deployment("").await;
+    let faults = Faults {
+        crash_calls: Some("poison".into()),
+        ..Faults::default()
+    };
+    set_faults(&deployment, "", &faults);
+    let callers = deployment.caller_addresses();
+    let before = begun(&deployment);
+    for n in 0..CALLS {
+        let body = json!({"memo": "poison"});
+        let address = callers[n % callers.len()];
+        let answer = ledger(&deployment, address, "balance", ACCOUNT, &[], &body).await;
+        assert!(!answer.status.is_success(), "{answer:?}");
+        tokio::time::sleep(Duration::from_millis(100)).await;
+    }
+    let runs = begun(&deployment) - before;
+    assert!(runs <= MAX_RUNS, "{runs} runs of {CALLS} calls");
+    let answer = balance(&deployment, callers[0], ACCOUNT, 7).await;
+    assert!(check_balance("another call", 7, &answer), "{answer:?}");
+    deployment.stop().await;
+}
