Keep quarantined requests over a restart of all nodes

The planner now writes what is quarantined to a topic of the platform's store, with the times of the crashes by the wall clock, and removes what was lifted; each node reads the topic when it starts, and a new planner when it takes over.

--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -30,6 +30,8 @@
         read_nodes: Arc::new(|_, _| Box::pin(pending())),
         read_claims: Arc::new(|_, _| Box::pin(pending())),
         write_node_record: Arc::new(|_| Box::pin(pending())),
+        read_quarantine: Arc::new(|_, _| Box::pin(pending())),
+        write_quarantine: Arc::new(|_| Box::pin(pending())),
         append_claim: Arc::new(|_| Box::pin(pending())),
         send_order: Arc::new(|_| Box::pin(pending())),
         fetch_report: Arc::new(|_| Box::pin(pending())),
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -33,6 +33,7 @@
 mod peers;
 mod plan;
 mod probe;
+mod quarantine_store;
 mod serve;
 mod slot;
 mod start;
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -3,7 +3,7 @@
 use crate::{
     directory, exchange, follow, heartbeat,
     listener::{Role, listen},
-    plan,
+    plan, quarantine_store,
     state::Shared,
 };
 use clock::Clock;
@@ -102,6 +102,7 @@
             socket,
             record.clone(),
         ));
+        tasks.spawn(quarantine_store::run(Arc::clone(&shared)));
         tasks.spawn(plan::run(Arc::clone(&shared), record.clone()));
         info!(shared.log, "node started"; "node" => %record.node, "front" => %record.caller_address,
             "domain" => %record.domain, "life" => record.incarnation);
--- a/crates/site/src/lib.rs
+++ b/crates/site/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod node;
 pub mod order;
 pub mod platform;
+pub mod quarantine;
 pub mod server;
 pub mod settings;
 
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -7,6 +7,7 @@
     feed::{AppendOutcome, Batch, Cursor, Error},
     node::{NodeRecord, PlannerClaim},
     order::{Order, Outcome},
+    quarantine::QuarantineRecord,
     server::{self, Report},
 };
 use bytes::Bytes;
@@ -38,6 +39,10 @@
     pub read_claims: ReadFn<PlannerClaim>,
     /// Writes this node's record to the store.
     pub write_node_record: CallFn<NodeRecord, Result<(), Error>>,
+    /// Reads the quarantined parts of requests.
+    pub read_quarantine: ReadFn<QuarantineRecord>,
+    /// Writes the record of a part of requests, or removes it if it has no crashes.
+    pub write_quarantine: CallFn<QuarantineRecord, Result<(), Error>>,
     /// Appends a planner's claim if the feed of claims ends at the offset.
     pub append_claim: CallFn<(u64, PlannerClaim), Result<AppendOutcome, Error>>,
     /// Sends an order to the engine at an address.
