Let operators list and lift what is quarantined

An operator whose release mended a service had to wait for a trial, 10 minutes or more after the last crash, or restart all nodes. The port of the metrics now lists the parts that are withheld, and lifts one at all nodes; only requests from the machine itself may.

--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -17,6 +17,7 @@
 //! One lock, [`state::Shared::tables`], guards all tables. It is never held across
 //! an await.
 
+mod admin;
 mod admit;
 mod attempt;
 mod directory;
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -1,7 +1,7 @@
-//! The HTTP listeners: callers, readiness, directory, metrics.
+//! The HTTP listeners: callers, readiness, directory, operators.
 
 use crate::{
-    directory, serve,
+    admin, directory, serve,
     state::Shared,
     stream::{Body, full_body},
 };
@@ -32,8 +32,8 @@
     Readiness,
     /// Directory queries, at the node with this record.
     Directory(Arc<NodeRecord>),
-    /// The node's metrics.
-    Metrics,
+    /// Operators' requests.
+    Admin,
 }
 
 /// Accepts connections for as long as the node runs.
@@ -77,7 +77,9 @@
         limits.unwrap_or_default().idle_timeout
     };
     let handler = Arc::clone(&shared);
-    let service = service_fn(move |request| answer(Arc::clone(&handler), role.clone(), request));
+    let is_local = is_from_same_machine(&stream);
+    let service =
+        service_fn(move |request| answer(Arc::clone(&handler), role.clone(), is_local, request));
     // The header timeout also runs while a connection is idle, so it must not be
     // shorter than the idle timeout.
     let served = http1::Builder::new()
@@ -104,17 +106,26 @@
     }
 }
 
+/// Returns whether a connection comes from this machine.
+fn is_from_same_machine(stream: &TcpStream) -> bool {
+    match (stream.peer_addr(), stream.local_addr()) {
+        (Ok(peer), Ok(local)) => peer.ip() == local.ip(),
+        _ => false,
+    }
+}
+
 /// Answers one request.
 async fn answer(
     shared: Arc<Shared>,
     role: Role,
+    is_local: bool,
     request: Request<Incoming>,
 ) -> Result<Response<Body>, Infallible> {
     Ok(match role {
         Role::Requests => serve::handle(&shared, request).await,
         Role::Readiness => readiness(&shared, request),
         Role::Directory(record) => resolve(&shared, &record, request),
-        Role::Metrics => text(StatusCode::OK, shared.metrics.text()),
+        Role::Admin => admin::answer(&shared, is_local, &request),
     })
 }
 
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -39,14 +39,14 @@
 impl Edge {
     /// Starts a node.
     ///
-    /// `metrics` is the address at which counters and histograms are served.
+    /// `admin` is the address at which operators read metrics and lift quarantines.
     ///
     /// # Errors
     ///
     /// Fails if one of the node's addresses cannot be bound.
     pub async fn start(
         settings: Settings,
-        metrics: Option<SocketAddr>,
+        admin: Option<SocketAddr>,
         platform: Platform,
         clock: Clock,
         log: Logger,
@@ -73,7 +73,7 @@
                 .directory_address
                 .map(|at| (at, Role::Directory(own))),
         );
-        listeners.extend(metrics.map(|at| (at, Role::Metrics)));
+        listeners.extend(admin.map(|at| (at, Role::Admin)));
         for (address, role) in listeners {
             let listener = TcpListener::bind(address).await?;
             tasks.spawn(listen(
