Serve through other nodes at a node without links to the servers

Where the planner was among them, it took what it could not reach for dead and formed replicas anew (the users' measurements).

Cause: a node had nothing but its own attempts, and did not tell servers that it cannot reach from servers that are gone.

Streams are resumed at another node as at another server. What the answering server announces comes back with its name; - its heartbeats say so at once, and the directory leaves it out while others serve; - it leaves the planner's role, and a planner in doubt decides nothing; - its share of free slots and of the expected rate goes to the others. If no node is connected, it tries the servers itself as before.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -26,6 +26,8 @@
     pub(crate) account: Option<Account>,
     /// The digests of the prompt's shared parts.
     pub(crate) prompt_parts: Arc<[Part]>,
+    /// Whether another node passed the request on.
+    pub(crate) is_forwarded: bool,
     /// The digest of the whole request, once it was needed.
     pub(crate) whole: OnceLock<Part>,
     pub(crate) outgoing: Arc<OutgoingRequest>,
@@ -98,6 +100,7 @@
         service,
         account,
         prompt_parts,
+        is_forwarded: false,
         whole: OnceLock::new(),
         outgoing: Arc::new(outgoing),
         rank: Urgency { priority, due },
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -8,7 +8,7 @@
 };
 use http::{HeaderMap, StatusCode};
 use hyper::body::Incoming;
-use name::Instance;
+use name::{Instance, Node};
 use net::{Connection, Framing};
 use place::Urgency;
 use quarantine::Refusal;
@@ -85,9 +85,32 @@
     pub(crate) executions: u32,
     /// How many times the request was sent.
     pub(crate) sent: u32,
+    /// The number of servers that could not be reached.
+    pub(crate) unreachable: u32,
+    /// The nodes that refused the request or failed.
+    pub(crate) excluded_nodes: Vec<Node>,
+    /// The retry delay of the last node that refused the request.
+    pub(crate) refused_for: Option<Duration>,
 }
 
 impl Attempts {
+    /// Returns the attempts of a request that `runs` servers may have run already.
+    pub(crate) fn after(runs: u32) -> Self {
+        Self {
+            executions: runs,
+            sent: runs,
+            ..Self::default()
+        }
+    }
+
+    /// Excludes the server or the node of a slot from further attempts.
+    fn exclude_slot(&mut self, server: &Instance, node: Option<Node>) {
+        match node {
+            Some(node) => self.excluded_nodes.push(node),
+            None => self.exclude(server.clone()),
+        }
+    }
+
     /// Excludes a server from further attempts.
     pub(crate) fn exclude(&mut self, server: Instance) {
         if !self.excluded.contains(&server) {
@@ -174,22 +197,31 @@
         if let Err(refusal) = job.wait_for_trial(shared).await {
             return Err(job.withheld(shared, attempts, &refusal));
         }
-        if !std::mem::replace(&mut is_demand_recorded, true) {
-            record_demand(shared, job, attempts);
-        }
-        has_credit = has_credit || attempts.sent == 0 || job.take_retry_credit(shared);
-        if !has_credit {
-            shared.metrics.count("retries_refused", "budget");
-            return Err(attempts.credit_exhausted());
-        }
-        let slot = job.acquire_slot(shared, attempts).await?;
-        if job.begin_trial(shared).is_err() {
-            // Another request of this node took the trial, or the part is quarantined now.
-            drop(slot);
-            continue;
-        }
-        has_credit = false;
+        let slot = match job.slot_at_node(shared, attempts)? {
+            // The other node records the demand and takes the credit.
+            Some(slot) => slot,
+            None => {
+                if !std::mem::replace(&mut is_demand_recorded, true) {
+                    record_demand(shared, job, attempts);
+                }
+                has_credit = has_credit || attempts.sent == 0 || job.take_retry_credit(shared);
+                if !has_credit {
+                    shared.metrics.count("retries_refused", "budget");
+                    return Err(attempts.credit_exhausted());
+                }
+                let slot = job.acquire_slot(shared, attempts).await?;
+                if job.begin_trial(shared).is_err() {
+                    // Another request of this node took the trial, or the part is quarantined
+                    // now.
+                    drop(slot);
+                    continue;
+                }
+                has_credit = false;
+                slot
+            }
+        };
         let server = slot.choice.target.server.clone();
+        let node = slot.node.clone();
         let failure = match job.send(shared, slot, attempts).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
@@ -197,15 +229,17 @@
         match failure {
             AttemptError::Refused(culprit) => {
                 shared.metrics.count("attempts", "refused");
-                attempts.exclude(server.clone());
+                attempts.exclude_slot(&server, node);
                 info!(shared.log, "attempt refused"; "id" => &*job.call.attempt_id, "server" => %server,
                     "culprit" => culprit.map(|c| c.to_string()));
             }
             AttemptError::Failed(reason) => {
                 shared.metrics.count("attempts", reason);
-                let now = shared.now();
-                shared.tables().load.record_failure(&server, now);
-                attempts.exclude(server.clone());
+                if node.is_none() {
+                    let now = shared.now();
+                    shared.tables().load.record_failure(&server, now);
+                }
+                attempts.exclude_slot(&server, node);
                 info!(shared.log, "attempt failed"; "id" => &*job.call.attempt_id, "server" => %server,
                     "reason" => reason, "runs" => attempts.executions, "request" => format_digest(job.whole().digest()));
                 let is_retry_allowed = job.is_repeatable() && attempts.has_executions_left(job);
@@ -232,6 +266,26 @@
     }
 }
 
+impl Shared {
+    /// Sends no further requests to an incarnation of a server that announced that it is
+    /// leaving, in the answer to the request `id`.
+    pub(crate) fn record_leaving(self: &Arc<Self>, server: &Instance, incarnation: u64, id: &str) {
+        let is_new = {
+            let mut tables = self.tables();
+            let is_new = tables.fleet.set_leaving(server, incarnation);
+            if is_new {
+                self.update_targets(&mut tables);
+            }
+            is_new
+        };
+        if is_new {
+            self.metrics.count("announcements", "leaving");
+            info!(self.log, "backend server announced that it is leaving"; "server" => %server,
+                "incarnation" => incarnation, "id" => id);
+        }
+    }
+}
+
 /// Adds a new request to the demand and to the retry budget.
 fn record_demand(shared: &Shared, job: &Job, attempts: &Attempts) {
     if attempts.sent > 0 {
@@ -339,6 +393,10 @@
             Ok(Err(error)) => {
                 info!(shared.log, "connecting to backend server failed"; "id" => &*self.call.attempt_id,
                     "server" => %target.server, "error" => %error);
+                if slot.node.is_none() {
+                    attempts.unreachable += 1;
+                    shared.record_unreachable(&target.server);
+                }
                 return Err(AttemptError::Failed("no connection"));
             }
             Err(_) => return Err(AttemptError::DeadlineExceeded),
@@ -346,13 +404,17 @@
         if !connection.is_reused() {
             shared.metrics.count("connections", "opened");
         }
-        let addition = RequestContext {
-            server: target.server.clone(),
-            account: self.account.clone(),
-            time_left: shared.now().until(self.deadline),
-            last_event: self.call.last_event,
+        let request = if slot.node.is_some() {
+            self.forwarded_request(shared, attempts.executions)
+        } else {
+            let addition = RequestContext {
+                server: target.server.clone(),
+                account: self.account.clone(),
+                time_left: shared.now().until(self.deadline),
+                last_event: self.call.last_event,
+            };
+            (shared.platform.build_request)(&self.outgoing, &addition)
         };
-        let request = (shared.platform.build_request)(&self.outgoing, &addition);
         attempts.sent += 1;
         attempts.executions += 1;
         let sending = connection.send(request);
@@ -380,6 +442,22 @@
             connection,
             slot,
         };
+        if answer.slot.node.is_some() {
+            if self.follow_node(shared, &answer, attempts) {
+                attempts.executions -= 1;
+                return Err(AttemptError::Refused(None));
+            }
+            let is_unsigned = answer.status.is_success() && !answer.head.is_signed;
+            return if is_unsigned {
+                Err(AttemptError::Failed("not an answer to this request"))
+            } else {
+                Ok(answer)
+            };
+        }
+        shared
+            .tables()
+            .reach
+            .record_contact(&answer.slot.choice.target.server);
         self.follow_announcements(shared, &answer);
         self.check(answer, attempts)
     }
@@ -399,19 +477,7 @@
             return;
         }
         let target = &answer.slot.choice.target;
-        let is_new = {
-            let mut tables = shared.tables();
-            let is_new = tables.fleet.set_leaving(&target.server, target.incarnation);
-            if is_new {
-                shared.update_targets(&mut tables);
-            }
-            is_new
-        };
-        if is_new {
-            shared.metrics.count("announcements", "leaving");
-            info!(shared.log, "backend server announced that it is leaving"; "server" => %target.server,
-                "incarnation" => target.incarnation, "id" => &*self.call.attempt_id);
-        }
+        shared.record_leaving(&target.server, target.incarnation, &self.call.attempt_id);
     }
 
     /// Sends a server no more than this node's share of the rate that it names.
@@ -476,12 +542,21 @@
         let is_retry_allowed = self.is_repeatable() && attempts.has_executions_left(self);
         let predicted = slot.choice.time_to_first_token * FIRST_TOKEN_TIMEOUT_FACTOR;
         let head_deadline = Instant::now() + HEAD_TIMEOUT.max(predicted);
+        let is_server = slot.node.is_none();
         tokio::pin!(sending);
         loop {
             tokio::select! {
                 result = sending.as_mut() => return Ok(result),
                 () = sleep_until(self.deadline_instant) => return Err(AttemptError::DeadlineExceeded),
-                () = sleep_until(head_deadline), if is_retry_allowed => return Err(AttemptError::Failed("silence")),
+                () = sleep_until(head_deadline), if is_retry_allowed && is_server => {
+                    shared.record_unreachable(&slot.choice.target.server);
+                    return Err(AttemptError::Failed("silence"));
+                }
+                () = sleep(SILENCE_CHECK_INTERVAL), if !is_server => {
+                    if slot.node.as_ref().is_some_and(|node| !shared.is_node_available(node)) {
+                        return Err(AttemptError::Failed("node unreachable"));
+                    }
+                }
                 () = sleep(SILENCE_CHECK_INTERVAL), if is_retry_allowed && slot.choice.target.model.is_some() => {
                     let now = shared.now();
                     let server = &slot.choice.target.server;
@@ -529,6 +604,9 @@
         shared
             .metrics
             .record_time("first", &self.route.name, now.since(self.arrived));
+        if slot.node.is_some() {
+            return;
+        }
         shared.tables().load.record_latency(
             &choice.target.server,
             now.since(slot.acquired_at),
--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of nodes for callers.
 
-use crate::state::Shared;
+use crate::{peers::Service, state::Shared};
 use rand::seq::SliceRandom;
 use site::{call::DirectoryQuery, node::NodeRecord};
 use std::{net::SocketAddr, time::Duration};
@@ -26,21 +26,22 @@
 
 /// Returns the addresses for a caller, nodes of its own failure domain first.
 ///
-/// If no node reports that it is ready, all running nodes are returned: some of them
-/// may still serve, and callers have no alternative.
+/// Nodes that only pass requests on are left out while others serve. If no node reports
+/// that it is ready, all running nodes are returned: some of them may still serve, and
+/// callers have no alternative.
 pub(crate) fn addresses(
     shared: &Shared,
     own: &NodeRecord,
     query: &DirectoryQuery,
 ) -> Vec<SocketAddr> {
-    let is_ready = shared.is_ready();
+    let service = Service::new(shared.is_ready(), shared.is_isolated());
     let now = shared.now();
     let mut nodes = shared.tables().peers.available_nodes(now);
     if !shared.is_stopping() {
-        nodes.push((own.clone(), is_ready));
+        nodes.push((own.clone(), service));
     }
-    let is_any_ready = nodes.iter().any(|(_, is_ready)| *is_ready);
-    nodes.retain(|(_, is_ready)| *is_ready || !is_any_ready);
+    let best = nodes.iter().map(|(_, service)| *service).max();
+    nodes.retain(|(_, service)| Some(*service) == best);
     nodes.shuffle(&mut rand::rng());
     nodes.sort_by_key(|(record, _)| Some(record.domain.as_str()) != query.domain.as_deref());
     nodes
--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -60,6 +60,10 @@
     /// If the server has ended, the whole request may be the cause, and if the response
     /// had just begun, also each shared part of its prompt.
     pub(crate) async fn record_loss(&self, job: &Job, slot: &Slot, progress: Progress) {
+        // Another node records the losses of the servers that it uses.
+        if slot.node.is_some() {
+            return;
+        }
         let target = &slot.choice.target;
         let at = self.now();
         let mut parts = vec![job.whole()];
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -37,6 +37,7 @@
         fetch_report: Arc::new(|_| Box::pin(pending())),
         parse_request: |_| unreachable!("no caller"),
         build_request: |_, _| unreachable!("no request"),
+        build_forwarded_request: |_, _| unreachable!("no request"),
         parse_response_head: |_| unreachable!("no answer"),
         build_error_response: |_| unreachable!("no caller"),
         parse_directory_query: |_| None,
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -26,7 +26,7 @@
 const HEARTBEATS_WITHOUT_TOTAL: u32 = 3;
 
 /// The first byte of a datagram, which identifies its format.
-pub(crate) const FORMAT: u8 = 1;
+pub(crate) const FORMAT: u8 = 4;
 
 /// The maximum size of a datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 60_000;
@@ -41,6 +41,8 @@
     pub(crate) sequence: u64,
     pub(crate) is_ready: bool,
     pub(crate) is_stopping: bool,
+    /// Whether the node reaches no backend servers.
+    pub(crate) is_isolated: bool,
     /// The fencing token, if this node is the planner and its view of the store is
     /// recent.
     pub(crate) planner_token: Option<u64>,
@@ -90,7 +92,7 @@
 pub(crate) async fn run_sender(shared: Arc<Shared>, socket: Arc<UdpSocket>, record: NodeRecord) {
     let mut sequence = 0;
     let mut heartbeats_as_planner = 0;
-    let mut last_broadcast: Option<(Moment, bool)> = None;
+    let mut last_broadcast: Option<(Moment, (bool, bool))> = None;
     let mut had_recent_update = false;
     loop {
         let now = shared.now();
@@ -106,10 +108,14 @@
                 budget.set_node_count(&shared.settings.bounds, nodes);
             }
             let broadcast_interval = tables.peers.broadcast_interval();
-            // A change of the stopping state is broadcast at once.
-            let is_broadcast_due = last_broadcast.is_none_or(|(at, stopping)| {
-                now.since(at) >= broadcast_interval || stopping != is_stopping
+            // A change of these states is broadcast at once.
+            let state = (is_stopping, tables.reach.isolated_since().is_some());
+            let is_broadcast_due = last_broadcast.is_none_or(|(at, last_state)| {
+                now.since(at) >= broadcast_interval || last_state != state
             });
+            if is_broadcast_due || tables.peers.own_token.is_some() {
+                last_broadcast = Some((now, state));
+            }
             let peers = &tables.peers;
             (
                 peers.planner_interval(),
@@ -125,9 +131,6 @@
         };
         let has_total = heartbeats_as_planner > HEARTBEATS_WITHOUT_TOTAL;
         let all = (is_planning || is_broadcast_due).then_some(Recipients::All);
-        if all.is_some() {
-            last_broadcast = Some((now, is_stopping));
-        }
         for recipients in planner.map(Recipients::Planner).into_iter().chain(all) {
             sequence += 1;
             let (heartbeat, targets) = compose(&shared, &record, sequence, recipients, has_total);
@@ -196,6 +199,7 @@
         sequence,
         is_ready,
         is_stopping: shared.is_stopping(),
+        is_isolated: tables.reach.isolated_since().is_some(),
         planner_token: tables.peers.own_token,
         dead_engines: tables.peers.dead_engines.clone(),
         unlisted: if is_planning {
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -47,6 +47,28 @@
 /// The number of load reports to the planner that are stored.
 const MAX_REPORTED_LOADS: usize = 16;
 
+/// How well a node serves callers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Service {
+    /// It is not ready.
+    None,
+    /// It passes requests on to other nodes.
+    Forwarded,
+    /// It sends requests to the servers.
+    Direct,
+}
+
+impl Service {
+    /// Returns how well a node serves, given whether it is ready and isolated.
+    pub(crate) fn new(is_ready: bool, is_isolated: bool) -> Self {
+        match (is_ready, is_isolated) {
+            (false, _) => Self::None,
+            (true, true) => Self::Forwarded,
+            (true, false) => Self::Direct,
+        }
+    }
+}
+
 /// Another node.
 #[derive(Debug, Clone)]
 struct Peer {
@@ -57,6 +79,8 @@
     discovered_at: Moment,
     is_ready: bool,
     is_stopping: bool,
+    /// Whether it reaches no backend servers.
+    is_isolated: bool,
     demand: Vec<(Model, f64)>,
     /// Which of its heartbeats had come before the feed reads that this node relays.
     ack: Ack,
@@ -277,23 +301,52 @@
             discovered_at: now,
             is_ready: false,
             is_stopping: false,
+            is_isolated: false,
             demand: Vec::new(),
             ack: Ack::default(),
         };
         self.peers.insert(peer.record.node.clone(), peer);
     }
 
-    /// Returns the nodes that callers may use, and whether each is ready.
-    pub(crate) fn available_nodes(&self, now: Moment) -> Vec<(NodeRecord, bool)> {
+    /// Returns the nodes that sent a heartbeat lately and are not stopping.
+    fn available(&self, now: Moment) -> impl Iterator<Item = &Peer> {
         let timeout = self.silence_timeout();
         self.peers
             .values()
-            .filter(|peer| peer.last_received.is_some_and(|at| now.since(at) < timeout))
+            .filter(move |peer| peer.last_received.is_some_and(|at| now.since(at) < timeout))
             .filter(|peer| !peer.is_stopping)
-            .map(|peer| (peer.record.clone(), peer.is_ready))
+    }
+
+    /// Returns the nodes that callers may use, and how well they serve.
+    pub(crate) fn available_nodes(&self, now: Moment) -> Vec<(NodeRecord, Service)> {
+        let available = self.available(now);
+        let service = |peer: &Peer| Service::new(peer.is_ready, peer.is_isolated);
+        available
+            .map(|peer| (peer.record.clone(), service(peer)))
             .collect()
     }
 
+    /// Returns the nodes that serve requests and reach the backend servers.
+    pub(crate) fn connected_nodes(&self, now: Moment) -> Vec<NodeRecord> {
+        let available = self.available(now);
+        let connected = available.filter(|peer| peer.is_ready && !peer.is_isolated);
+        connected.map(|peer| peer.record.clone()).collect()
+    }
+
+    /// Returns whether a node sent a heartbeat lately and is not stopping.
+    pub(crate) fn is_available(&self, node: &Node, now: Moment) -> bool {
+        self.available(now).any(|peer| peer.record.node == *node)
+    }
+
+    /// Returns the number of nodes that share allowances and send requests to servers, this
+    /// one included.
+    pub(crate) fn sending_count(&self) -> usize {
+        1 + self
+            .allowance_peers()
+            .filter(|peer| !peer.is_isolated)
+            .count()
+    }
+
     /// Returns the demand of all other nodes' callers in replicas, by model.
     pub(crate) fn demand(&self, now: Moment) -> HashMap<Model, f64> {
         let timeout = self.silence_timeout();
@@ -361,6 +414,7 @@
             discovered_at: now,
             is_ready: heartbeat.is_ready,
             is_stopping: heartbeat.is_stopping,
+            is_isolated: heartbeat.is_isolated,
             demand: heartbeat.demand.clone(),
             ack,
         };
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -26,6 +26,7 @@
         sequence,
         is_ready: true,
         is_stopping: false,
+        is_isolated: false,
         planner_token,
         dead_engines: Vec::new(),
         unlisted: Vec::new(),
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -141,6 +141,7 @@
     let tables = shared.tables();
     let confirmed = tables.servers_confirmed;
     !shared.is_stopping()
+        && !tables.reach.is_in_doubt()
         && tables.config.is_some()
         && confirmed.is_some_and(|at| now.since(at) < MAX_VIEW_AGE_TO_CLAIM)
 }
@@ -153,6 +154,8 @@
         Some("heartbeat from a newer planner")
     } else if shared.is_stopping() {
         Some("node stopping")
+    } else if tables.reach.isolated_since().is_some() {
+        Some("backend servers unreachable from this node")
     } else if confirmed.is_none_or(|at| now.since(at) > MAX_VIEW_AGE_TO_PLAN) {
         Some("view of the store too old")
     } else {
@@ -252,7 +255,7 @@
 
 /// Runs one step: queries engines, plans, and sends orders.
 fn step(shared: &Arc<Shared>, cell: &PlannerCell, now: Moment) {
-    let (config, servers, demand, suspects, is_listed) = {
+    let (config, servers, demand, suspects, is_listed, is_in_doubt) = {
         let tables = shared.tables();
         let mut demand = tables.peers.demand(now);
         for (model, replicas) in tables.demand.replicas(now) {
@@ -270,7 +273,9 @@
             .collect();
         let is_listed = tables.servers_offset.is_some();
         let suspects = suspects(&tables, now);
-        (tables.config.clone(), servers, demand, suspects, is_listed)
+        let is_in_doubt = tables.reach.is_in_doubt();
+        let config = tables.config.clone();
+        (config, servers, demand, suspects, is_listed, is_in_doubt)
     };
     let (Some(config), true) = (config, is_listed) else {
         return;
@@ -307,7 +312,8 @@
             query,
         ));
     }
-    if planning.probes.is_isolated() {
+    // Engines that only this node cannot reach are not dead.
+    if is_in_doubt || planning.probes.is_isolated() {
         return;
     }
     let dead = planning.probes.dead_engines();
@@ -407,6 +413,9 @@
     let server = &query.server;
     let answer = (shared.platform.fetch_report)((server.address, server.id.clone())).await;
     let reason = answer.as_ref().err().map(ToString::to_string);
+    if reason.is_some() {
+        shared.record_unreachable(&server.id);
+    }
     let now = shared.now();
     let mut guard = cell.lock().unwrap_or_else(PoisonError::into_inner);
     let Some(planning) = guard.as_mut().filter(|planning| planning.token == token) else {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -4,6 +4,7 @@
     admit::{Job, RETRY_ELSEWHERE, admit},
     attempt::{Answer, Attempts, BodyEnd, attempt},
     evidence::{Progress, format_digest},
+    forward::{self, SERVER, server_mark},
     memory::MAX_RESPONSE_BYTES,
     state::Shared,
     stream::{Body, full_body, relay},
@@ -39,7 +40,8 @@
 pub(crate) async fn handle(shared: &Arc<Shared>, request: Request<Incoming>) -> Response<Body> {
     let arrived = shared.now();
     let begin = Instant::now();
-    let (parts, body) = request.into_parts();
+    let (mut parts, body) = request.into_parts();
+    let runs = forward::take_runs(&mut parts.headers);
     let call = match (shared.platform.parse_request)(&parts) {
         Ok(call) => call,
         Err(malformed) => return refuse(shared, None, &malformed.error),
@@ -67,13 +69,14 @@
         headers: parts.headers,
         body,
     };
-    let job = match admit(shared, &config, call.clone(), outgoing, arrived, begin) {
+    let mut job = match admit(shared, &config, call.clone(), outgoing, arrived, begin) {
         Ok(job) => job,
         Err(error) => return refuse(shared, Some(&call), &error),
     };
+    job.is_forwarded = runs.is_some();
     // A caller that accepts no chunks cannot tell a body that broke off from a whole one.
     let accepts_chunks = parts.version >= Version::HTTP_11;
-    let mut attempts = Attempts::default();
+    let mut attempts = Attempts::after(runs.unwrap_or(0));
     let mut guard = DisconnectGuard::new(shared, &job);
     let result = attempt(shared, &job, &mut attempts).await;
     guard.is_answered = true;
@@ -116,7 +119,7 @@
 ) -> Response<Body> {
     loop {
         let status = answer.status;
-        let headers = forwarded_headers(&answer.headers);
+        let headers = response_headers(&job, &answer);
         if job.route.kind.is_stream() && status.is_success() {
             let call = (!accepts_chunks).then(|| job.call.clone());
             let body = relay(shared, job, attempts, answer);
@@ -231,13 +234,21 @@
     Ok(whole.freeze())
 }
 
-/// Returns the headers of a server's response that are forwarded.
-fn forwarded_headers(headers: &HeaderMap) -> HeaderMap {
-    let kept = headers
-        .iter()
-        .filter(|(name, _)| !HOP_HEADERS.contains(name));
-    kept.map(|(name, value)| (name.clone(), value.clone()))
-        .collect()
+/// Returns the headers of a server's response that are sent to the caller.
+///
+/// A node that passed the request on is also sent which server answered.
+fn response_headers(job: &Job, answer: &Answer) -> HeaderMap {
+    let headers = answer.headers.iter();
+    let kept = headers.filter(|(name, _)| !HOP_HEADERS.contains(name) && **name != SERVER);
+    let mut kept: HeaderMap = kept
+        .map(|(name, value)| (name.clone(), value.clone()))
+        .collect();
+    if job.is_forwarded
+        && let Some(mark) = server_mark(&answer.slot.choice.target)
+    {
+        kept.insert(SERVER, mark);
+    }
+    kept
 }
 
 /// Builds a response to a caller.
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -2,8 +2,9 @@
 
 use crate::state::{Shared, Tables};
 use clock::Moment;
-use name::{Instance, Model, Service};
-use place::{Contention, Decision, Placement, Query, Urgency, choose_target, cold_share};
+use name::{Instance, Model, Node, Service};
+use place::{Contention, Decision, Placement, Query, Target, Urgency, choose_target, cold_share};
+use site::node::NodeRecord;
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
 
@@ -35,9 +36,45 @@
     prompt: u32,
     has_first_token: bool,
     is_released: bool,
+    /// The other node that takes the request; `None` for a server's slot.
+    pub(crate) node: Option<Node>,
 }
 
 impl Slot {
+    /// Returns a slot at another node, which counts the request as its own.
+    pub(crate) fn at_node(
+        shared: &Arc<Shared>,
+        record: &NodeRecord,
+        service: &Service,
+    ) -> Option<Self> {
+        let target = Target {
+            server: record.node.as_str().try_into().ok()?,
+            incarnation: record.incarnation,
+            address: record.caller_address,
+            service: service.clone(),
+            domain: record.domain.clone(),
+            model: None,
+            slots: u32::MAX,
+            is_cold: false,
+            replica: None,
+            members: Vec::new(),
+        };
+        Some(Self {
+            shared: Arc::clone(shared),
+            choice: Placement {
+                target,
+                time_to_first_token: Duration::ZERO,
+                in_progress: 0,
+                candidates: 1,
+            },
+            acquired_at: shared.now(),
+            prompt: 0,
+            has_first_token: true,
+            is_released: true,
+            node: Some(record.node.clone()),
+        })
+    }
+
     /// Releases the slot under the lock that the caller holds.
     fn release(&mut self, tables: &mut Tables) {
         if std::mem::replace(&mut self.is_released, true) {
@@ -52,6 +89,9 @@
 
     /// Records that output has come from the server.
     pub(crate) fn record_progress(&self) {
+        if self.node.is_some() {
+            return;
+        }
         let now = self.shared.now();
         let mut tables = self.shared.tables();
         tables.load.record_received(&self.choice.target.server, now);
@@ -59,7 +99,7 @@
 
     /// Returns whether the target can no longer finish requests that are in progress.
     pub(crate) fn is_replica_lost(&self) -> bool {
-        self.shared.tables().fleet.has_failed(&self.choice.target)
+        self.node.is_none() && self.shared.tables().fleet.has_failed(&self.choice.target)
     }
 
     /// Records that the first token has come, so that the prompt is processed.
@@ -152,6 +192,21 @@
         }
     }
 
+    /// Returns whether a target that is not excluded serves a service and model.
+    pub(crate) fn has_target(
+        &self,
+        service: &Service,
+        model: Option<&Model>,
+        excluded: &[Instance],
+    ) -> bool {
+        let targets = Arc::clone(&self.tables().targets);
+        targets.iter().any(|target| {
+            target.service == *service
+                && target.model.as_ref() == model
+                && !excluded.contains(&target.server)
+        })
+    }
+
     /// Assigns free slots to waiting requests, most urgent first.
     pub(crate) fn assign_slots(self: &Arc<Self>, tables: &mut Tables) {
         if tables.queue.is_empty() {
@@ -208,7 +263,7 @@
             domain: &self.settings.domain,
             contention: Contention {
                 node: self.settings.node.as_str(),
-                node_count: tables.peers.node_count(),
+                node_count: tables.peers.sending_count(),
                 report_interval: tables.peers.load_delay(now),
                 has_queued,
             },
@@ -243,6 +298,7 @@
                     prompt: request.prompt,
                     has_first_token: false,
                     is_released: false,
+                    node: None,
                 })
             }
             Decision::Full => Err(Shortage::Full),
@@ -265,7 +321,7 @@
             return FORMATION_WAIT;
         }
         let cost = tables.cost(&request.service, request.model.as_ref());
-        let nodes = tables.peers.node_count() as f64;
+        let nodes = tables.peers.sending_count() as f64;
         let own_rate: f64 = tables
             .targets
             .iter()
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -1,7 +1,7 @@
 //! Start and stop of a node.
 
 use crate::{
-    directory, exchange, follow, heartbeat,
+    directory, exchange, follow, heartbeat, isolation,
     listener::{Role, listen},
     plan, quarantine_store,
     state::Shared,
@@ -102,6 +102,7 @@
             socket,
             record.clone(),
         ));
+        tasks.spawn(isolation::run(Arc::clone(&shared)));
         tasks.spawn(quarantine_store::run(Arc::clone(&shared)));
         tasks.spawn(plan::run(Arc::clone(&shared), record.clone()));
         info!(shared.log, "node started"; "node" => %record.node, "front" => %record.caller_address,
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -6,7 +6,7 @@
 };
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
-use place::{CostModel, Fleet, Limits, LoadTracker, Queue, RetryBudget, Target};
+use place::{CostModel, Fleet, Limits, LoadTracker, Queue, Reach, RetryBudget, Target};
 use site::{Config, Platform, Settings, settings::Bounds};
 use slog::Logger;
 use std::{
@@ -49,6 +49,8 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Wakes the heartbeat sender before its interval ends.
     pub(crate) heartbeat_requested: Notify,
+    /// Requests a check of the links to the servers.
+    pub(crate) check_requested: Notify,
     /// Wakes the sender of crash histories and limits.
     pub(crate) exchange_due: Notify,
     /// The number of changes of how parts of requests are treated.
@@ -97,6 +99,8 @@
     /// The retry credit of each service.
     pub(crate) budgets: HashMap<Service, RetryBudget>,
     pub(crate) peers: Peers,
+    /// Whether this node reaches the servers.
+    pub(crate) reach: Reach,
     pub(crate) demand: Demand,
     /// The crash histories of prompt parts and whole requests.
     pub(crate) quarantine: quarantine::Table,
@@ -120,6 +124,7 @@
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
+            check_requested: Notify::new(),
             exchange_due: Notify::new(),
             treatment_changes: watch::Sender::new(0),
             tables: Mutex::new(tables),
@@ -221,6 +226,7 @@
             queue: Queue::default(),
             budgets: HashMap::new(),
             peers: Peers::default(),
+            reach: Reach::default(),
             demand: Demand::default(),
             quarantine: quarantine::Table::default(),
             end_checks: EndChecks::default(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -222,6 +222,10 @@
                     return self.log_end(server, "deadline", body_end);
                 }
                 End::Broken(fault) => {
+                    if fault == Fault::Silence && answer.slot.node.is_none() {
+                        self.shared
+                            .record_unreachable(&answer.slot.choice.target.server);
+                    }
                     if fault.is_server_end() {
                         let progress = if self.attempt_events() <= MAX_BEGINNING_EVENTS {
                             Progress::Begun
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -5,7 +5,7 @@
 //! [`LoadTracker`] holds the requests in progress at each target, [`CostModel`]
 //! predicts the latency that one more request would have there, [`Limits`] holds the rates
 //! that servers name, and [`choose_target`] picks a target. Requests without a target wait in a [`Queue`]; [`RetryBudget`]
-//! limits retries.
+//! limits retries. [`Reach`] decides whether this node reaches the servers at all.
 //!
 //! This crate reads no clock, opens no socket and holds no lock.
 
@@ -16,6 +16,7 @@
 mod limit;
 mod load;
 mod queue;
+mod reach;
 
 pub use budget::RetryBudget;
 pub use choice::{Contention, Decision, Placement, Query, choose_target};
@@ -24,3 +25,4 @@
 pub use limit::{Limits, NAMED_SPAN, Named, Share, cold_share};
 pub use load::{LoadTracker, TargetLoad, Work};
 pub use queue::{Queue, Urgency, estimated_wait};
+pub use reach::{CHECK_INTERVAL, CHECKED_SERVERS, Reach};
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -68,6 +68,15 @@
     pub last_event: Option<u64>,
 }
 
+/// The data that a node adds to a request for another node.
+#[derive(Debug, Clone)]
+pub struct ForwardContext {
+    /// The time that the caller still waits.
+    pub time_left: Duration,
+    /// The last event that the caller received, if the stream is resumed.
+    pub last_event: Option<u64>,
+}
+
 /// The properties in the headers of a backend server's response.
 #[derive(Debug, Clone, PartialEq)]
 pub struct ResponseHead {
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -2,7 +2,10 @@
 
 use crate::{
     CallerRequest,
-    call::{DirectoryQuery, MalformedRequest, OutgoingRequest, RequestContext, ResponseHead},
+    call::{
+        DirectoryQuery, ForwardContext, MalformedRequest, OutgoingRequest, RequestContext,
+        ResponseHead,
+    },
     config,
     feed::{AppendOutcome, Batch, Cursor, Error},
     node::{NodeRecord, PlannerClaim},
@@ -53,6 +56,8 @@
     pub parse_request: fn(&Parts) -> Result<CallerRequest, MalformedRequest>,
     /// Builds the request to a backend server.
     pub build_request: fn(&OutgoingRequest, &RequestContext) -> Request<Bytes>,
+    /// Builds the request to another node, which handles it as the caller's.
+    pub build_forwarded_request: fn(&OutgoingRequest, &ForwardContext) -> Request<Bytes>,
     /// Parses the headers of a backend server's response.
     pub parse_response_head: fn(&HeaderMap) -> ResponseHead,
     /// Builds the response to a caller for an error of this system.
