Carry running requests over a cut of a node's links

A stream that ran when its node lost its links was cut off, or came too late: each failed connection of its resumption took retry credit though nothing was sent, until none was left ("no credit for a further attempt"), and with silent links the loss was noticed after 1.5 s and two connection timeouts (running_streams_go_on_through_other_nodes_after_a_cut, which failed for reset links after two events and for silent ones after five).

Credit is now spent by requests that are sent. Streams that pause for 0.5 s at two servers begin a check, and if the node is isolated, they and repeatable requests that have waited as long go to another node. A connected node checks once a second at most. Tests of the rule for isolation and of the passing on: once, at most one run, refusals.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -45,6 +45,10 @@
 /// The time without a response head after which another server is tried.
 const HEAD_TIMEOUT: Duration = Duration::from_millis(1_200);
 
+/// The time without a response head after which another node is tried, if this one
+/// reaches no servers.
+const MIN_HEAD_WAIT: Duration = Duration::from_millis(500);
+
 /// How often a request without a response checks whether its server is stalled for all
 /// other requests as well.
 const SILENCE_CHECK_INTERVAL: Duration = Duration::from_millis(100);
@@ -216,16 +220,18 @@
                     drop(slot);
                     continue;
                 }
-                has_credit = false;
                 slot
             }
         };
         let server = slot.choice.target.server.clone();
         let node = slot.node.clone();
+        let sent = attempts.sent;
         let failure = match job.send(shared, slot, attempts).await {
             Ok(answer) => return Ok(answer),
             Err(failure) => failure,
         };
+        // Credit is spent by requests that are sent.
+        has_credit = has_credit && attempts.sent == sent;
         match failure {
             AttemptError::Refused(culprit) => {
                 shared.metrics.count("attempts", "refused");
@@ -260,6 +266,9 @@
                 return Err(job.error(attempts, Kind::Deadline, "the deadline passed"));
             }
         }
+        if attempts.unreachable > 0 {
+            shared.wait_for_check().await;
+        }
         if shared.now() >= job.deadline {
             return Err(job.error(attempts, Kind::Deadline, "the deadline passed"));
         }
@@ -541,8 +550,10 @@
         let may_be_withdrawn = !self.is_quarantined(shared);
         let is_retry_allowed = self.is_repeatable() && attempts.has_executions_left(self);
         let predicted = slot.choice.time_to_first_token * FIRST_TOKEN_TIMEOUT_FACTOR;
-        let head_deadline = Instant::now() + HEAD_TIMEOUT.max(predicted);
+        let begin = Instant::now();
+        let head_deadline = begin + HEAD_TIMEOUT.max(predicted);
         let is_server = slot.node.is_none();
+        let mut checks = shared.checks.subscribe();
         tokio::pin!(sending);
         loop {
             tokio::select! {
@@ -564,6 +575,12 @@
                         return Err(AttemptError::Failed("server silent"));
                     }
                 }
+                _ = checks.changed(), if is_retry_allowed && is_server => {
+                    let has_waited = begin.elapsed() >= MIN_HEAD_WAIT;
+                    if has_waited && shared.is_isolated() {
+                        return Err(AttemptError::Failed("servers unreachable"));
+                    }
+                }
                 _ = treatments.changed(), if may_be_withdrawn => {
                     if self.is_quarantined(shared) {
                         return Err(AttemptError::Withheld);
--- a/crates/edge/src/end_check.rs
+++ b/crates/edge/src/end_check.rs
@@ -150,6 +150,9 @@
                 "incarnation" => loss.incarnation, "state" => result.as_str(),
                 "run_ms" => loss.run.as_millis() as u64);
         }
+        if matches!(result, Check::Isolated | Check::Unreachable) {
+            self.record_unreachable(&loss.server);
+        }
         if result == Check::Alive {
             self.tables().end_checks.keep(loss.clone());
         }
--- a/crates/edge/src/isolation.rs
+++ b/crates/edge/src/isolation.rs
@@ -27,6 +27,15 @@
         }
     }
 
+    /// Waits for the end of a check of the links, if one is in progress.
+    pub(crate) async fn wait_for_check(&self) {
+        let mut checks = self.checks.subscribe();
+        if self.tables().reach.is_checking() {
+            // The sender lives as long as the node.
+            let _ = checks.changed().await;
+        }
+    }
+
     /// Returns whether this node reaches no backend servers.
     pub(crate) fn is_isolated(&self) -> bool {
         self.tables().reach.isolated_since().is_some()
@@ -57,10 +66,12 @@
     let mut tables = shared.tables();
     let since = tables.reach.isolated_since();
     let failing = tables.reach.failing_count();
-    if !tables.reach.record_check(accepted, results.len(), now) {
+    let is_changed = tables.reach.record_check(accepted, results.len(), now);
+    drop(tables);
+    shared.checks.send_modify(|count| *count += 1);
+    if !is_changed {
         return;
     }
-    drop(tables);
     if let Some(since) = since {
         shared.metrics.count("isolation", "ended");
         info!(shared.log, "backend servers reachable from this node again";
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -51,6 +51,8 @@
     pub(crate) heartbeat_requested: Notify,
     /// Requests a check of the links to the servers.
     pub(crate) check_requested: Notify,
+    /// The number of such checks so far.
+    pub(crate) checks: watch::Sender<u64>,
     /// Wakes the sender of crash histories and limits.
     pub(crate) exchange_due: Notify,
     /// The number of changes of how parts of requests are treated.
@@ -125,6 +127,7 @@
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
             check_requested: Notify::new(),
+            checks: watch::Sender::new(0),
             exchange_due: Notify::new(),
             treatment_changes: watch::Sender::new(0),
             tables: Mutex::new(tables),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -33,6 +33,11 @@
 /// two seconds.
 const SILENCE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// The time without output after which a server may be out of this node's reach.
+///
+/// Pauses of a working replica are shorter.
+const PAUSE_TIMEOUT: Duration = Duration::from_millis(500);
+
 /// The maximum number of events of a response that counts as just begun.
 const MAX_BEGINNING_EVENTS: u64 = 1;
 
@@ -222,10 +227,6 @@
                     return self.log_end(server, "deadline", body_end);
                 }
                 End::Broken(fault) => {
-                    if fault == Fault::Silence && answer.slot.node.is_none() {
-                        self.shared
-                            .record_unreachable(&answer.slot.choice.target.server);
-                    }
                     if fault.is_server_end() {
                         let progress = if self.attempt_events() <= MAX_BEGINNING_EVENTS {
                             Progress::Begun
@@ -258,6 +259,8 @@
     /// Forwards the events of one server's response.
     async fn forward(&mut self, answer: &mut Answer) -> End {
         let mut changes = self.shared.fleet_changes.subscribe();
+        let mut checks = self.shared.checks.subscribe();
+        let is_server = answer.slot.node.is_none();
         let mut first_piece_at = None;
         let mut is_past_beginning = false;
         self.events_before = self.events.events();
@@ -267,6 +270,8 @@
         let is_resumable = self.job.is_repeatable() && self.attempts.has_executions_left(&self.job);
         loop {
             let silence_deadline = last_piece_at + SILENCE_TIMEOUT;
+            let pause_deadline = last_piece_at + PAUSE_TIMEOUT;
+            let is_paused = tokio::time::Instant::now() >= pause_deadline;
             let piece = tokio::select! {
                 piece = next_piece(&mut answer.body) => piece,
                 () = self.sink.closed() => return End::CallerDisconnected,
@@ -274,6 +279,16 @@
                 () = sleep_until(silence_deadline), if is_resumable => {
                     return End::Broken(Fault::Silence);
                 }
+                () = sleep_until(pause_deadline), if is_resumable && is_server && !is_paused => {
+                    self.shared.record_unreachable(&answer.slot.choice.target.server);
+                    continue;
+                }
+                _ = checks.changed(), if is_resumable && is_server => {
+                    if is_paused && self.shared.is_isolated() {
+                        return End::Broken(Fault::Silence);
+                    }
+                    continue;
+                }
                 _ = changes.changed(), if is_resumable => {
                     if answer.slot.is_replica_lost() {
                         return End::Broken(Fault::ReplicaLost);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -25,4 +25,4 @@
 pub use limit::{Limits, NAMED_SPAN, Named, Share, cold_share};
 pub use load::{LoadTracker, TargetLoad, Work};
 pub use queue::{Queue, Urgency, estimated_wait};
-pub use reach::{CHECK_INTERVAL, CHECKED_SERVERS, Reach};
+pub use reach::{CHECK_INTERVAL, CHECKED_SERVERS, CONNECTED_CHECK_INTERVAL, Reach};
--- a/crates/place/src/reach.rs
+++ b/crates/place/src/reach.rs
@@ -11,9 +11,12 @@
 /// The time within which servers out of reach count together.
 const FAILURE_SPAN: Duration = Duration::from_secs(1);
 
-/// The time between the beginnings of two checks.
+/// The time between two checks of an isolated node.
 pub const CHECK_INTERVAL: Duration = Duration::from_millis(250);
 
+/// The time between two checks of a node that is not isolated.
+pub const CONNECTED_CHECK_INTERVAL: Duration = Duration::from_secs(1);
+
 /// The number of servers that one check connects to.
 pub const CHECKED_SERVERS: usize = 6;
 
@@ -69,7 +72,7 @@
     /// the node has become isolated or connected.
     pub fn record_check(&mut self, accepted: usize, checked: usize, now: Moment) -> bool {
         self.is_checking = false;
-        self.next_check = Some(now + CHECK_INTERVAL);
+        self.next_check = Some(now + CONNECTED_CHECK_INTERVAL);
         // Without servers there is nothing to be cut off from.
         let share = if checked == 0 {
             1.0
@@ -100,6 +103,11 @@
         self.isolated_since
     }
 
+    /// Returns whether the node checks whether it is isolated.
+    pub fn is_checking(&self) -> bool {
+        self.is_checking
+    }
+
     /// Returns whether the node is isolated, or checks whether it is.
     pub fn is_in_doubt(&self) -> bool {
         self.is_checking || self.isolated_since.is_some()
--- a/crates/place/tests/placing/main.rs
+++ b/crates/place/tests/placing/main.rs
@@ -6,6 +6,7 @@
 mod limit;
 mod load;
 mod queue;
+mod reach;
 
 use clock::Moment;
 use site::{config::EngineSpec, fixture};
