--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -7,8 +7,10 @@
 //!   theirs; `peers` holds what was received,
 //! - `feed_relay` sends the planner's feed reads to the other nodes, which then need
 //!   not poll the store,
-//! - `evidence` withholds requests whose prompts crash servers; `exchange` sends what
-//!   nodes learn from servers' answers to the others,
+//! - `evidence` withholds requests that crash servers, and `quarantine_store` keeps them
+//!   over restarts; `exchange` sends what nodes learn from servers' answers to the others,
+//! - `end_check` tells servers that ended from lost connections, `isolation` whether this
+//!   node reaches the servers at all; `forward` then passes requests on to other nodes,
 //! - `plan` forms replicas while this node holds the newest planner claim,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
 //!   `attempt` (which takes a `slot`), `stream` forwards the events of a response,
