Keep a stream at its server until another one has continued it

A stream whose server may go on, after a lost replica or silence, is now dropped once another server has answered, and goes on at its own otherwise; a silent one tries again.

stream_goes_on_at_its_server_if_no_other_continues_it failed before (cut off after three of six events).

--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -138,6 +138,11 @@
         }
     }
 
+    /// Returns whether nothing more can come from the server.
+    fn is_final(self) -> bool {
+        !matches!(self, Self::Silence | Self::ReplicaLost)
+    }
+
     /// Returns whether the server itself may have ended.
     ///
     /// A frozen or unreachable server sends nothing, and its connections stay open.
@@ -196,8 +201,10 @@
     ///
     /// Dropping `sink` without [`Part::End`] cuts off the caller's response.
     async fn run(mut self, mut answer: Answer) {
+        // Whether the stream goes on at its server, since no other could resume it.
+        let mut is_kept = false;
         loop {
-            let end = self.forward(&mut answer).await;
+            let end = self.forward(&mut answer, is_kept).await;
             let body_end = self.body_end(&answer);
             match end {
                 End::Complete => {
@@ -237,9 +244,8 @@
                         self.shared.record_loss(job, slot, progress).await;
                     }
                     let server = answer.slot.choice.target.server.clone();
-                    self.events.discard_partial();
-                    self.reservation.resize(0);
-                    drop(answer);
+                    // A server that may go on is kept until another one has answered.
+                    let kept = (!fault.is_final()).then_some(answer);
                     info!(self.shared.log, "stream interrupted"; "id" => &*self.job.call.attempt_id,
                         "server" => %server, "reason" => fault.as_str(),
                         "last_event" => self.events.last_id(), "framing" => body_end.framing.as_str(),
@@ -247,24 +253,38 @@
                         "request" => format_digest(self.job.whole().digest()),
                         "body_bytes" => body_end.bytes, "partial_event_bytes" => body_end.partial_event_bytes);
                     self.shared.metrics.count("streams_broken", fault.as_str());
-                    match self.resume(server.clone()).await {
-                        Some(next) => answer = next,
-                        None => return self.log_end(&server, "interrupted", body_end),
-                    }
+                    let next = self.resume(server.clone()).await;
+                    is_kept = next.is_none();
+                    answer = match (next, kept) {
+                        (Some(next), _) => {
+                            self.events.discard_partial();
+                            self.reservation.resize(0);
+                            next
+                        }
+                        (None, Some(kept)) => {
+                            self.shared.metrics.count("streams_resumed", "kept");
+                            kept
+                        }
+                        (None, None) => return self.log_end(&server, "interrupted", body_end),
+                    };
                 }
             }
         }
     }
 
     /// Forwards the events of one server's response.
-    async fn forward(&mut self, answer: &mut Answer) -> End {
+    ///
+    /// `is_kept` is whether its server goes on with it after it was to be resumed.
+    async fn forward(&mut self, answer: &mut Answer, is_kept: bool) -> End {
         let mut changes = self.shared.fleet_changes.subscribe();
         let mut checks = self.shared.checks.subscribe();
         let is_server = answer.slot.node.is_none();
-        let mut first_piece_at = None;
-        let mut is_past_beginning = false;
-        self.events_before = self.events.events();
         let mut last_piece_at = tokio::time::Instant::now();
+        let mut first_piece_at = is_kept.then_some(last_piece_at);
+        let mut is_past_beginning = false;
+        if !is_kept {
+            self.events_before = self.events.events();
+        }
         let deadline = self.job.deadline_instant;
         // A stream that cannot be resumed goes on for as long as its server does.
         let is_resumable = self.job.is_repeatable() && self.attempts.has_executions_left(&self.job);
@@ -289,7 +309,7 @@
                     }
                     continue;
                 }
-                _ = changes.changed(), if is_resumable => {
+                _ = changes.changed(), if is_resumable && !is_kept => {
                     if answer.slot.is_replica_lost() {
                         return End::Broken(Fault::ReplicaLost);
                     }
