Take the planner's view of an engine from its reports, not from late entries

Cause, by reading and by the test: an entry that was read later than the last report replaced it, and counted as a report of the time at which it was read. An entry that the store had taken late, or that lapsed and came back, so undid newer reports: a head that was open looked free, and orders in flight looked answered.

A report is now replaced by reports only; a changed entry is a reason to query at once.

late_entry_does_not_replace_a_report failed before.

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -2,7 +2,11 @@
 
 use clock::Moment;
 use name::Instance;
-use site::{Server, feed::Error, server::Report};
+use site::{
+    Server,
+    feed::Error,
+    server::{EngineState, Report},
+};
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
@@ -54,8 +58,12 @@
     is_pending: bool,
     unanswered: u32,
     report: Option<(Moment, Report)>,
-    /// When its entry last changed, and the entry.
-    entry: (Moment, Server),
+    /// When its entry was first read.
+    known_since: Moment,
+    /// The engine's state in its entry as last read.
+    entry: EngineState,
+    /// Whether the engine's state in its entry changed since the last query.
+    is_entry_changed: bool,
 }
 
 /// The query state of all engines.
@@ -104,10 +112,13 @@
                 is_pending: false,
                 unanswered: 0,
                 report: None,
-                entry: (now, server.clone()),
+                known_since: now,
+                entry: server.engine.clone(),
+                is_entry_changed: false,
             });
-            if probe.entry.1 != *server {
-                probe.entry = (now, server.clone());
+            if probe.entry != server.engine {
+                probe.is_entry_changed = true;
+                probe.entry.clone_from(&server.engine);
             }
             let is_suspect = suspects.contains(id);
             let is_urgent = is_suspect || is_watched(id);
@@ -118,7 +129,10 @@
             } else {
                 IDLE_INTERVAL
             };
+            // An entry may be older than the last report, however late it comes: the store
+            // takes some late, and some lapse and come back. So it is a reason to ask only.
             let due = match &probe.report {
+                Some(_) if probe.is_entry_changed && probe.unanswered == 0 => now,
                 Some((requested_at, _)) if probe.unanswered == 0 => *requested_at + interval,
                 _ => probe.next,
             };
@@ -140,7 +154,9 @@
             .collect();
         let query = |id: Instance| {
             let server = servers.get(&id)?.clone();
-            self.probes.get_mut(&id)?.is_pending = true;
+            let probe = self.probes.get_mut(&id)?;
+            probe.is_pending = true;
+            probe.is_entry_changed = false;
             Some(Query {
                 server,
                 sent_at: now,
@@ -226,8 +242,8 @@
         probe.unanswered < MAX_UNANSWERED && key(&report.engine) == key(&server.engine)
     }
 
-    /// Returns the planner's view of an engine: its entry, or its report where that is
-    /// newer.
+    /// Returns the planner's view of an engine: its last report, or its entry before the
+    /// first one.
     pub(crate) fn engine(&self, server: &Server, is_in_service: bool) -> Option<form::Engine> {
         let probe = self.probes.get(&server.id)?;
         let mut engine = form::Engine {
@@ -238,20 +254,18 @@
             is_busy: false,
             sequence: None,
             slowdown: 1.0,
-            report_requested_at: probe.entry.0,
+            report_requested_at: probe.known_since,
             staging: None,
         };
         if let Some((requested_at, report)) = &probe.report {
             engine.slowdown = report.slowdown;
             engine.is_busy = report.is_busy;
             engine.sequence = Some(report.sequence);
-            engine.report_requested_at = engine.report_requested_at.max(*requested_at);
-            if *requested_at >= probe.entry.0 {
-                let fabric = engine.server.engine.fabric.clone();
-                engine.server.engine = report.engine.clone();
-                if engine.server.engine.fabric.is_none() {
-                    engine.server.engine.fabric = fabric;
-                }
+            engine.report_requested_at = *requested_at;
+            let fabric = engine.server.engine.fabric.clone();
+            engine.server.engine = report.engine.clone();
+            if engine.server.engine.fabric.is_none() {
+                engine.server.engine.fabric = fabric;
             }
         }
         Some(engine)
