Need no retry credit for what was not sent, and pass it on to a peer, on the path entry

Errors now say whether a byte was sent; an attempt after one that sent nothing takes no credit, within the limit of attempts, and looks for a peer with a free slot first.

The new case of retry_needs_safe_verdict_time_and_budget failed before (Budget).

--- a/crates/backend/src/connection.rs
+++ b/crates/backend/src/connection.rs
@@ -48,7 +48,7 @@
     pub(crate) async fn open(address: SocketAddr, limits: &Limits) -> Result<Self, Failure> {
         let failed = |problem: String| {
             let message = format!("cannot connect to {address}: {problem}");
-            Failure::not_run(Kind::Unavailable, message)
+            Failure::unsent(message)
         };
         let stream = time::timeout(
             limits.connect_timeout,
@@ -114,12 +114,10 @@
         let message = format!("request to {} failed: {problem}", self.address);
         Err(match self.handle.block_writes() {
             Progress::Started if is_check_set => Failure::may_have_run(kind, message),
-            Progress::NotStarted | Progress::Started => {
-                Failure::not_run(Kind::Unavailable, message)
-            }
+            Progress::NotStarted | Progress::Started => Failure::unsent(message),
             Progress::Rejected => {
                 let message = "the request may no longer be sent";
-                Failure::not_run(Kind::Unavailable, message)
+                Failure::unsent(message)
             }
         })
     }
@@ -193,7 +191,7 @@
 /// Reads a report; a failure is `not-run`, since a report runs no work.
 async fn read_report(connection: &mut HttpConnection, limits: &Limits) -> Result<Report, Failure> {
     let read = read_json(connection, "/v1/report", limits).await;
-    read.map_err(|failure| Failure::not_run(Kind::Unavailable, failure.error().message()))
+    read.map_err(|failure| Failure::unsent(failure.error().message()))
 }
 
 /// Sends a GET request for `path` and parses the response as JSON.
--- a/crates/backend/src/failure.rs
+++ b/crates/backend/src/failure.rs
@@ -28,6 +28,11 @@
         Error::not_run(kind, message).into()
     }
 
+    /// Returns the failure of a request that no server could be sent.
+    pub(crate) fn unsent(message: impl Into<String>) -> Self {
+        Error::not_run(Kind::Unavailable, message).unsent().into()
+    }
+
     /// Returns the failure of a request that may have reached the server.
     pub(crate) fn may_have_run(kind: Kind, message: impl Into<String>) -> Self {
         Error::may_have_run(kind, message).into()
@@ -37,7 +42,7 @@
     pub(crate) fn restarted(expected: Uuid, report: Report) -> Self {
         let message = format!("{} has restarted", report.instance);
         let restart = Some(Box::new(Restart { expected, report }));
-        let error = Error::not_run(Kind::Unavailable, message);
+        let error = Error::not_run(Kind::Unavailable, message).unsent();
         Self {
             restart,
             ..error.into()
--- a/crates/backend/src/pool.rs
+++ b/crates/backend/src/pool.rs
@@ -106,7 +106,7 @@
         let connection = time::timeout_at(deadline, self.take(target.address, target.boot)).await;
         let connection = connection.unwrap_or_else(|_| {
             let message = format!("no connection to {} in time", target.address);
-            Err(Failure::not_run(Kind::Unavailable, message))
+            Err(Failure::unsent(message))
         })?;
         Ok((
             connection,
--- a/crates/entry/src/serve/call.rs
+++ b/crates/entry/src/serve/call.rs
@@ -139,11 +139,13 @@
     let mut avoid = Vec::new();
     let mut tried = Vec::new();
     let mut verdict = Verdict::NotRun;
+    // Whether a server could not be sent the call from this node; a peer may reach it.
+    let mut prefers_peer = false;
     let parts = [evidence::whole(call)];
     loop {
         let trial = evidence::wait_for_trial(node, &parts).await;
         trial.map_err(|error| error.with_earlier_verdict(verdict))?;
-        let result = match find_slot(node, call, &avoid, &mut tried).await {
+        let result = match find_slot(node, call, &avoid, &mut tried, prefers_peer).await {
             Err(error) => return Err(error.with_earlier_verdict(verdict)),
             Ok(Placement::Local(guard)) => {
                 avoid.push(guard.lease().key);
@@ -158,6 +160,7 @@
         };
         let Err(error) = result else { return result };
         verdict = verdict.combine(error.verdict());
+        prefers_peer |= error.is_unsent();
         match decide(node, call, &error) {
             retry::Decision::Stop(_) => return Err(error.with_earlier_verdict(verdict)),
             retry::Decision::After(wait) => sleep(wait).await,
@@ -314,6 +317,7 @@
     call: &Call,
     avoid: &[u64],
     tried: &mut Vec<NodeName>,
+    prefers_peer: bool,
 ) -> Result<Placement, Error> {
     let target = Target::Service(call.service.clone());
     let max_wait = if call.forwarded {
@@ -324,6 +328,12 @@
     let until = call.deadline.min(node.clock.now() + max_wait);
     let mut slot_wait = SlotWait::new(node, slot_request(node, call, avoid, until))?;
     let mut search_delay = PEER_SEARCH_DELAY;
+    if prefers_peer
+        && !call.forwarded
+        && let Some(peer) = node.peers.reserve_slot(&target, tried, node.clock.now())
+    {
+        return Ok(Placement::Peer(peer));
+    }
     loop {
         tokio::select! {
             biased;
--- a/crates/entry/src/serve/draft.rs
+++ b/crates/entry/src/serve/draft.rs
@@ -155,6 +155,7 @@
         let is_refused_forward =
             error.verdict() == Verdict::NotRun && error.kind() == Kind::Overloaded;
         verdict = verdict.combine(error.verdict());
+        search.prefers_peer |= error.is_unsent();
         if is_refused_forward && !draft.forwarded && draft.attempts < retry::MAX_ATTEMPTS {
             continue;
         }
@@ -191,6 +192,8 @@
     avoid: Vec<u64>,
     /// Peers already tried; cleared when a search finds no other peer.
     tried: Vec<NodeName>,
+    /// Whether a server could not be sent the request from this node; a peer may reach it.
+    prefers_peer: bool,
 }
 
 /// Where the next attempt runs: on this node or at a peer.
@@ -212,6 +215,12 @@
     let until = slot_deadline(draft, arrived_at);
     let mut slot_wait = SlotWait::new(node, slot_request(node, draft, &target, search, until))?;
     let mut search_delay = PEER_SEARCH_DELAY;
+    if search.prefers_peer
+        && !draft.forwarded
+        && let Some(peer) = node.peers.reserve_slot(&target, &search.tried, arrived_at)
+    {
+        return Ok(Placement::Peer(peer));
+    }
     loop {
         tokio::select! {
             biased;
--- a/crates/route/src/retry.rs
+++ b/crates/route/src/retry.rs
@@ -3,7 +3,8 @@
 //! A retry requires a verdict that allows it, or an idempotent request; that this
 //! node received the request from the caller, so that retries are not multiplied by
 //! forwarding; time before the deadline; and credit in the account's [`Budget`],
-//! which keeps attempts below 1.2 times the requests.
+//! which keeps attempts below 1.2 times the requests. Attempts of which no byte was sent
+//! need none.
 
 use clock::Moment;
 use rand::Rng;
@@ -120,7 +121,8 @@
     if now + wait + context.expected >= context.deadline {
         return Decision::Stop(Refusal::Deadline);
     }
-    if !budget.try_spend() {
+    // The budget limits what reaches servers.
+    if !error.is_unsent() && !budget.try_spend() {
         return Decision::Stop(Refusal::Budget);
     }
     Decision::After(wait)
--- a/crates/route/tests/retry.rs
+++ b/crates/route/tests/retry.rs
@@ -32,6 +32,7 @@
 #[test]
 fn retry_needs_safe_verdict_time_and_budget() {
     let refused = Error::not_run(Kind::Overloaded, "full");
+    let unsent = Error::not_run(Kind::Unavailable, "no connection").unsent();
     let broken = Error::may_have_run(Kind::Upstream, "cut");
     let limited = Error::not_run(Kind::Limited, "limit");
     let with = |change: fn(&mut Context)| {
@@ -64,6 +65,8 @@
             Some(Refusal::Deadline),
         ),
         (context(), &refused, 5, Some(Refusal::Budget)),
+        // Nothing was sent, so that a small account's first request needs no credit.
+        (context(), &unsent, 0, None),
     ];
     for (context, error, requests, refusal) in cases {
         let mut budget = budget(requests);
--- a/crates/verdict/src/lib.rs
+++ b/crates/verdict/src/lib.rs
@@ -130,6 +130,9 @@
     verdict: Verdict,
     message: String,
     retry_after: Option<Duration>,
+    /// Whether no byte of the request was sent to a server.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    is_unsent: bool,
 }
 
 impl Error {
@@ -150,9 +153,22 @@
             verdict,
             message: message.into(),
             retry_after: None,
+            is_unsent: false,
         }
     }
 
+    /// Returns the error of a request of which no byte was sent to a server.
+    #[must_use]
+    pub fn unsent(mut self) -> Self {
+        self.is_unsent = true;
+        self
+    }
+
+    /// Returns whether no byte of the request was sent to a server.
+    pub fn is_unsent(&self) -> bool {
+        self.is_unsent
+    }
+
     /// Returns the error with the time to wait before a retry.
     #[must_use]
     pub fn with_retry_after(mut self, after: Duration) -> Self {
