Bound the checks of servers that lost connections

When a failure domain of hundreds of engines is lost, a node would open four connections for each of its servers at once. At most 16 checks begin within 20 ms; losses beyond are no evidence, since so many have a common reason (checks_in_a_moment_are_bounded). Names that meant two things are told apart: net::Reaction, peers::Standing.

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -1,6 +1,6 @@
 //! The directory of nodes for callers.
 
-use crate::{peers::Service, state::Shared};
+use crate::{peers::Standing, state::Shared};
 use rand::seq::SliceRandom;
 use site::{call::DirectoryQuery, node::NodeRecord};
 use std::{net::SocketAddr, time::Duration};
@@ -34,14 +34,14 @@
     own: &NodeRecord,
     query: &DirectoryQuery,
 ) -> Vec<SocketAddr> {
-    let service = Service::new(shared.is_ready(), shared.is_isolated());
+    let standing = Standing::new(shared.is_ready(), shared.is_isolated());
     let now = shared.now();
     let mut nodes = shared.tables().peers.available_nodes(now);
     if !shared.is_stopping() {
-        nodes.push((own.clone(), service));
+        nodes.push((own.clone(), standing));
     }
-    let best = nodes.iter().map(|(_, service)| *service).max();
-    nodes.retain(|(_, service)| Some(*service) == best);
+    let best = nodes.iter().map(|(_, standing)| *standing).max();
+    nodes.retain(|(_, standing)| Some(*standing) == best);
     nodes.shuffle(&mut rand::rng());
     nodes.sort_by_key(|(record, _)| Some(record.domain.as_str()) != query.domain.as_deref());
     nodes
--- a/crates/edge/src/end_check.rs
+++ b/crates/edge/src/end_check.rs
@@ -15,7 +15,7 @@
 };
 use clock::Moment;
 use name::Instance;
-use net::{Reach, probe};
+use net::{Reaction, probe};
 use place::Target;
 use quarantine::{CrashRecord, Record, Server};
 use rand::{Rng, seq::IteratorRandom};
@@ -38,6 +38,11 @@
 /// The time for which one check serves all requests that lost a connection to a server.
 const CHECK_REUSE_TIME: Duration = Duration::from_millis(20);
 
+/// The maximum number of servers whose checks begin within [`CHECK_REUSE_TIME`].
+///
+/// So many servers lose connections for a common reason, as the loss of a failure domain.
+const MAX_CHECKS: usize = 16;
+
 /// How long after a lost connection a later incarnation of the server confirms its end.
 const RESTART_TIME: Duration = Duration::from_secs(5);
 
@@ -89,16 +94,20 @@
 }
 
 impl EndChecks {
-    /// Returns the check that covers a loss at `now`, and whether it is new.
-    fn check(&mut self, server: Server, now: Moment) -> (Arc<OnceCell<Check>>, bool) {
+    /// Returns the check that covers a loss at `now`, and whether it is new; `None` if too
+    /// many have begun.
+    fn check(&mut self, server: Server, now: Moment) -> Option<(Arc<OnceCell<Check>>, bool)> {
         self.checks
             .retain(|_, (at, _)| now.since(*at) < CHECK_REUSE_TIME);
         if let Some((_, cell)) = self.checks.get(&server) {
-            return (Arc::clone(cell), false);
+            return Some((Arc::clone(cell), false));
+        }
+        if self.checks.len() >= MAX_CHECKS {
+            return None;
         }
         let cell = Arc::default();
         self.checks.insert(server, (now, Arc::clone(&cell)));
-        (cell, true)
+        Some((cell, true))
     }
 
     /// Keeps a loss until a later incarnation may confirm it.
@@ -136,13 +145,17 @@
     ///
     /// A server that is leaving closes its connections in the end.
     pub(crate) async fn has_ended(&self, loss: &Loss, target: &Target) -> bool {
-        let (check, is_new) = {
+        let check = {
             let mut tables = self.tables();
             if !tables.fleet.is_expected(target) {
                 return false;
             }
             tables.end_checks.check(loss.digest(), loss.at)
         };
+        let Some((check, is_new)) = check else {
+            self.metrics.count("lost_connections", "not checked");
+            return false;
+        };
         let result = *check.get_or_init(|| self.check_end(target)).await;
         if is_new {
             self.metrics.count("lost_connections", result.as_str());
@@ -161,7 +174,7 @@
 
     /// Refutes the end of a server if it accepts connections.
     async fn refute_if_alive(&self, target: &Target, server: Server, source: &str) {
-        if probe(target.address, PROBE_TIMEOUT).await != Reach::Accepted {
+        if probe(target.address, PROBE_TIMEOUT).await != Reaction::Accepted {
             return;
         }
         self.metrics.count("lost_connections", "refuted");
@@ -173,9 +186,9 @@
     /// Checks whether a server has ended.
     async fn check_end(&self, target: &Target) -> Check {
         match probe(target.address, PROBE_TIMEOUT).await {
-            Reach::Accepted => return Check::Alive,
-            Reach::Unreachable => return Check::Unreachable,
-            Reach::Refused => {}
+            Reaction::Accepted => return Check::Alive,
+            Reaction::Unreachable => return Check::Unreachable,
+            Reaction::Refused => {}
         }
         let others = other_servers(&self.tables(), target);
         let mut probes = JoinSet::new();
@@ -183,7 +196,7 @@
             probes.spawn(probe(*address, PROBE_TIMEOUT));
         }
         let reached = probes.join_all().await;
-        let accepted = reached.iter().filter(|r| **r == Reach::Accepted).count();
+        let accepted = reached.iter().filter(|r| **r == Reaction::Accepted).count();
         if accepted * 2 >= others.len() {
             Check::Ended
         } else {
--- a/crates/edge/src/end_check/tests.rs
+++ b/crates/edge/src/end_check/tests.rs
@@ -1,6 +1,6 @@
 //! Which lost connections count as ends of servers.
 
-use super::{CHECK_REUSE_TIME, EndChecks, MAX_UNCONFIRMED, RESTART_TIME};
+use super::{CHECK_REUSE_TIME, EndChecks, MAX_CHECKS, MAX_UNCONFIRMED, RESTART_TIME};
 use crate::evidence::Loss;
 use clock::Moment;
 use std::{sync::Arc, time::Duration};
@@ -67,14 +67,29 @@
 fn losses_in_a_moment_share_one_check() {
     let mut checks = EndChecks::default();
     let at = Moment::from_millis(1_000);
-    let (first, is_new) = checks.check(loss(7, at).digest(), at);
+    let mut check = |incarnation, after| {
+        let check = checks.check(loss(incarnation, at).digest(), at + after);
+        check.expect("few checks")
+    };
+    let (first, is_new) = check(7, Duration::ZERO);
     assert!(is_new);
-    let (second, is_new) = checks.check(loss(7, at).digest(), at + CHECK_REUSE_TIME / 2);
+    let (second, is_new) = check(7, CHECK_REUSE_TIME / 2);
     assert!(!is_new && Arc::ptr_eq(&first, &second));
-    let (_, is_new) = checks.check(loss(8, at).digest(), at);
-    assert!(is_new);
-    let (_, is_new) = checks.check(loss(7, at).digest(), at + CHECK_REUSE_TIME);
-    assert!(is_new);
+    assert!(check(8, Duration::ZERO).1);
+    assert!(check(7, CHECK_REUSE_TIME).1);
+}
+
+/// Guards against a thousand connections at once when a failure domain is lost.
+#[test]
+fn checks_in_a_moment_are_bounded() {
+    let mut checks = EndChecks::default();
+    let at = Moment::from_millis(1_000);
+    for incarnation in 0..10 * MAX_CHECKS as u64 {
+        let check = checks.check(loss(incarnation, at).digest(), at);
+        assert_eq!(check.is_some(), incarnation < MAX_CHECKS as u64);
+    }
+    let later = at + CHECK_REUSE_TIME;
+    assert!(checks.check(loss(0, at).digest(), later).is_some());
 }
 
 #[test]
--- a/crates/edge/src/isolation.rs
+++ b/crates/edge/src/isolation.rs
@@ -8,7 +8,7 @@
 
 use crate::state::Shared;
 use name::Instance;
-use net::{Reach, probe};
+use net::{Reaction, probe};
 use place::{CHECK_INTERVAL, CHECKED_SERVERS};
 use rand::seq::IteratorRandom;
 use slog::{info, warn};
@@ -61,7 +61,7 @@
         probes.spawn(probe(address, PROBE_TIMEOUT));
     }
     let results = probes.join_all().await;
-    let accepted = results.iter().filter(|r| **r == Reach::Accepted).count();
+    let accepted = results.iter().filter(|r| **r == Reaction::Accepted).count();
     let now = shared.now();
     let mut tables = shared.tables();
     let since = tables.reach.isolated_since();
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -49,7 +49,7 @@
 
 /// How well a node serves callers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub(crate) enum Service {
+pub(crate) enum Standing {
     /// It is not ready.
     None,
     /// It passes requests on to other nodes.
@@ -58,7 +58,7 @@
     Direct,
 }
 
-impl Service {
+impl Standing {
     /// Returns how well a node serves, given whether it is ready and isolated.
     pub(crate) fn new(is_ready: bool, is_isolated: bool) -> Self {
         match (is_ready, is_isolated) {
@@ -318,11 +318,11 @@
     }
 
     /// Returns the nodes that callers may use, and how well they serve.
-    pub(crate) fn available_nodes(&self, now: Moment) -> Vec<(NodeRecord, Service)> {
+    pub(crate) fn available_nodes(&self, now: Moment) -> Vec<(NodeRecord, Standing)> {
         let available = self.available(now);
-        let service = |peer: &Peer| Service::new(peer.is_ready, peer.is_isolated);
+        let standing = |peer: &Peer| Standing::new(peer.is_ready, peer.is_isolated);
         available
-            .map(|peer| (peer.record.clone(), service(peer)))
+            .map(|peer| (peer.record.clone(), standing(peer)))
             .collect()
     }
 
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -56,7 +56,7 @@
 
 /// How a server reacted to a new connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Reach {
+pub enum Reaction {
     /// It accepted the connection.
     Accepted,
     /// It, or a device on the way, refused or reset the connection.
@@ -66,18 +66,18 @@
 }
 
 /// Opens a connection without sending anything, and closes it.
-pub async fn probe(address: SocketAddr, time_limit: Duration) -> Reach {
+pub async fn probe(address: SocketAddr, time_limit: Duration) -> Reaction {
     match timeout(time_limit, TcpStream::connect(address)).await {
-        Ok(Ok(_)) => Reach::Accepted,
+        Ok(Ok(_)) => Reaction::Accepted,
         Ok(Err(error))
             if matches!(
                 error.kind(),
                 io::ErrorKind::ConnectionRefused | io::ErrorKind::ConnectionReset
             ) =>
         {
-            Reach::Refused
+            Reaction::Refused
         }
-        Ok(Err(_)) | Err(_) => Reach::Unreachable,
+        Ok(Err(_)) | Err(_) => Reaction::Unreachable,
     }
 }
 
