Take only a server's answer for a sound run of a request

A node without links to the servers passes on a request that crashes them, gets the other node's 502, and took it for a complete answer: it cleared the crashes of the request at all nodes, so that the request ended server after server.

An answer clears a request only if a server signed it.

request_that_a_cut_off_node_passes_on_is_withheld failed before: 79 servers ended below 80 requests, 48 of them late.

--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -198,7 +198,8 @@
             }
             Err(_) => return Err("late"),
         };
-        if framing != Framing::Close {
+        // Another node's own failure is no answer of a server.
+        if framing != Framing::Close && head.is_signed {
             shared.record_completion(self);
         }
         slot.record_first_token();
