--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -2,11 +2,7 @@
 
 use clock::Moment;
 use name::Instance;
-use site::{
-    Server,
-    feed::Error,
-    server::{EngineState, Report},
-};
+use site::{Server, feed::Error, server::Report};
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
@@ -58,12 +54,8 @@
     is_pending: bool,
     unanswered: u32,
     report: Option<(Moment, Report)>,
-    /// When its entry was first read.
-    known_since: Moment,
-    /// The engine's state in its entry as last read.
-    entry: EngineState,
-    /// Whether the engine's state in its entry changed since the last query.
-    is_entry_changed: bool,
+    /// When its entry last changed, and the entry.
+    entry: (Moment, Server),
 }
 
 /// The query state of all engines.
@@ -112,13 +104,10 @@
                 is_pending: false,
                 unanswered: 0,
                 report: None,
-                known_since: now,
-                entry: server.engine.clone(),
-                is_entry_changed: false,
+                entry: (now, server.clone()),
             });
-            if probe.entry != server.engine {
-                probe.is_entry_changed = true;
-                probe.entry.clone_from(&server.engine);
+            if probe.entry.1 != *server {
+                probe.entry = (now, server.clone());
             }
             let is_suspect = suspects.contains(id);
             let is_urgent = is_suspect || is_watched(id);
@@ -129,10 +118,7 @@
             } else {
                 IDLE_INTERVAL
             };
-            // An entry may be older than the last report, however late it comes: the store
-            // takes some late, and some lapse and come back. So it is a reason to ask only.
             let due = match &probe.report {
-                Some(_) if probe.is_entry_changed && probe.unanswered == 0 => now,
                 Some((requested_at, _)) if probe.unanswered == 0 => *requested_at + interval,
                 _ => probe.next,
             };
@@ -154,9 +140,7 @@
             .collect();
         let query = |id: Instance| {
             let server = servers.get(&id)?.clone();
-            let probe = self.probes.get_mut(&id)?;
-            probe.is_pending = true;
-            probe.is_entry_changed = false;
+            self.probes.get_mut(&id)?.is_pending = true;
             Some(Query {
                 server,
                 sent_at: now,
@@ -242,8 +226,8 @@
         probe.unanswered < MAX_UNANSWERED && key(&report.engine) == key(&server.engine)
     }
 
-    /// Returns the planner's view of an engine: its last report, or its entry before the
-    /// first one.
+    /// Returns the planner's view of an engine: its entry, or its report where that is
+    /// newer.
     pub(crate) fn engine(&self, server: &Server, is_in_service: bool) -> Option<form::Engine> {
         let probe = self.probes.get(&server.id)?;
         let mut engine = form::Engine {
@@ -254,18 +238,20 @@
             is_busy: false,
             sequence: None,
             slowdown: 1.0,
-            report_requested_at: probe.known_since,
+            report_requested_at: probe.entry.0,
             staging: None,
         };
         if let Some((requested_at, report)) = &probe.report {
             engine.slowdown = report.slowdown;
             engine.is_busy = report.is_busy;
             engine.sequence = Some(report.sequence);
-            engine.report_requested_at = *requested_at;
-            let fabric = engine.server.engine.fabric.clone();
-            engine.server.engine = report.engine.clone();
-            if engine.server.engine.fabric.is_none() {
-                engine.server.engine.fabric = fabric;
+            engine.report_requested_at = engine.report_requested_at.max(*requested_at);
+            if *requested_at >= probe.entry.0 {
+                let fabric = engine.server.engine.fabric.clone();
+                engine.server.engine = report.engine.clone();
+                if engine.server.engine.fabric.is_none() {
+                    engine.server.engine.fabric = fabric;
+                }
             }
         }
         Some(engine)
