Refute the end of a server only by a connection that stays open

Its logs: node 0 saw server i-00 end at 9.042 s, and node 1 refuted that within a millisecond, since a device on the way (the soak's proxy) accepts connections for an ended server and resets them then.

The connection of the other node must now stay open for 50 ms. Where servers refuse connections themselves nothing changes; a server that resets one beyond its maximum is no longer proved alive by that node, which costs a check, not a request.

--- a/crates/edge/src/end_check.rs
+++ b/crates/edge/src/end_check.rs
@@ -7,7 +7,7 @@
 //! again at once; it counts as ended if its entry shows a later incarnation soon after.
 //!
 //! A node that is cut off from some servers only cannot tell by this. So a few other nodes
-//! check each end that is reported to them, and refute it if the server accepts connections.
+//! check each end that is reported to them, and refute it if a connection stays open.
 
 use crate::{
     evidence::Loss,
@@ -15,7 +15,7 @@
 };
 use clock::Moment;
 use name::Instance;
-use net::{Reaction, probe};
+use net::{Reaction, probe, stays_open};
 use place::Target;
 use quarantine::{CrashRecord, Record, Server};
 use rand::{Rng, seq::IteratorRandom};
@@ -57,6 +57,9 @@
 /// Later the server may have started again.
 const MAX_REFUTABLE_AGE: Duration = Duration::from_millis(100);
 
+/// How long a connection must stay open to refute the end of its server.
+const REFUTING_TIME: Duration = Duration::from_millis(50);
+
 /// The result of a check.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Check {
@@ -172,9 +175,9 @@
         result == Check::Ended
     }
 
-    /// Refutes the end of a server if it accepts connections.
+    /// Refutes the end of a server if a connection to it stays open.
     async fn refute_if_alive(&self, target: &Target, server: Server, source: &str) {
-        if probe(target.address, PROBE_TIMEOUT).await != Reaction::Accepted {
+        if !stays_open(target.address, PROBE_TIMEOUT, REFUTING_TIME).await {
             return;
         }
         self.metrics.count("lost_connections", "refuted");
@@ -205,8 +208,8 @@
     }
 }
 
-/// Checks some of the ends that another node reported, and refutes those of servers that
-/// accept connections.
+/// Checks some of the ends that another node reported, and refutes those of servers whose
+/// connections stay open.
 pub(crate) fn check_reported(shared: &Arc<Shared>, records: &[Record], source: &str) {
     let now = shared.now();
     let crashes = records.iter().flat_map(|record| &record.crashes);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -65,6 +65,18 @@
     Unreachable,
 }
 
+/// Opens a connection without sending anything, and returns whether it stays open for a
+/// time.
+///
+/// A device on the way can accept connections for a server that has ended.
+pub async fn stays_open(address: SocketAddr, time_limit: Duration, time: Duration) -> bool {
+    let Ok(Ok(stream)) = timeout(time_limit, TcpStream::connect(address)).await else {
+        return false;
+    };
+    // A server sends nothing before a request, so only an end makes it readable.
+    timeout(time, stream.readable()).await.is_err()
+}
+
 /// Opens a connection without sending anything, and closes it.
 pub async fn probe(address: SocketAddr, time_limit: Duration) -> Reaction {
     match timeout(time_limit, TcpStream::connect(address)).await {
