Bound the number of runs that a passed-on request names

A caller can set the mark of a passed-on request itself. With runs, adding one overflowed: a panic in a debug build, and in a release build zero runs, so that the caller was told "not run" of a request that had run. Found by reading the change.

A mark counts as 1,000 runs at most. mark_of_any_value_is_taken_with_a_bound failed before ( taken as it came).

--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -31,6 +31,9 @@
 /// The maximum number of nodes to which an isolated node passes on one request.
 const MAX_NODES: usize = 3;
 
+/// The most servers that a mark may name; callers can set it as well.
+const MAX_RUNS: u32 = 1_000;
+
 /// The time reserved for the other node's answer to travel back.
 const REPLY_MARGIN: Duration = Duration::from_millis(20);
 
@@ -44,7 +47,7 @@
     let value = headers.remove(RUNS)?;
     let runs = value.to_str().ok().and_then(|value| value.parse().ok());
     // A mark that is not understood still forbids to pass the request on.
-    Some(runs.unwrap_or(0))
+    Some(runs.unwrap_or(0).min(MAX_RUNS))
 }
 
 /// Returns the mark of a response: which server sent it.
@@ -152,3 +155,6 @@
         tables.peers.is_available(node, now)
     }
 }
+
+#[cfg(test)]
+mod tests;
