Keep one copy of the text response, the message of a refusal and the request's digest

The operators' interface had its own copy of the listener's text response, both request paths spelled the message of a withheld request, and the digest was exported beside Part::request, its only caller. Behaviour is the same; one comment is put plainly.

--- a/crates/edge/src/admin.rs
+++ b/crates/edge/src/admin.rs
@@ -6,10 +6,7 @@
 //! | `GET /quarantine` | the parts whose requests may be withheld, one per line |
 //! | `DELETE /quarantine/KIND-DIGEST` | lifts one of them at all nodes; from this machine only |
 
-use crate::{
-    state::Shared,
-    stream::{Body, full_body},
-};
+use crate::{listener::text, state::Shared, stream::Body};
 use http::{Method, Request, Response, StatusCode};
 use quarantine::{Part, Treated};
 use slog::info;
@@ -73,10 +70,3 @@
         _ => None,
     }
 }
-
-/// Returns a response with a text body.
-fn text(status: StatusCode, text: String) -> Response<Body> {
-    let mut response = Response::new(full_body(text.into()));
-    *response.status_mut() = status;
-    response
-}
--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -304,14 +304,9 @@
         "part" => format_digest(refusal.part.digest()), "level" => ?refusal.level,
         "crashes" => refusal.crashes, "wait_ms" => refusal.wait.as_millis() as u64,
         "interval_ms" => refusal.interval.as_millis() as u64);
-    let message = if refusal.part.is_request() {
-        "the request is quarantined because servers crashed while they ran it"
-    } else {
-        "a part of the prompt is quarantined because servers crashed on it"
-    };
     (
         Kind::Unavailable,
-        message,
+        refusal.message(),
         refusal.interval.max(MIN_RETRY_DELAY),
     )
 }
--- a/crates/edge/src/isolation.rs
+++ b/crates/edge/src/isolation.rs
@@ -2,7 +2,7 @@
 //!
 //! A node whose requests find several servers out of reach connects to some servers at
 //! random, and is isolated if nearly none accepts ([`place::Reach`]). While it is isolated
-//! it says so in its heartbeats, leaves the planner's role and the directory to others,
+//! its heartbeats report it, and it leaves the planner's role and the directory to others,
 //! passes its callers' requests on to another node ([`crate::forward`]), and goes on
 //! checking.
 
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -157,7 +157,7 @@
 }
 
 /// Returns a response with a text body.
-fn text(status: StatusCode, text: String) -> Response<Body> {
+pub(crate) fn text(status: StatusCode, text: String) -> Response<Body> {
     let mut response = Response::new(full_body(Bytes::from(text)));
     *response.status_mut() = status;
     response
--- a/crates/entry/src/serve/evidence.rs
+++ b/crates/entry/src/serve/evidence.rs
@@ -209,11 +209,6 @@
     info!(node.log, "request withheld"; "kind" => refusal.part.kind(), "part" => format!("{:016x}", refusal.part.digest()), "level" => ?refusal.level,
         "crashes" => refusal.crashes, "wait_ms" => refusal.wait.as_millis() as u64,
         "interval_ms" => refusal.interval.as_millis() as u64);
-    let message = if refusal.part.is_request() {
-        "the request is quarantined because servers crashed while they ran it"
-    } else {
-        "a part of the prompt is quarantined because servers crashed on it"
-    };
-    Error::not_run(Kind::Unavailable, message)
+    Error::not_run(Kind::Unavailable, refusal.message())
         .with_retry_after(refusal.interval.max(MIN_RETRY_DELAY))
 }
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -64,7 +64,7 @@
 ///
 /// The hash is cryptographic, since callers choose the content: none can make a request
 /// whose digest is that of another caller's request.
-pub fn request_digest(fields: &[&[u8]]) -> u64 {
+fn request_digest(fields: &[&[u8]]) -> u64 {
     let mut hasher = Sha256::new();
     for field in fields {
         // The length separates a field from the next one.
--- a/crates/quarantine/src/lib.rs
+++ b/crates/quarantine/src/lib.rs
@@ -21,7 +21,7 @@
 mod sound;
 mod table;
 
-pub use digest::{Part, Server, request_digest};
+pub use digest::{Part, Server};
 pub use history::MAX_SERVERS;
 pub use pace::{Level, trial_interval};
 pub use table::{Change, CrashRecord, MAX_PARTS, Record, Refusal, Table, Treated};
--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -124,6 +124,17 @@
     pub interval: Duration,
 }
 
+impl Refusal {
+    /// Returns the message for the caller of the withheld request.
+    pub fn message(&self) -> &'static str {
+        if self.part.is_request() {
+            "the request is quarantined because servers crashed while they ran it"
+        } else {
+            "a part of the prompt is quarantined because servers crashed on it"
+        }
+    }
+}
+
 /// When this node may next send a request with a part.
 #[derive(Debug, Clone, Copy)]
 enum Trial {
