Take no entry for newer than the report of an engine that it contradicts

Cause: an entry that was read after the last report replaced it, and counted as a report of the time at which it was read. An entry that the store had taken seconds late so undid newer reports: an open head looked free or closed, and orders in flight looked answered.

An entry that denies the membership in the last report, or that its head serves, leaves the engine unconfirmed: it joins nothing, what it reported of its replica is kept, and it is queried at once.

entry_that_contradicts_a_report_is_unconfirmed failed without the comparison (an open head looks free).

--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -2,7 +2,11 @@
 
 use clock::Moment;
 use name::Instance;
-use site::{Server, feed::Error, server::Report};
+use site::{
+    Server,
+    feed::Error,
+    server::{Membership, Phase, Report},
+};
 use std::{
     collections::{HashMap, HashSet},
     time::Duration,
@@ -58,6 +62,37 @@
     entry: (Moment, Server),
 }
 
+impl Probe {
+    /// Returns whether the entry changed after the last report was requested, and
+    /// denies the membership that was reported.
+    ///
+    /// The store may take an entry seconds late, so neither is known to be newer until
+    /// the engine has reported again.
+    fn is_contradicted(&self) -> bool {
+        let Some((requested_at, report)) = &self.report else {
+            return false;
+        };
+        let (changed_at, entry) = &self.entry;
+        if requested_at >= changed_at {
+            return false;
+        }
+        match (&report.engine.membership, &entry.engine.membership) {
+            (None, None) => false,
+            (Some(reported), Some(listed)) => {
+                let is_same =
+                    reported.replica == listed.replica && reported.generation == listed.generation;
+                !is_same || (is_serving(reported) && reported.phase != listed.phase)
+            }
+            _ => true,
+        }
+    }
+}
+
+/// Returns whether a membership is that of a head with requests.
+fn is_serving(member: &Membership) -> bool {
+    matches!(member.phase, Phase::Open | Phase::Closing)
+}
+
 /// The query state of all engines.
 #[derive(Debug, Default)]
 pub(crate) struct Probes {
@@ -110,7 +145,8 @@
                 probe.entry = (now, server.clone());
             }
             let is_suspect = suspects.contains(id);
-            let is_urgent = is_suspect || is_watched(id);
+            let is_contradicted = probe.is_contradicted();
+            let is_urgent = is_suspect || is_contradicted || is_watched(id);
             let interval = if is_urgent {
                 URGENT_INTERVAL
             } else if server.engine.membership.is_some() {
@@ -119,6 +155,7 @@
                 IDLE_INTERVAL
             };
             let due = match &probe.report {
+                Some(_) if is_contradicted && probe.unanswered == 0 => now,
                 Some((requested_at, _)) if probe.unanswered == 0 => *requested_at + interval,
                 _ => probe.next,
             };
@@ -227,9 +264,10 @@
     }
 
     /// Returns the planner's view of an engine: its entry, or its report where that is
-    /// newer.
+    /// newer or names a replica that the entry denies.
     pub(crate) fn engine(&self, server: &Server, is_in_service: bool) -> Option<form::Engine> {
         let probe = self.probes.get(&server.id)?;
+        let is_confirmed = !probe.is_contradicted();
         let mut engine = form::Engine {
             server: server.clone(),
             is_alive: probe.unanswered < MAX_UNANSWERED,
@@ -239,19 +277,29 @@
             sequence: None,
             slowdown: 1.0,
             report_requested_at: probe.entry.0,
+            is_confirmed,
             staging: None,
         };
-        if let Some((requested_at, report)) = &probe.report {
-            engine.slowdown = report.slowdown;
-            engine.is_busy = report.is_busy;
-            engine.sequence = Some(report.sequence);
-            engine.report_requested_at = engine.report_requested_at.max(*requested_at);
-            if *requested_at >= probe.entry.0 {
-                let fabric = engine.server.engine.fabric.clone();
-                engine.server.engine = report.engine.clone();
-                if engine.server.engine.fabric.is_none() {
-                    engine.server.engine.fabric = fabric;
-                }
+        let Some((requested_at, report)) = &probe.report else {
+            return Some(engine);
+        };
+        engine.slowdown = report.slowdown;
+        engine.is_busy = report.is_busy;
+        engine.sequence = Some(report.sequence);
+        if *requested_at >= probe.entry.0 {
+            engine.report_requested_at = *requested_at;
+            let fabric = engine.server.engine.fabric.clone();
+            engine.server.engine = report.engine.clone();
+            if engine.server.engine.fabric.is_none() {
+                engine.server.engine.fabric = fabric;
+            }
+        } else if !is_confirmed {
+            engine.report_requested_at = *requested_at;
+            let state = &mut engine.server.engine;
+            let reported = &report.engine.membership;
+            if state.membership.is_none() || reported.as_ref().is_some_and(is_serving) {
+                state.membership.clone_from(reported);
+                state.loaded_models.clone_from(&report.engine.loaded_models);
             }
         }
         Some(engine)
--- a/crates/edge/src/probe/tests.rs
+++ b/crates/edge/src/probe/tests.rs
@@ -7,7 +7,7 @@
     Server,
     feed::Error,
     fixture,
-    server::{EngineState, Report},
+    server::{EngineState, Membership, Phase, Report},
 };
 use std::{
     collections::{HashMap, HashSet},
@@ -186,3 +186,136 @@
         );
     }
 }
+
+/// Guards against an entry that the store took late replacing a newer report: the planner
+/// took an open head for free, and formed another replica with it.
+#[test]
+fn entry_that_contradicts_a_report_is_unconfirmed() {
+    struct Case {
+        name: &'static str,
+        reported: Option<(&'static str, Phase)>,
+        listed: Option<(&'static str, Phase)>,
+        is_confirmed: bool,
+        view: Option<(&'static str, Phase)>,
+    }
+    let cases = [
+        Case {
+            name: "an open head looks free",
+            reported: Some(("r1-8", Phase::Open)),
+            listed: None,
+            is_confirmed: false,
+            view: Some(("r1-8", Phase::Open)),
+        },
+        Case {
+            name: "an open head looks closed",
+            reported: Some(("r1-8", Phase::Open)),
+            listed: Some(("r1-8", Phase::Ready)),
+            is_confirmed: false,
+            view: Some(("r1-8", Phase::Open)),
+        },
+        Case {
+            name: "an open head looks like a member of its earlier replica",
+            reported: Some(("r1-8", Phase::Open)),
+            listed: Some(("r1-2", Phase::Ready)),
+            is_confirmed: false,
+            view: Some(("r1-8", Phase::Open)),
+        },
+        Case {
+            name: "a closing head looks closed",
+            reported: Some(("r1-8", Phase::Closing)),
+            listed: Some(("r1-8", Phase::Ready)),
+            is_confirmed: false,
+            view: Some(("r1-8", Phase::Closing)),
+        },
+        Case {
+            name: "a member looks free",
+            reported: Some(("r1-8", Phase::Ready)),
+            listed: None,
+            is_confirmed: false,
+            view: Some(("r1-8", Phase::Ready)),
+        },
+        Case {
+            name: "a free engine looks like a member",
+            reported: None,
+            listed: Some(("r1-8", Phase::Joining)),
+            is_confirmed: false,
+            view: Some(("r1-8", Phase::Joining)),
+        },
+        Case {
+            name: "a member is ready",
+            reported: Some(("r1-8", Phase::Joining)),
+            listed: Some(("r1-8", Phase::Ready)),
+            is_confirmed: true,
+            view: Some(("r1-8", Phase::Ready)),
+        },
+        Case {
+            name: "a ready head is open",
+            reported: Some(("r1-8", Phase::Ready)),
+            listed: Some(("r1-8", Phase::Open)),
+            is_confirmed: true,
+            view: Some(("r1-8", Phase::Open)),
+        },
+        Case {
+            name: "a free engine stays free",
+            reported: None,
+            listed: None,
+            is_confirmed: true,
+            view: None,
+        },
+    ];
+    let state = |member: Option<(&str, Phase)>| EngineState {
+        membership: member.map(|(replica, phase)| Membership {
+            replica: replica.parse().expect("a name"),
+            generation: 8,
+            rank: 0,
+            phase,
+        }),
+        ..EngineState::default()
+    };
+    for case in cases {
+        let mut probes = Probes::default();
+        let mut servers = servers(1);
+        let reported_at = Moment::from_millis(1_000);
+        run_queries(&mut probes, &servers, reported_at, |_| {
+            Ok(Report {
+                engine: state(case.reported),
+                ..report(1)?
+            })
+        });
+        let staged = vec!["m".parse().expect("a name")];
+        let entry = servers.values_mut().next().expect("an entry");
+        entry.engine = EngineState {
+            staged_models: staged.clone(),
+            ..state(case.listed)
+        };
+        let entry = entry.clone();
+        let now = reported_at + Duration::from_millis(50);
+        let queries = probes.due_queries(&servers, |_| false, &HashSet::new(), now);
+        assert_eq!(queries.is_empty(), case.is_confirmed, "{}", case.name);
+        let engine = probes.engine(&entry, true).expect("an engine");
+        assert_eq!(engine.is_confirmed, case.is_confirmed, "{}", case.name);
+        let view = engine.server.engine;
+        assert_eq!(
+            view.membership,
+            state(case.view).membership,
+            "{}",
+            case.name
+        );
+        assert_eq!(view.staged_models, staged, "{}", case.name);
+        let age = if case.is_confirmed { now } else { reported_at };
+        assert_eq!(engine.report_requested_at, age, "{}", case.name);
+        // The next report settles it.
+        for query in queries {
+            probes.record_answer(
+                &query,
+                Ok(Report {
+                    engine: state(case.reported),
+                    ..report(1).expect("a report")
+                }),
+                now,
+            );
+        }
+        let engine = probes.engine(&entry, true).expect("an engine");
+        assert!(engine.is_confirmed, "{}", case.name);
+    }
+}
--- a/crates/form/src/engine.rs
+++ b/crates/form/src/engine.rs
@@ -30,6 +30,9 @@
     pub slowdown: f64,
     /// When the latest report was requested.
     pub report_requested_at: Moment,
+    /// Whether the entry and the latest report agree on the engine's replica; an
+    /// entry may have been written late.
+    pub is_confirmed: bool,
     /// The model that the engine's host is staging, and when that should end.
     pub staging: Option<(Model, Moment)>,
 }
@@ -67,7 +70,7 @@
 
     /// Returns whether the engine itself can be ordered to join a new replica.
     pub(crate) fn is_joinable(&self) -> bool {
-        self.is_healthy() && self.has_reported() && self.is_in_service
+        self.is_healthy() && self.has_reported() && self.is_confirmed && self.is_in_service
     }
 
     /// Returns whether `model` is the model that the engine holds or held last.
--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -40,26 +40,37 @@
     Failed,
 }
 
-/// The phases of the responding heads, by replica and generation.
-pub(crate) type Heads<'a> = HashMap<(&'a Replica, u64), Phase>;
+/// Whether the responding heads serve or may be about to, by replica and generation.
+pub(crate) type Heads<'a> = HashMap<(&'a Replica, u64), bool>;
 
-/// Returns the phases of the responding heads.
-pub(crate) fn heads(engines: &HashMap<Instance, Engine>) -> Heads<'_> {
+/// Returns whether each responding head serves, or may be opened by an order that is
+/// not reported yet.
+pub(crate) fn heads(
+    engines: &HashMap<Instance, Engine>,
+    is_unfenced: impl Fn(&Instance) -> bool,
+) -> Heads<'_> {
     let alive = engines.values().filter(|e| e.is_alive);
-    let heads = alive.filter_map(Engine::membership).filter(|m| m.rank == 0);
+    let heads = alive.filter_map(|e| e.membership().filter(|m| m.rank == 0).map(|m| (e, m)));
     heads
-        .map(|m| ((&m.replica, m.generation), m.phase))
+        .map(|(engine, member)| {
+            let is_serving = match member.phase {
+                Phase::Open | Phase::Closing => true,
+                Phase::Joining | Phase::Ready => is_unfenced(engine.id()),
+                Phase::Broken => false,
+            };
+            ((&member.replica, member.generation), is_serving)
+        })
         .collect()
 }
 
 /// Returns whether an engine must not yet leave its present replica, because the head
-/// of that replica serves, or does not respond and may still serve.
+/// of that replica may serve, or does not respond.
 fn is_held_by_head(engine: &Engine, heads: &Heads<'_>) -> bool {
     let Some(member) = engine.membership() else {
         return false;
     };
-    let head = heads.get(&(&member.replica, member.generation));
-    head.is_none_or(|phase| matches!(phase, Phase::Open | Phase::Closing))
+    let is_serving = heads.get(&(&member.replica, member.generation));
+    is_serving.copied().unwrap_or(true)
 }
 
 impl Formation {
@@ -103,7 +114,7 @@
                 return NextStep::Failed;
             };
             match engine.membership().filter(|m| self.has_membership(m)) {
-                None if is_held_by_head(engine, heads) => {}
+                None if !engine.is_confirmed || is_held_by_head(engine, heads) => {}
                 None => orders.push((id.clone(), self.join_command())),
                 Some(member) if member.rank != rank => return NextStep::Failed,
                 Some(member) => match member.phase {
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -6,7 +6,7 @@
 use site::{
     Server, config,
     fixture::{self, model_spec},
-    order::{Command, Outcome},
+    order::{Command, Order, Outcome},
     server::{self, Membership, Phase},
 };
 use std::{
@@ -28,7 +28,9 @@
 pub(crate) struct Cluster {
     pub(crate) spec: config::EngineSpec,
     pub(crate) engines: BTreeMap<Instance, Engine>,
-    pub(crate) orders_in_flight: Vec<(Moment, Instance, Command)>,
+    pub(crate) orders_in_flight: Vec<(Moment, Instance, Order)>,
+    /// The highest fencing token that each engine has received.
+    pub(crate) tokens: HashMap<Instance, u64>,
     pub(crate) joining: HashMap<Instance, Moment>,
     /// The joins that load from the weight store, and when they end.
     pub(crate) loading: HashMap<Instance, Moment>,
@@ -66,6 +68,7 @@
                     sequence: Some(0),
                     slowdown: 1.0,
                     report_requested_at: Moment::START,
+                    is_confirmed: true,
                     staging: None,
                 },
             );
@@ -77,6 +80,7 @@
             ]),
             engines,
             orders_in_flight: Vec::new(),
+            tokens: HashMap::new(),
             joining: HashMap::new(),
             loading: HashMap::new(),
             staging: HashMap::new(),
@@ -115,10 +119,10 @@
                 } else {
                     Outcome::Refused
                 };
-                planner.record_outcome(&outgoing.engine, outcome);
+                planner.record_outcome(&outgoing.engine, outcome, self.now);
                 let at = self.now + REPORT_LAG;
                 self.orders_in_flight
-                    .push((at, outgoing.engine, outgoing.order.command));
+                    .push((at, outgoing.engine, outgoing.order));
             }
         }
     }
@@ -127,11 +131,11 @@
     pub(crate) fn apply_due(&mut self) {
         let now = self.now;
         let ordered = std::mem::take(&mut self.orders_in_flight);
-        for (at, id, command) in ordered {
+        for (at, id, order) in ordered {
             if now >= at {
-                self.apply_order(&id, &command);
+                self.apply_order(&id, &order);
             } else {
-                self.orders_in_flight.push((at, id, command));
+                self.orders_in_flight.push((at, id, order));
             }
         }
         for (id, at) in &self.joining {
@@ -155,11 +159,14 @@
         }
     }
 
-    /// Carries out an order.
-    pub(crate) fn apply_order(&mut self, id: &Instance, command: &Command) {
-        if !self.engines[id].is_alive {
+    /// Carries out an order, unless its fencing token is too low.
+    pub(crate) fn apply_order(&mut self, id: &Instance, order: &Order) {
+        let command = &order.command;
+        let highest = self.tokens.entry(id.clone()).or_default();
+        if !self.engines[id].is_alive || order.token < *highest {
             return;
         }
+        *highest = order.token;
         if let Command::Join { .. } = command {
             self.check_join(id);
         }
