Take a replica apart only after its head has obeyed the new planner

Cause, by reading and by the test: a new planner took apart a replica whose head was ready and that lacked a member, while an order of its predecessor to open that head was in flight or had just been carried out. Only its own orders to open counted (may_have_opened).

The head gets an order to close with the new token first; engines refuse lower tokens from then on. Members are free, and joins of members are sent, once the head has reported itself after that order, or three seconds after the planner's start, when predecessors have stepped down.

new_planner_dissolves_replica_only_after_its_head_has_obeyed failed before (e00 joined while its head was open).

--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -135,6 +135,12 @@
             }
             (Some(Phase::Closing), _) => {}
             (Some(_), Some(head)) if self.may_have_opened(head, replica, engines) => {}
+            (Some(Phase::Joining), Some(head)) if self.is_unfenced(&engines[head], now) => {}
+            (Some(Phase::Ready), Some(head)) if self.is_unfenced(&engines[head], now) => {
+                // An order of an earlier planner to open the head may be in flight. Once
+                // the head has obeyed this planner, it refuses that order.
+                commands.push((head.clone(), replica.close_command(false)));
+            }
             (Some(_), _) => {
                 // A join replaces the membership in a replica that does not serve.
                 self.free_members(replica, engines, free);
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -26,6 +26,11 @@
 /// largest models, since engines are still starting.
 const STARTUP_WAIT: Duration = Duration::from_millis(3_000);
 
+/// The time after the planner's start during which an earlier planner may still send
+/// orders: it steps down when its view of the store is two seconds old, and its last
+/// orders time out after that.
+const PREDECESSOR_TIMEOUT: Duration = Duration::from_millis(3_000);
+
 /// The engines without a membership, by fabric domain.
 pub(crate) type FreeEngines = HashMap<Option<Fabric>, Vec<Instance>>;
 
@@ -65,8 +70,11 @@
     pub(crate) last_replaced: Option<((Replica, u64), Moment)>,
     /// The models that hosts were ordered to stage, and when that should end.
     pub(crate) staging: HashMap<Instance, (Model, Moment)>,
-    /// When most engines should have started.
-    pub(crate) startup_ends_at: Option<Moment>,
+    /// The time of the first step.
+    pub(crate) started_at: Option<Moment>,
+    /// The engines that have carried out an order of this planner, and when that was
+    /// first known. They refuse orders of earlier planners.
+    pub(crate) obeyed_at: HashMap<Instance, Moment>,
     pub(crate) events: Vec<Event>,
     /// The last [`Event::ServingChanged`].
     pub(crate) last_serving: Option<Event>,
@@ -95,7 +103,8 @@
     ) -> Step {
         self.update_staging(&mut engines, now);
         let engines = &engines;
-        let startup_end = *self.startup_ends_at.get_or_insert(now + STARTUP_WAIT);
+        let startup_end = *self.started_at.get_or_insert(now) + STARTUP_WAIT;
+        self.obeyed_at.retain(|id, _| engines.contains_key(id));
         self.pending_orders.retain(|id, pending| {
             engines.contains_key(id) && now.since(pending.sent_at) < ORDER_EFFECT_TIMEOUT
         });
@@ -176,8 +185,8 @@
         }
     }
 
-    /// Records the outcome of an order.
-    pub fn record_outcome(&mut self, engine: &Instance, outcome: Outcome) {
+    /// Records the outcome of an order, known at `now`.
+    pub fn record_outcome(&mut self, engine: &Instance, outcome: Outcome, now: Moment) {
         // An order that was not carried out may be sent again after the next report;
         // one that may have been carried out is not repeated for a while.
         let is_staging = self
@@ -187,6 +196,9 @@
         if is_staging && !matches!(outcome, Outcome::Started | Outcome::Unknown) {
             self.staging.remove(engine);
         }
+        if matches!(outcome, Outcome::Started | Outcome::AlreadyDone) {
+            self.obeyed_at.entry(engine.clone()).or_insert(now);
+        }
         if matches!(outcome, Outcome::WrongEngine | Outcome::Refused) {
             self.pending_orders.remove(engine);
         }
@@ -209,8 +221,9 @@
         now: Moment,
         commands: &mut Vec<(Instance, Command)>,
     ) {
+        let is_unfenced = |id: &Instance| self.is_unfenced(&engines[id], now);
+        let heads = heads(engines, is_unfenced);
         let events = &mut self.events;
-        let heads = heads(engines);
         self.formations.retain(|formation| {
             let next = formation.next_step(engines, &heads, now);
             if let NextStep::Orders(orders) = next {
@@ -229,6 +242,17 @@
         });
     }
 
+    /// Returns whether an engine may still carry out an order of an earlier planner that
+    /// is not reported yet.
+    pub(crate) fn is_unfenced(&self, engine: &Engine, now: Moment) -> bool {
+        let obeyed_at = self.obeyed_at.get(engine.id());
+        let has_reported = obeyed_at.is_some_and(|at| engine.report_requested_at > *at);
+        let may_have_predecessor = self
+            .started_at
+            .is_none_or(|at| now.since(at) < PREDECESSOR_TIMEOUT);
+        !has_reported && may_have_predecessor
+    }
+
     /// Returns the engines without a membership, by fabric domain.
     fn free_engines(&self, engines: &HashMap<Instance, Engine>) -> FreeEngines {
         let forming = self.forming_engines();
--- a/crates/form/tests/planner/main.rs
+++ b/crates/form/tests/planner/main.rs
@@ -2,10 +2,14 @@
 
 mod cluster;
 
-use cluster::{Cluster, STEP, model};
+use cluster::{Cluster, STEP, model, set};
 use form::{Demand, Engine, Event, Inputs, Planner};
 use name::Instance;
-use site::{fixture::model_spec, order::Command, server::Phase};
+use site::{
+    fixture::model_spec,
+    order::{Command, Order},
+    server::Phase,
+};
 use std::{collections::HashMap, time::Duration};
 
 /// Returns a cluster whose replicas serve.
@@ -336,7 +340,7 @@
         let joins: Vec<&Instance> = cluster
             .orders_in_flight
             .iter()
-            .filter(|(_, _, command)| matches!(command, Command::Join { .. }))
+            .filter(|(_, _, order)| matches!(order.command, Command::Join { .. }))
             .map(|(_, id, _)| id)
             .collect();
         assert_eq!(joins.len(), 1, "{}", case.name);
@@ -394,6 +398,75 @@
     assert_eq!(cluster.violations, Vec::<String>::new());
 }
 
+/// Guards against members of a replica joining another one while an earlier planner's
+/// order to open it was still in flight: the head served with members of another replica.
+#[test]
+fn new_planner_dissolves_replica_only_after_its_head_has_obeyed() {
+    struct Case {
+        name: &'static str,
+        /// When the order of the earlier planner reaches the head.
+        opened_after: Duration,
+    }
+    let cases = [
+        Case {
+            name: "before the new planner's first order",
+            opened_after: Duration::from_millis(150),
+        },
+        Case {
+            name: "at the time of its first order",
+            opened_after: Duration::from_millis(350),
+        },
+        Case {
+            name: "after it",
+            opened_after: Duration::from_millis(450),
+        },
+        Case {
+            name: "much later",
+            opened_after: Duration::from_millis(1_900),
+        },
+    ];
+    for case in cases {
+        let (mut cluster, _) = formed_cluster();
+        cluster.set_demand(3.0, 3.0);
+        let is_head =
+            |e: &&Engine| e.holds(&model("large")) && e.membership().is_some_and(|m| m.rank == 0);
+        let head = cluster
+            .engines
+            .values()
+            .find(is_head)
+            .expect("a head")
+            .clone();
+        let member = head.membership().expect("a membership").clone();
+        let head = head.id().clone();
+        set(
+            cluster.engines.get_mut(&head).expect("the head"),
+            Phase::Ready,
+        );
+        cluster.kill(|e| {
+            let other = e.membership();
+            other.is_some_and(|m| m.replica == member.replica && m.rank == 2)
+        });
+        let open = Order {
+            command: Command::Open {
+                replica: member.replica.clone(),
+                generation: member.generation,
+            },
+            token: 1,
+            expected_sequence: None,
+        };
+        let at = cluster.now + case.opened_after;
+        cluster.orders_in_flight.push((at, head.clone(), open));
+        let before = cluster.serving("large");
+        cluster.run(&mut Planner::new(2), Duration::from_secs(8));
+        assert_eq!(cluster.violations, Vec::<String>::new(), "{}", case.name);
+        assert!(
+            cluster.serving("large") > before,
+            "{}: it is formed again",
+            case.name
+        );
+    }
+}
+
 /// Guards against closing replicas whose members lost only the store: with 20 engines
 /// disconnected from the store, but not from callers, all their replicas were closed,
 /// and hardly any served.
@@ -447,7 +520,10 @@
         }
         cluster.run(&mut planner, STEP);
         let is_close = |command: &Command| matches!(command, Command::Close { replica: r, .. } if *r == replica);
-        let is_closed = cluster.orders_in_flight.iter().any(|(_, _, c)| is_close(c));
+        let is_closed = cluster
+            .orders_in_flight
+            .iter()
+            .any(|(_, _, o)| is_close(&o.command));
         assert_eq!(is_closed, case.is_closed, "{}", case.name);
         cluster.run(&mut planner, Duration::from_secs(6));
         assert_eq!(cluster.violations, Vec::<String>::new(), "{}", case.name);
