Leave a silent node out of the directory within the deployment's bound

Cause: a node counts as unreachable after four missed heartbeats, and heartbeats to all others come every 10 ms for each of them: 2.94 s with 294, so a node was named for up to 11.8 s.

silent_node_leaves_the_directory_in_time_at_any_number_of_nodes failed before (294 named of 294).

--- a/crates/edge/src/directory.rs
+++ b/crates/edge/src/directory.rs
@@ -14,6 +14,10 @@
 /// How long some callers cache an answer, as a multiple of its lifetime.
 const MAX_OVERCACHE_FACTOR: u32 = 3;
 
+/// The time from a node's last heartbeat to its receipt, and from the look at the table of
+/// nodes until an answer is sent.
+const ANSWER_DELAY: Duration = Duration::from_millis(500);
+
 /// Returns the lifetime of an answer, which is sent to callers.
 pub(crate) fn answer_ttl(shared: &Shared) -> Duration {
     ANSWER_TTL.min(shared.settings.bounds.directory_max_age)
@@ -36,7 +40,9 @@
 ) -> Vec<SocketAddr> {
     let standing = Standing::new(shared.is_ready(), shared.is_isolated());
     let now = shared.now();
-    let mut nodes = shared.tables().peers.available_nodes(now);
+    let max_delay = shared.settings.bounds.max_directory_delay;
+    let max_silence = max_delay.saturating_sub(ANSWER_DELAY);
+    let mut nodes = shared.tables().peers.available_nodes(max_silence, now);
     if !shared.is_stopping() {
         nodes.push((own.clone(), standing));
     }
--- a/crates/edge/src/peers.rs
+++ b/crates/edge/src/peers.rs
@@ -318,8 +318,19 @@
     }
 
     /// Returns the nodes that callers may use, and how well they serve.
-    pub(crate) fn available_nodes(&self, now: Moment) -> Vec<(NodeRecord, Standing)> {
-        let available = self.available(now);
+    ///
+    /// A node that has been silent for `max_silence` is left out even if fewer
+    /// heartbeats were missed than make it unreachable: with hundreds of nodes, these
+    /// take longer than a node that has ended may be named.
+    pub(crate) fn available_nodes(
+        &self,
+        max_silence: Duration,
+        now: Moment,
+    ) -> Vec<(NodeRecord, Standing)> {
+        let is_recent = |at: Moment| now.since(at) < max_silence;
+        let available = self
+            .available(now)
+            .filter(|peer| peer.last_received.is_some_and(is_recent));
         let standing = |peer: &Peer| Standing::new(peer.is_ready, peer.is_isolated);
         available
             .map(|peer| (peer.record.clone(), standing(peer)))
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -10,6 +10,9 @@
 use site::node::NodeRecord;
 use std::time::Duration;
 
+/// The longest time for which the directory names a silent node.
+const MAX_SILENCE: Duration = Duration::from_millis(7_500);
+
 fn record(node: &str, incarnation: u64) -> NodeRecord {
     NodeRecord {
         node: node.parse().expect("a name"),
@@ -119,7 +122,7 @@
     stopping.is_stopping = true;
     peers.receive(&stopping, at(1_000));
     let names = |peers: &Peers, now| -> Vec<String> {
-        let available = peers.available_nodes(now).into_iter();
+        let available = peers.available_nodes(MAX_SILENCE, now).into_iter();
         available
             .map(|(record, _)| record.node.to_string())
             .collect()
@@ -128,6 +131,24 @@
     assert!(names(&peers, at(1_000) + peers.silence_timeout()).is_empty());
 }
 
+/// Guards against a directory that named a node for 11.8 s after its end, where 8 s are
+/// allowed: with 294 other nodes, heartbeats to all come every 2.94 s, and four of them must
+/// be missed until a node counts as unreachable.
+#[test]
+fn silent_node_leaves_the_directory_in_time_at_any_number_of_nodes() {
+    for others in [1, 8, 82, 294, 339] {
+        let mut peers = Peers::default();
+        for n in 0..others {
+            peers.receive(&heartbeat(&format!("n{n}"), 1, 1, None), at(1_000));
+        }
+        let named = |now| peers.available_nodes(MAX_SILENCE, now).len();
+        // One heartbeat may be lost.
+        let interval = peers.broadcast_interval();
+        assert_eq!(named(at(1_000) + interval * 2), others, "{others} others");
+        assert_eq!(named(at(1_000) + MAX_SILENCE), 0, "{others} others");
+    }
+}
+
 /// Allowances are also divided among nodes that recently became unreachable, since
 /// such a node may still be using its share.
 #[test]
--- a/crates/site/src/fixture.rs
+++ b/crates/site/src/fixture.rs
@@ -48,6 +48,7 @@
         retry_slack: 136.0,
         load_window: Duration::from_secs(5),
         directory_max_age: Duration::from_secs(5),
+        max_directory_delay: Duration::from_secs(6),
     }
 }
 
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -46,4 +46,6 @@
     pub load_window: Duration,
     /// The maximum time for which callers cache a response of the directory.
     pub directory_max_age: Duration,
+    /// The maximum time for which the directory may name a node that has ended.
+    pub max_directory_delay: Duration,
 }
