Keep at most two engines of a domain in reserve

Cause: the reserve was a fifth of the domain's engines. A reserve replaces what is lost until other engines have loaded weights (12 s to 16 s). That grows with the rate of losses, and with few and large domains it is about two for each, whatever the size: domains of 8 and 10 keep what they had (one and two), those of 18 three and now two, those of 37 seven and now two.

--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -5,6 +5,7 @@
     demand::Scarcity,
     formation::{Formation, NextStep, heads},
     replica::{ReportedReplica, reported_replicas},
+    start::MAX_RESERVE,
 };
 use clock::Moment;
 use name::{Fabric, Instance, Model, Replica};
@@ -53,6 +54,8 @@
 #[derive(Debug, Default)]
 pub struct Planner {
     pub(crate) token: u64,
+    /// The maximum number of engines in reserve in a fabric domain.
+    pub(crate) max_reserve: usize,
     pub(crate) formation_count: u64,
     pub(crate) formations: Vec<Formation>,
     pub(crate) pending_orders: HashMap<Instance, PendingOrder>,
@@ -85,10 +88,19 @@
     pub fn new(token: u64) -> Self {
         Self {
             token,
+            max_reserve: MAX_RESERVE,
             ..Self::default()
         }
     }
 
+    /// Sets the maximum number of engines in reserve in a fabric domain, at least one;
+    /// the default is two.
+    #[must_use]
+    pub fn with_max_reserve(mut self, engines: usize) -> Self {
+        self.max_reserve = engines.max(1);
+        self
+    }
+
     /// Returns the fencing token.
     pub fn token(&self) -> u64 {
         self.token
--- a/crates/form/src/start.rs
+++ b/crates/form/src/start.rs
@@ -32,6 +32,12 @@
 /// is scarce, so that a replica that loses a member is formed again at once.
 const RESERVE_FRACTION: f64 = 0.2;
 
+/// The maximum number of engines in reserve in a fabric domain.
+///
+/// A reserve replaces what is lost until other engines have loaded weights. That grows
+/// with the rate of losses, not with the size of the domain.
+pub(crate) const MAX_RESERVE: usize = 2;
+
 /// The cost of choosing a domain, the most important part first: the time of the
 /// slowest join, the number of replicas of the largest model that no longer fit, the
 /// remaining engines, and the time of the slowest join again.
@@ -168,8 +174,8 @@
             } else {
                 // A replica that needs nearly the whole domain leaves no reserve.
                 let size = sizes.get(fabric).copied().unwrap_or(0);
-                let reserve = ((size as f64 * RESERVE_FRACTION) as usize).max(1);
-                reserve.min(size.saturating_sub(spec.replica_size))
+                self.reserve_size(size)
+                    .min(size.saturating_sub(spec.replica_size))
             };
             if ids.len() < spec.replica_size + reserve
                 || (fabric.is_none() && spec.replica_size > 1)
@@ -211,6 +217,13 @@
         best.map(|(_, ids)| ids)
     }
 
+    /// Returns the number of engines to keep in reserve in a domain of `size` engines.
+    fn reserve_size(&self, size: usize) -> usize {
+        ((size as f64 * RESERVE_FRACTION) as usize)
+            .min(self.max_reserve)
+            .max(1)
+    }
+
     /// Starts a formation.
     fn start_formation(
         &mut self,
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -25,6 +25,7 @@
 }
 
 /// Engines that carry out orders after a delay.
+#[derive(Clone)]
 pub(crate) struct Cluster {
     pub(crate) spec: config::EngineSpec,
     pub(crate) engines: BTreeMap<Instance, Engine>,
@@ -269,6 +270,15 @@
             .count()
     }
 
+    /// Removes an engine and its orders.
+    pub(crate) fn remove(&mut self, id: &Instance) {
+        self.engines.remove(id);
+        self.orders_in_flight.retain(|(_, other, _)| other != id);
+        self.joining.remove(id);
+        self.loading.remove(id);
+        self.staging.remove(id);
+    }
+
     /// Kills an engine that matches, and returns its name.
     pub(crate) fn kill(&mut self, is_match: impl Fn(&Engine) -> bool) -> Instance {
         let engine = self
