Log the idle engines without weights, and the loads in progress

In the incident of further, 18 to 20 of about 50 engines stood idle for three seconds while 346 requests were refused with "all servers are full".

--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -398,8 +398,14 @@
             scarcity,
         } => info!(shared.log, "replica released for scarcer model"; "token" => token,
             "replica" => %replica, "scarcer" => %scarcer, "scarcity" => scarcity),
-        Event::ServingChanged { replicas, reserve } => info!(shared.log, "replicas serving";
-            "token" => token, "replicas" => ?replicas, "reserve" => reserve),
+        Event::ServingChanged {
+            replicas,
+            reserve,
+            unloaded,
+            loads,
+        } => info!(shared.log, "replicas serving";
+            "token" => token, "replicas" => ?replicas, "reserve" => reserve,
+            "unloaded" => unloaded, "loads" => loads),
     }
 }
 
--- a/crates/form/src/event.rs
+++ b/crates/form/src/event.rs
@@ -61,6 +61,10 @@
         replicas: Vec<(Model, usize)>,
         /// The number of engines without a membership.
         reserve: usize,
+        /// The number of those that would have to load weights for every model.
+        unloaded: usize,
+        /// The number of loads from the weight store in progress.
+        loads: usize,
     },
 }
 
--- a/crates/form/src/loads.rs
+++ b/crates/form/src/loads.rs
@@ -89,6 +89,12 @@
         }
     }
 
+    /// Returns the number of loads from the weight store in progress.
+    pub(crate) fn loads_in_progress(&self, engines: &HashMap<Instance, Engine>) -> usize {
+        let joining = self.formations.iter().map(|f| f.loading_members(engines));
+        joining.sum::<usize>() + self.staging.len()
+    }
+
     /// Returns the number of loads that may start now.
     ///
     /// Beyond the limit of concurrent loads each load takes longer, so that the total
@@ -99,14 +105,8 @@
         inputs: &Inputs<'_>,
         now: Moment,
     ) -> usize {
-        let joining: usize = self
-            .formations
-            .iter()
-            .map(|f| f.loading_members(engines))
-            .sum();
-        let in_progress = joining + self.staging.len();
-        let concurrent_left =
-            (inputs.engine_spec.loads_at_once as usize).saturating_sub(in_progress);
+        let at_once = inputs.engine_spec.loads_at_once as usize;
+        let concurrent_left = at_once.saturating_sub(self.loads_in_progress(engines));
         if !inputs.has_traffic {
             // Before traffic, the loads of all members of a replica start together.
             return if concurrent_left > 0 { usize::MAX } else { 0 };
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -79,8 +79,8 @@
     /// first known. They refuse orders of earlier planners.
     pub(crate) obeyed_at: HashMap<Instance, Moment>,
     pub(crate) events: Vec<Event>,
-    /// The last [`Event::ServingChanged`].
-    pub(crate) last_serving: Option<Event>,
+    /// The replicas and the reserve of the last [`Event::ServingChanged`].
+    pub(crate) last_serving: Option<(Vec<(Model, usize)>, usize)>,
 }
 
 impl Planner {
@@ -154,7 +154,7 @@
                 serving.push(replica);
             }
         }
-        self.record_serving(&serving, &free, inputs);
+        self.record_serving(&serving, engines, &free, inputs);
         let is_startup_over = inputs.has_traffic || now >= startup_end;
         self.start_formations(
             engines,
@@ -179,6 +179,7 @@
     fn record_serving(
         &mut self,
         serving: &[&ReportedReplica],
+        engines: &HashMap<Instance, Engine>,
         free: &FreeEngines,
         inputs: &Inputs<'_>,
     ) {
@@ -187,14 +188,23 @@
             serving.iter().filter(is_model).count()
         };
         let models = inputs.engine_spec.models.iter();
-        let event = Event::ServingChanged {
-            replicas: models.map(|w| (w.model.clone(), count(&w.model))).collect(),
-            reserve: free.values().map(Vec::len).sum(),
-        };
-        if self.last_serving.as_ref() != Some(&event) {
-            self.last_serving = Some(event.clone());
-            self.events.push(event);
+        let replicas: Vec<_> = models.map(|w| (w.model.clone(), count(&w.model))).collect();
+        let reserve = free.values().map(Vec::len).sum();
+        let serving = (replicas.clone(), reserve);
+        if self.last_serving.as_ref() == Some(&serving) {
+            return;
         }
+        self.last_serving = Some(serving);
+        let is_unloaded = |id: &&Instance| {
+            let mut models = inputs.engine_spec.models.iter();
+            models.all(|w| engines[*id].needs_load(&w.model))
+        };
+        self.events.push(Event::ServingChanged {
+            replicas,
+            reserve,
+            unloaded: free.values().flatten().filter(is_unloaded).count(),
+            loads: self.loads_in_progress(engines),
+        });
     }
 
     /// Records the outcome of an order, known at `now`.
--- a/crates/form/tests/planner/main.rs
+++ b/crates/form/tests/planner/main.rs
@@ -695,3 +695,28 @@
         assert!(most <= allowed, "{}: {most} of {allowed} loads", case.name);
     }
 }
+
+/// Guards against logs from which operators cannot tell why engines stand idle while callers
+/// are refused: they lacked weights, and the weight store was used at its limit.
+#[test]
+fn event_of_serving_replicas_tells_engines_without_weights_and_loads() {
+    let mut cluster = Cluster::new(6, 10);
+    cluster.spec.loads_at_once = 4;
+    cluster.set_demand(3.0, 3.0);
+    cluster.run(&mut Planner::new(1), Duration::from_secs(2));
+    let told = cluster.events.iter().rev().find_map(|event| match event {
+        Event::ServingChanged {
+            reserve,
+            unloaded,
+            loads,
+            ..
+        } => Some((*reserve, *unloaded, *loads)),
+        _ => None,
+    });
+    let (reserve, unloaded, loads) = told.expect("an event");
+    let is_idle = |e: &&Engine| e.membership().is_none();
+    let idle = cluster.engines.values().filter(is_idle).count();
+    assert!(unloaded <= reserve && reserve <= idle, "{told:?} {idle}");
+    assert!(unloaded > 40, "{told:?}");
+    assert_eq!(loads, 4);
+}
