--- a/crates/form/src/loads.rs
+++ b/crates/form/src/loads.rs
@@ -23,8 +23,8 @@
 /// The fraction of the allowed load rate that the planner uses.
 const USED_LOADS_FRACTION: f64 = 0.8;
 
-/// The fraction of it that a planner uses in its first window: an earlier planner may have
-/// used its whole fraction just before.
+/// The fraction of the allowed load rate that a planner uses in its first window: an earlier
+/// planner may have used its own fraction just before.
 const FIRST_USED_LOADS_FRACTION: f64 = 0.25;
 
 impl Planner {
