--- /dev/null
+++ b/review/rig/cases.rs
@@ -0,0 +1,454 @@
+//! The cases.
+
+use crate::{
+    Outcome,
+    engine::{Executions, Plain},
+    http::{Client, Message},
+    node::Node,
+    note,
+    proxy::Link,
+    seconds, sleep_until,
+    store::Store,
+    unique,
+};
+use std::{
+    collections::HashMap,
+    io,
+    path::Path,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    thread,
+    time::Duration,
+};
+
+const HOST: &str = "h.example";
+
+/// The time within which a started node is ready.
+const READY_TIME: Duration = Duration::from_secs(10);
+
+/// Runs a case.
+pub fn run(name: &str, program: &Path, has_trouble: bool) -> Outcome {
+    let result = match name {
+        "extra" => extra(program, has_trouble),
+        "revoked" => revoked(program, has_trouble),
+        "removed" => removed(program, has_trouble),
+        "link" => link(program, has_trouble),
+        other => Err(io::Error::other(format!("no case {other}"))),
+    };
+    result.unwrap_or_else(|error| {
+        note(&format!("error: {error}"));
+        Outcome::NotRun
+    })
+}
+
+/// Returns a configuration with one plain service, two routes to it and the given keys by
+/// account.
+fn config(version: u64, accounts: &[(&str, &[&str])]) -> String {
+    let accounts: Vec<String> = accounts
+        .iter()
+        .map(|(name, keys)| {
+            let keys: Vec<String> = keys.iter().map(|key| format!("\"{key}\"")).collect();
+            format!(r#"{{"name":"{name}","api-keys":[{}]}}"#, keys.join(","))
+        })
+        .collect();
+    format!(
+        r#"{{"version":{version},
+"routes":[
+ {{"name":"commit","host":"{HOST}","path-prefix":"/commit/","kind":"unsafe","service":"ledger","attempts":1,"timeout-ms":3000,"target-latency-ms":300,"priority":1}},
+ {{"name":"read","host":"{HOST}","path-prefix":"/read/","kind":"safe","service":"ledger","attempts":2,"timeout-ms":3000,"target-latency-ms":300,"priority":1}}],
+"services":[{{"name":"ledger","health-path":"/healthz","max-connections":110}}],
+"limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":10000,"idle-timeout-ms":60000}},
+"tenants":[{}]}}"#,
+        accounts.join(",")
+    )
+}
+
+/// A request of a client, and its answer.
+#[derive(Debug, Clone)]
+struct Exchange {
+    id: String,
+    key: String,
+    node: String,
+    sent_at: f64,
+    /// The status; 0 if there was no answer.
+    status: u16,
+    /// Whether the answer is signed and whole.
+    is_whole: bool,
+}
+
+type Exchanges = Arc<Mutex<Vec<Exchange>>>;
+
+/// A client that sends one request after the other on a kept connection.
+struct Caller {
+    node: Node,
+    key: String,
+    path: &'static str,
+    pause: Duration,
+    exchanges: Exchanges,
+    is_stopped: Arc<AtomicBool>,
+}
+
+impl Caller {
+    fn run(&self) {
+        let mut connection = None;
+        while !self.is_stopped.load(Ordering::SeqCst) {
+            let id = format!("a{:06}", unique());
+            let sent_at = seconds();
+            note(&format!("client: sends {id} with {} to {}{}", self.key, self.node.name, self.path));
+            let answer = self.call(&mut connection, &id);
+            let status = answer.as_ref().map_or(0, Message::status);
+            let is_whole = answer.as_ref().is_ok_and(|answer| {
+                answer.header("engine-signature").is_some()
+                    && answer.header("attempt-id") == Some(&id)
+                    && answer.text().starts_with(&format!("{id} "))
+                    && answer.text().ends_with(" end")
+            });
+            match &answer {
+                Ok(answer) => note(&format!("client: {id} answered {status} {:?}", answer.text().trim())),
+                Err(error) => note(&format!("client: {id} not answered: {error}")),
+            }
+            if answer.is_err() || answer.is_ok_and(|a| a.header("connection") == Some("close")) {
+                connection = None;
+            }
+            self.exchanges.lock().unwrap().push(Exchange {
+                id,
+                key: self.key.clone(),
+                node: self.node.name.clone(),
+                sent_at,
+                status,
+                is_whole,
+            });
+            thread::sleep(self.pause);
+        }
+    }
+
+    fn call(&self, connection: &mut Option<Client>, id: &str) -> io::Result<Message> {
+        let client = match connection {
+            Some(client) => client,
+            None => connection.insert(Client::open(self.node.front, Duration::from_secs(4))?),
+        };
+        let authorization = format!("Bearer {}", self.key);
+        let headers = [
+            ("Host", HOST),
+            ("Attempt-Id", id),
+            ("Deadline-Ms", "3000"),
+            ("Authorization", &authorization),
+        ];
+        client.call(&format!("POST {}{id}", self.path), &headers, b"body")
+    }
+}
+
+/// Callers at nodes, which run until they are stopped.
+#[derive(Default)]
+struct Callers {
+    exchanges: Exchanges,
+    is_stopped: Arc<AtomicBool>,
+    threads: Vec<thread::JoinHandle<()>>,
+}
+
+impl Callers {
+    fn start(&mut self, node: &Node, key: &str, path: &'static str, pause_ms: u64) {
+        let caller = Caller {
+            node: node.clone(),
+            key: key.to_owned(),
+            path,
+            pause: Duration::from_millis(pause_ms),
+            exchanges: Arc::clone(&self.exchanges),
+            is_stopped: Arc::clone(&self.is_stopped),
+        };
+        self.threads.push(thread::spawn(move || caller.run()));
+    }
+
+    /// Stops all callers, and returns what they sent.
+    fn stop(self) -> Vec<Exchange> {
+        self.is_stopped.store(true, Ordering::SeqCst);
+        for thread in self.threads {
+            let _ = thread.join();
+        }
+        std::mem::take(&mut *self.exchanges.lock().unwrap())
+    }
+}
+
+/// Starts nodes and waits until they are ready.
+fn start_nodes(program: &Path, store: &Store, count: u8) -> io::Result<Vec<Node>> {
+    let nodes: Vec<Node> = (1..=count)
+        .map(|n| Node::start(program, &store.address(), n))
+        .collect::<io::Result<_>>()?;
+    if nodes.iter().all(|node| node.wait_ready(READY_TIME)) {
+        Ok(nodes)
+    } else {
+        Err(io::Error::other("a node is not ready in time"))
+    }
+}
+
+/// A faulty server sends an extra answer late, where the next one is due: does a request that
+/// runs at most once run again?
+fn extra(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const END: f64 = 40.0;
+    /// The share of answers that are followed by an extra one: 3 in 100.
+    const EXTRA_INTERVAL: u64 = 34;
+    let store = Store::start()?;
+    let executions = Executions::default();
+    store.put("keyed.op", "config", &config(10, &[("t1", &["key1"])]));
+    let work = Duration::from_millis(15);
+    let faulty = Plain::start("i-faulty", "ledger", work, &store, &executions)?;
+    let _sound = Plain::start("i-sound", "ledger", work, &store, &executions)?;
+    let nodes = start_nodes(program, &store, 1)?;
+    thread::sleep(Duration::from_secs(2));
+    if has_trouble {
+        faulty.behavior.extra_interval.store(EXTRA_INTERVAL, Ordering::SeqCst);
+    }
+    let mut callers = Callers::default();
+    for _ in 0..3 {
+        callers.start(&nodes[0], "key1", "/commit/", 60);
+    }
+    sleep_until(END);
+    let exchanges = callers.stop();
+    let mut runs: HashMap<String, Vec<String>> = HashMap::new();
+    for execution in executions.lock().unwrap().iter() {
+        runs.entry(execution.id.clone()).or_default().push(execution.server.clone());
+    }
+    let twice: Vec<_> = runs.iter().filter(|(_, servers)| servers.len() > 1).collect();
+    for (id, servers) in &twice {
+        note(&format!("TWICE: {id} ran at {servers:?}"));
+    }
+    let promised = exchanges.iter().filter(|e| matches!(e.status, 408 | 421 | 429 | 503));
+    let refused: Vec<_> = promised.filter(|e| runs.contains_key(&e.id)).collect();
+    for exchange in &refused {
+        note(&format!("REFUSED: {} was answered {} and ran", exchange.id, exchange.status));
+    }
+    let served = exchanges.iter().filter(|e| e.is_whole).count();
+    let extras = faulty.behavior.extras.load(Ordering::SeqCst);
+    note(&format!("{} sent, {served} served, {extras} extra answers, {} ran twice, {} refused and run",
+        exchanges.len(), twice.len(), refused.len()));
+    Ok(if exchanges.len() < 200 || served * 10 < exchanges.len() * 9 {
+        Outcome::NotRun
+    } else if twice.is_empty() && refused.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
+}
+
+/// The store comes back from an older copy, and a key is taken away seconds later: do requests
+/// with that key still run?
+fn revoked(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const REVOKE_BOUND: f64 = 5.0;
+    const COPY_AT: f64 = 8.0;
+    const DRILL_AT: f64 = 12.0;
+    const REVOKE_AT: f64 = 18.0;
+    const END: f64 = 45.0;
+    const AWAY: Duration = Duration::from_millis(100);
+    let store = Store::start()?;
+    let executions = Executions::default();
+    let both = [("t1", &["key1"][..]), ("t2", &["key2"])];
+    store.put("keyed.op", "config", &config(10, &both));
+    let work = Duration::from_millis(15);
+    let servers: Vec<_> = ["i-1", "i-2", "i-3"]
+        .iter()
+        .map(|id| Plain::start(id, "ledger", work, &store, &executions))
+        .collect::<io::Result<_>>()?;
+    let nodes = start_nodes(program, &store, 3)?;
+    let mut callers = Callers::default();
+    for node in &nodes {
+        callers.start(node, "key1", "/commit/", 150);
+        callers.start(node, "key2", "/commit/", 150);
+    }
+    // Two configurations in quick succession, of which only the second is written again.
+    for (at, version) in [(COPY_AT + 1.0, 13), (COPY_AT + 2.0, 17)] {
+        sleep_until(at);
+        let offset = store.put("keyed.op", "config", &config(version, &both));
+        note(&format!("operator: version {version} acknowledged at offset {offset}"));
+    }
+    sleep_until(DRILL_AT);
+    if has_trouble {
+        store.restore(COPY_AT, AWAY);
+        let offset = store.put("keyed.op", "config", &config(17, &both));
+        note(&format!("operator: version 17 written again at offset {offset}"));
+        servers.iter().for_each(|server| server.write_entry());
+    }
+    sleep_until(REVOKE_AT);
+    let kept = [("t1", &["key1"][..]), ("t2", &[])];
+    let offset = store.put("keyed.op", "config", &config(20, &kept));
+    let revoked_at = seconds();
+    note(&format!("operator: version 20 without key2 acknowledged at offset {offset}"));
+    sleep_until(END);
+    let exchanges = callers.stop();
+    let ran: Vec<String> = executions.lock().unwrap().iter().map(|e| e.id.clone()).collect();
+    let late = |e: &&Exchange| e.key == "key2" && e.sent_at > revoked_at + REVOKE_BOUND;
+    let mut broken = 0;
+    for node in &nodes {
+        let sent: Vec<_> = exchanges.iter().filter(late).filter(|e| e.node == node.name).collect();
+        let run = sent.iter().filter(|e| ran.contains(&e.id)).count();
+        broken += run;
+        note(&format!("{}: {} requests with the revoked key sent later than {REVOKE_BOUND} s after the acknowledgement, {run} ran",
+            node.name, sent.len()));
+    }
+    let is_served = |key: &str, from: f64, to: f64| {
+        let asked = exchanges.iter().filter(|e| e.key == key && e.sent_at > from && e.sent_at < to);
+        let served = asked.clone().filter(|e| e.is_whole).count();
+        note(&format!("{key}: {served} of {} served from {from} to {to} s", asked.clone().count()));
+        served * 10 >= asked.count() * 9
+    };
+    let has_run = is_served("key1", 4.0, COPY_AT) && is_served("key2", 4.0, COPY_AT) && is_served("key1", 25.0, END);
+    Ok(match (has_run, broken) {
+        (false, _) => Outcome::NotRun,
+        (true, 0) => Outcome::Held,
+        (true, _) => Outcome::Broken,
+    })
+}
+
+/// The store comes back from an older copy, and a server leaves seconds later: do requests
+/// still reach it, and are they lost when it ends?
+fn removed(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const DRAIN_BOUND: f64 = 2.0;
+    const CONTACT: f64 = 3.0;
+    const COPY_AT: f64 = 10.0;
+    const DRILL_AT: f64 = 16.0;
+    /// How long the server serves beyond the time for which it must.
+    const LINGER: f64 = 6.0;
+    const END: f64 = 40.0;
+    const AWAY: Duration = Duration::from_millis(300);
+    let store = Store::start()?;
+    let executions = Executions::default();
+    store.put("keyed.op", "config", &config(10, &[("t1", &["key1"])]));
+    let work = Duration::from_millis(200);
+    let servers: Vec<_> = ["i-1", "i-2", "i-3"]
+        .iter()
+        .map(|id| Plain::start(id, "ledger", work, &store, &executions))
+        .collect::<io::Result<_>>()?;
+    let nodes = start_nodes(program, &store, 2)?;
+    let mut callers = Callers::default();
+    for node in &nodes {
+        for _ in 0..5 {
+            callers.start(node, "key1", "/commit/", 40);
+        }
+    }
+    sleep_until(DRILL_AT);
+    if has_trouble {
+        store.restore(COPY_AT, AWAY);
+        store.put("keyed.op", "config", &config(10, &[("t1", &["key1"])]));
+        servers.iter().for_each(|server| server.write_entry());
+    }
+    let back_at = seconds();
+    sleep_until(back_at + CONTACT + 0.3);
+    let leaving = &servers[2];
+    let removed_at = leaving.remove_entry();
+    sleep_until(removed_at + DRAIN_BOUND + LINGER);
+    leaving.end();
+    let ended_at = seconds();
+    sleep_until(END);
+    let exchanges = callers.stop();
+    let sent_at: HashMap<&str, f64> = exchanges.iter().map(|e| (e.id.as_str(), e.sent_at)).collect();
+    let executions = executions.lock().unwrap();
+    let late: Vec<_> = executions
+        .iter()
+        .filter(|e| e.server == leaving.id && e.at > removed_at + DRAIN_BOUND)
+        .filter(|e| sent_at.get(e.id.as_str()).is_some_and(|at| *at > removed_at + DRAIN_BOUND))
+        .collect();
+    let lost = late.iter().filter(|run| {
+        let exchange = exchanges.iter().find(|e| e.id == run.id);
+        let is_lost = exchange.is_some_and(|e| !e.is_whole);
+        if is_lost {
+            note(&format!("lost: {} ran at {:.3} and has no whole answer", run.id, run.at));
+        }
+        is_lost
+    });
+    note(&format!("{} requests, sent later than {DRAIN_BOUND} s after the acknowledgement, ran at the server that had left; {} of them were lost",
+        late.len(), lost.count()));
+    let before: Vec<_> = exchanges.iter().filter(|e| e.sent_at > 4.0 && e.sent_at < DRILL_AT - 1.0).collect();
+    let served = before.iter().filter(|e| e.is_whole).count();
+    note(&format!("{served} of {} served before the drill; the server ended at {ended_at:.3}", before.len()));
+    Ok(if before.len() < 50 || served * 10 < before.len() * 9 {
+        Outcome::NotRun
+    } else if late.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
+}
+
+/// One node loses its connections to the store, and a server leaves: do requests from the
+/// other nodes still reach it, and are they lost when it ends?
+fn link(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const DRAIN_BOUND: f64 = 2.0;
+    const RESET_AT: f64 = 10.0;
+    /// The time between two resets; each concerns one connection.
+    const RESET_INTERVAL: f64 = 1.6;
+    const REMOVE_AT: f64 = RESET_AT + 0.8;
+    /// How long the server serves beyond the time for which it must.
+    const LINGER: f64 = 1.5;
+    const END: f64 = 20.0;
+    let store = Store::start()?;
+    let executions = Executions::default();
+    store.put("keyed.op", "config", &config(10, &[("t1", &["key1"])]));
+    let work = Duration::from_millis(200);
+    let servers: Vec<_> = ["i-1", "i-2", "i-3"]
+        .iter()
+        .map(|id| Plain::start(id, "ledger", work, &store, &executions))
+        .collect::<io::Result<_>>()?;
+    let links = (0..3).map(|_| Link::start(&store.address())).collect::<io::Result<Vec<_>>>()?;
+    let nodes = links
+        .iter()
+        .zip(1..)
+        .map(|(link, n)| Node::start(program, &link.address.to_string(), n))
+        .collect::<io::Result<Vec<_>>>()?;
+    if !nodes.iter().all(|node| node.wait_ready(READY_TIME)) {
+        return Err(io::Error::other("a node is not ready in time"));
+    }
+    let mut callers = Callers::default();
+    for node in &nodes {
+        for _ in 0..4 {
+            callers.start(node, "key1", "/commit/", 20);
+        }
+    }
+    sleep_until(RESET_AT - 0.5);
+    // The node that reads the feeds for the others is the one whose link matters.
+    let planner = nodes.iter().position(|node| !node.log_lines("planner started").is_empty());
+    let planner = planner.ok_or_else(|| io::Error::other("no node plans"))?;
+    let name = &nodes[planner].name;
+    let reset = |at: f64| {
+        sleep_until(at);
+        if has_trouble {
+            note(&format!("a connection of {name} to the store is to be reset"));
+            links[planner].reset();
+        }
+    };
+    reset(RESET_AT);
+    let leaving = &servers[2];
+    sleep_until(REMOVE_AT);
+    let removed_at = leaving.remove_entry();
+    reset(RESET_AT + RESET_INTERVAL);
+    reset(RESET_AT + 2.0 * RESET_INTERVAL);
+    sleep_until(removed_at + DRAIN_BOUND + LINGER);
+    leaving.end();
+    sleep_until(END);
+    let exchanges = callers.stop();
+    let executions = executions.lock().unwrap();
+    let mut late = 0;
+    let mut lost = 0;
+    // Only requests of the nodes whose links were sound all the time.
+    let sound = |e: &&Exchange| e.node != *name && e.sent_at > removed_at + DRAIN_BOUND;
+    for exchange in exchanges.iter().filter(sound) {
+        let run = executions.iter().find(|run| run.id == exchange.id && run.server == leaving.id);
+        if let Some(run) = run {
+            late += 1;
+            lost += usize::from(!exchange.is_whole);
+            note(&format!("DRAIN: {} sent to {} at {:.3} ran at {} at {:.3}, status {}",
+                exchange.id, exchange.node, exchange.sent_at, run.server, run.at, exchange.status));
+        }
+    }
+    note(&format!("{late} requests, sent to the other nodes later than {DRAIN_BOUND} s after the acknowledgement, ran at the server that had left; {lost} of them were lost"));
+    let before: Vec<_> = exchanges.iter().filter(|e| e.sent_at > 4.0 && e.sent_at < RESET_AT - 1.0).collect();
+    let served = before.iter().filter(|e| e.is_whole).count();
+    note(&format!("{served} of {} served before", before.len()));
+    Ok(if before.len() < 50 || served * 10 < before.len() * 9 {
+        Outcome::NotRun
+    } else if late == 0 {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
+}
