--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -1,7 +1,7 @@
 //! Minimal HTTP/1.1 for the stand-ins, with one thread for each connection.
 
 use std::{
-    io::{self, BufRead, BufReader, Read, Write},
+    io::{self, BufRead, BufReader, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex,
--- a/review/rig/rig.rs
+++ b/review/rig/rig.rs
@@ -6,6 +6,7 @@
 
 mod cases;
 mod engine;
+mod group;
 mod http;
 mod node;
 mod proxy;
--- a/review/rig/store.rs
+++ b/review/rig/store.rs
@@ -71,9 +71,10 @@
         offset
     }
 
-    /// Returns the number of records of a topic.
-    pub fn end(&self, topic: &str) -> usize {
-        self.state.lock().unwrap().topics.get(topic).map_or(0, Vec::len)
+    /// Returns when the last record of a topic was appended.
+    pub fn last_at(&self, topic: &str) -> Option<f64> {
+        let state = self.state.lock().unwrap();
+        state.topics.get(topic)?.last().map(|(at, _)| *at)
     }
 
     /// Is away for a moment, and comes back from a copy of its state at a time.
