Review case 5: after a drill of the store, a server's leaving is never seen

A listing at a lower offset is ignored, and records below the old offset are skipped.

Shown by review/5/run.sh: two nodes, a drill, a removal 3.3 s later.

--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,7 @@
+#!/bin/bash
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+cd "$(dirname "$0")" || exit 2
+rig=../../target/review/rig
+program=../../target/release/arbutusford
+[ -x "$rig" ] && [ -x "$program" ] || exit 2
+exec "$rig" removed "$program" record.txt
