--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -310,7 +310,7 @@
     /// How long the server serves beyond the time for which it must.
     const LINGER: f64 = 0.3;
     const END: f64 = 18.0;
-    const CALLERS_PER_NODE: usize = 6;
+    const CALLERS_PER_NODE: u64 = 6;
     let store = Store::start()?;
     let executions = Executions::default();
     store.put("keyed.op", "config", &config(10, &[("t1", &["key1"])]));
@@ -330,8 +330,9 @@
     }
     let mut callers = Callers::default();
     for node in &nodes {
-        for _ in 0..CALLERS_PER_NODE {
-            callers.start(node, "key1", "/commit/", 20);
+        // Different pauses spread the requests evenly.
+        for n in 0..CALLERS_PER_NODE {
+            callers.start(node, "key1", "/commit/", 13 + 9 * n);
         }
     }
     sleep_until(RESET_AT);
