--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -3,7 +3,7 @@
 use crate::{
     Outcome,
     engine::{Executions, Plain},
-    group::{EVENTS, FORM_S, Fleet, LOAD_S, MODEL, SIZE, WARM_S},
+    group::{EVENTS, FORM_S, Fleet, LATE_S, LOAD_S, MODEL, OTHER_MODEL, SIZE, WARM_S},
     http::{Client, Message},
     node::{Node, SIGTERM},
     note,
@@ -35,7 +35,9 @@
         "extra" => extra(program, has_trouble),
         "revoked" => revoked(program, has_trouble),
         "link" => link(program, has_trouble),
+        "upload" => upload(program, has_trouble),
         "claim" => claim(program, has_trouble),
+        "late" => late(program, has_trouble),
         "silent" => silent(program, has_trouble),
         other => Err(io::Error::other(format!("no case {other}"))),
     };
@@ -88,6 +90,8 @@
     key: String,
     path: &'static str,
     pause: Duration,
+    /// How long the client takes to send a body.
+    upload: Duration,
     exchanges: Exchanges,
     is_stopped: Arc<AtomicBool>,
 }
@@ -138,7 +142,8 @@
             ("Deadline-Ms", "3000"),
             ("Authorization", &authorization),
         ];
-        client.call(&format!("POST {}{id}", self.path), &headers, b"body")
+        let line = format!("POST {}{id}", self.path);
+        client.call_slowly(&line, &headers, b"the body of a request", self.upload)
     }
 }
 
@@ -152,11 +157,17 @@
 
 impl Callers {
     fn start(&mut self, node: &Node, key: &str, path: &'static str, pause_ms: u64) {
+        self.start_slow(node, key, path, pause_ms, Duration::ZERO);
+    }
+
+    /// Starts a caller that takes a time to send each body.
+    fn start_slow(&mut self, node: &Node, key: &str, path: &'static str, pause_ms: u64, upload: Duration) {
         let caller = Caller {
             node: node.clone(),
             key: key.to_owned(),
             path,
             pause: Duration::from_millis(pause_ms),
+            upload,
             exchanges: Arc::clone(&self.exchanges),
             is_stopped: Arc::clone(&self.is_stopped),
         };
@@ -302,6 +313,89 @@
     })
 }
 
+/// The store turns one node away for some seconds, and a key is taken away meanwhile: do
+/// requests with that key still run, whose bodies are on their way when the store serves the
+/// node again?
+fn upload(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const REVOKE_BOUND: f64 = 5.0;
+    const DOWN_AT: f64 = 8.0;
+    const REVOKE_AT: f64 = 9.0;
+    const UP_AT: f64 = 17.0;
+    const END: f64 = 22.0;
+    const CALLERS_PER_NODE: u64 = 6;
+    /// How long a client takes to send a body.
+    const UPLOAD: Duration = Duration::from_millis(1_000);
+    let store = Store::start()?;
+    let executions = Executions::default();
+    let both = [("t1", &["key1"][..]), ("t2", &["key2"])];
+    store.put("keyed.op", "config", &config(10, &both));
+    let work = Duration::from_millis(15);
+    let _servers: Vec<_> = ["i-1", "i-2", "i-3"]
+        .iter()
+        .map(|id| Plain::start(id, "ledger", work, &store, &executions))
+        .collect::<io::Result<_>>()?;
+    let links = (0..3).map(|_| Link::start(&store.address())).collect::<io::Result<Vec<_>>>()?;
+    let nodes = links
+        .iter()
+        .zip(1..)
+        .map(|(link, n)| Node::start(program, &link.address.to_string(), n))
+        .collect::<io::Result<Vec<_>>>()?;
+    if !nodes.iter().all(|node| node.wait_ready(READY_TIME)) {
+        return Err(io::Error::other("a node is not ready in time"));
+    }
+    let mut callers = Callers::default();
+    for node in &nodes {
+        for n in 0..CALLERS_PER_NODE {
+            // Different pauses spread the requests evenly.
+            callers.start_slow(node, "key1", "/commit/", 130 + 40 * n, UPLOAD);
+            callers.start_slow(node, "key2", "/commit/", 110 + 40 * n, UPLOAD);
+        }
+    }
+    sleep_until(DOWN_AT);
+    if has_trouble {
+        links[0].set_down(true);
+        note(&format!("the store turns {} away", nodes[0].name));
+    }
+    sleep_until(REVOKE_AT);
+    let kept = [("t1", &["key1"][..]), ("t2", &[])];
+    let offset = store.put("keyed.op", "config", &config(13, &kept));
+    let revoked_at = seconds();
+    note(&format!("operator: version 13 without key2 acknowledged at offset {offset}"));
+    sleep_until(UP_AT);
+    if has_trouble {
+        links[0].set_down(false);
+        note(&format!("the store serves {} again", nodes[0].name));
+    }
+    sleep_until(END);
+    let exchanges = callers.stop();
+    let ran: Vec<String> = executions.lock().unwrap().iter().map(|e| e.id.clone()).collect();
+    let late = |e: &&Exchange| e.key == "key2" && e.sent_at > revoked_at + REVOKE_BOUND;
+    let mut broken = 0;
+    for node in &nodes {
+        let sent: Vec<_> = exchanges.iter().filter(late).filter(|e| e.node == node.name).collect();
+        let run: Vec<_> = sent.iter().filter(|e| ran.contains(&e.id)).collect();
+        for exchange in &run {
+            note(&format!("CONFIG: {} with the revoked key, sent to {} at {:.3}, {:.3} s after the acknowledgement, ran; status {}",
+                exchange.id, node.name, exchange.sent_at, exchange.sent_at - revoked_at, exchange.status));
+        }
+        broken += run.len();
+        note(&format!("{}: {} requests with the revoked key sent later than {REVOKE_BOUND} s after the acknowledgement, {} ran",
+            node.name, sent.len(), run.len()));
+    }
+    let is_served = |key: &str, from: f64, to: f64| {
+        let asked = exchanges.iter().filter(|e| e.key == key && e.sent_at > from && e.sent_at < to);
+        let served = asked.clone().filter(|e| e.is_whole).count();
+        note(&format!("{key}: {served} of {} served from {from} to {to} s", asked.clone().count()));
+        served * 10 >= asked.count() * 9
+    };
+    let has_run = is_served("key1", 4.0, DOWN_AT - 1.5) && is_served("key2", 4.0, DOWN_AT - 1.5) && is_served("key1", UP_AT + 1.0, END - 1.5);
+    Ok(match (has_run, broken) {
+        (false, _) => Outcome::NotRun,
+        (true, 0) => Outcome::Held,
+        (true, _) => Outcome::Broken,
+    })
+}
+
 /// A connection of one node to the store is reset, and a server leaves: do requests from the
 /// other nodes still reach it, and are they lost when it ends?
 fn link(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
@@ -384,13 +478,23 @@
 ///
 /// `is_resumable` is whether its streams may be resumed; others may run once at most.
 fn model_config(version: u64, is_resumable: bool) -> String {
+    models_config(version, is_resumable, &[(MODEL, 1.0)])
+}
+
+/// Returns such a configuration with several models and their shares of the work.
+fn models_config(version: u64, is_resumable: bool, models: &[(&str, f64)]) -> String {
     let form_ms = FORM_S * 1_000.0;
+    let models: Vec<String> = models
+        .iter()
+        .map(|(name, share)| format!(r#"{{"name":"{name}","size":{SIZE},"pace":1.0,"share":{share},"load-s":{LOAD_S},"warm-s":{WARM_S}}}"#))
+        .collect();
+    let models = models.join(",");
     format!(
         r#"{{"version":{version},
 "routes":[{{"name":"draft","host":"{HOST}","path-prefix":"/draft/","kind":"streaming","resumable":{is_resumable},"sticky":true,"service":"drafts","attempts":2,"timeout-ms":8000,"target-latency-ms":500,"gap-target-ms":300,"priority":1}}],
 "services":[{{"name":"drafts","health-path":"/healthz","max-connections":470,"cold-per-s":36,
  "engine":{{"slots":26,"kv-capacity-tokens":1400000,"step_ms":6.07,"per_seq_ms":0.241,"context_per_k":0.00488,"read_per_s":46000,"pairs_per_m":0.7,"stride":5,"chunk":2048,"usual":{{"prompt":1076,"answer":116}},"form-ms":{form_ms},"loads-per-s":4,"loads_at_once":6,
-  "models":[{{"name":"{MODEL}","size":{SIZE},"pace":1.0,"share":1.0,"load-s":{LOAD_S},"warm-s":{WARM_S}}}]}}}}],
+  "models":[{models}]}}}}],
 "limits":{{"max-header-bytes":16384,"max-body-bytes":4194304,"header-timeout-ms":10000,"idle-timeout-ms":60000}},
 "tenants":[{{"name":"t1","api-keys":["key1"]}}]}}"#
     )
@@ -408,7 +512,7 @@
 
 /// Sends streams to the nodes in turn until it is told to stop, each with a long prompt and
 /// answer, on kept connections. A node that accepts no connection is left out for that stream.
-fn send_streams(nodes: &[Node], first: usize, is_stopped: &AtomicBool) -> Vec<Stream> {
+fn send_streams(nodes: &[Node], first: usize, model: &str, is_stopped: &AtomicBool) -> Vec<Stream> {
     let mut turn = first;
     let mut streams = Vec::new();
     let mut kept: HashMap<usize, Client> = HashMap::new();
@@ -419,7 +523,7 @@
             ("Attempt-Id", &id),
             ("Deadline-Ms", "8000"),
             ("Authorization", "Bearer key1"),
-            ("Model", MODEL),
+            ("Model", model),
             ("Token-Usage", "4000,400"),
             ("Prompt-Prefix", &format!("a1:40,{id}:3960")),
         ];
@@ -460,9 +564,14 @@
 
 /// Starts clients of streams, each a thread.
 fn start_streams(nodes: &[Node], count: usize, is_stopped: &Arc<AtomicBool>) -> Vec<thread::JoinHandle<Vec<Stream>>> {
+    start_streams_of(MODEL, nodes, count, is_stopped)
+}
+
+/// Starts clients of streams of a model.
+fn start_streams_of(model: &'static str, nodes: &[Node], count: usize, is_stopped: &Arc<AtomicBool>) -> Vec<thread::JoinHandle<Vec<Stream>>> {
     let clients = (0..count).map(|first| {
         let (nodes, is_stopped) = (nodes.to_vec(), Arc::clone(is_stopped));
-        thread::spawn(move || send_streams(&nodes, first, &is_stopped))
+        thread::spawn(move || send_streams(&nodes, first, model, &is_stopped))
     });
     clients.collect()
 }
@@ -574,3 +683,61 @@
         Outcome::Broken
     })
 }
+
+/// The planner is stopped while orders of it, which got no answer, are still to be carried out:
+/// is an engine taken out of a group whose head is open?
+fn late(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const TRAFFIC_AT: f64 = 7.0;
+    const OTHER_TRAFFIC_AT: f64 = 11.0;
+    /// How long orders may be late.
+    const LATE_TIME: f64 = 5.5;
+    const CLIENTS: usize = 4;
+    const OTHER_CLIENTS: usize = 20;
+    let store = Store::start()?;
+    store.put("keyed.op", "config", &models_config(10, true, &[(MODEL, 0.67), (OTHER_MODEL, 0.33)]));
+    let fleet = Fleet::start(&store, Duration::from_millis(100));
+    for id in ["i-10", "i-20", "i-30", "i-40", "i-50", "i-60", "i-70"] {
+        fleet.add(id)?;
+    }
+    sleep_until(0.5);
+    let nodes = start_nodes(program, &store, 3)?;
+    sleep_until(TRAFFIC_AT);
+    let groups = fleet.open_groups();
+    note(&format!("open groups: {groups:?}"));
+    let is_stopped = Arc::new(AtomicBool::new(false));
+    let mut clients = start_streams(&nodes, CLIENTS, &is_stopped);
+    sleep_until(OTHER_TRAFFIC_AT);
+    let joins = fleet.joins();
+    fleet.set_late(has_trouble);
+    let late_since = seconds();
+    clients.extend(start_streams_of(OTHER_MODEL, &nodes, OTHER_CLIENTS, &is_stopped));
+    // The planner closes a group for the other model, and orders its members to join a new one.
+    while fleet.joins() < joins + SIZE {
+        if seconds() > late_since + LATE_TIME {
+            return Err(io::Error::other("no group is given to the other model in time"));
+        }
+        thread::sleep(Duration::from_millis(2));
+    }
+    let planner = nodes.iter().find(|node| !node.log_lines(r#""msg":"planner started""#).is_empty());
+    let planner = planner.ok_or_else(|| io::Error::other("no node plans"))?;
+    planner.signal(SIGTERM);
+    let stopped_at = seconds();
+    sleep_until(late_since + LATE_TIME);
+    fleet.set_late(false);
+    sleep_until(stopped_at + LATE_S + 12.0);
+    is_stopped.store(true, Ordering::SeqCst);
+    for client in clients {
+        let _ = client.join();
+    }
+    let (orders, late) = fleet.late_orders();
+    note(&format!("open groups: {:?}", fleet.open_groups()));
+    let breaks = fleet.breaks.lock().unwrap();
+    note(&format!("{late} of {orders} orders were late; {} joins that the rule forbids", breaks.len()));
+    Ok(if groups.len() != 3 {
+        Outcome::NotRun
+    } else if breaks.is_empty() {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
+}
--- a/review/rig/group.rs
+++ b/review/rig/group.rs
@@ -11,7 +11,10 @@
     collections::{BTreeMap, HashMap},
     io::{self, Write},
     net::TcpStream,
-    sync::{Arc, Mutex, MutexGuard},
+    sync::{
+        Arc, Mutex, MutexGuard,
+        atomic::{AtomicUsize, Ordering},
+    },
     thread,
     time::Duration,
 };
@@ -28,11 +31,15 @@
 /// The time until a head serves, in seconds.
 pub const FORM_S: f64 = 0.3;
 
+/// How much later a late order is carried out, in seconds.
+pub const LATE_S: f64 = 2.5;
+
 /// The time for which the work of a group stands still before the head is broken, in seconds.
 const STALL_S: f64 = 6.0;
 
-/// The model, and the number of engines in a group.
+/// The models, and the number of engines in a group.
 pub const MODEL: &str = "m0";
+pub const OTHER_MODEL: &str = "m1";
 pub const SIZE: usize = 2;
 
 /// The number of events of a stream.
@@ -46,6 +53,7 @@
 struct Member {
     group: String,
     epoch: u64,
+    model: String,
     members: Vec<String>,
     rank: usize,
     ready_at: f64,
@@ -84,17 +92,29 @@
     renewals: u64,
     running: usize,
     is_draining: bool,
-    has_held: bool,
+    /// The model of its last group.
+    held: Option<String>,
     /// Until when the engine is silent.
     silent_until: f64,
     /// The number of orders that aborted its work.
     aborts: u64,
-    staged_at: Option<f64>,
+    /// The model that its host keeps, and when it is there.
+    staged: Option<(String, f64)>,
     member: Option<Member>,
     /// The member lists that this engine has seen, by group and epoch.
     seen: HashMap<(String, u64), Vec<String>>,
 }
 
+/// Orders that get no answer and are carried out late.
+#[derive(Debug, Default)]
+struct Late {
+    /// Whether such orders may come now.
+    is_active: bool,
+    /// How many orders came meanwhile, and which of them are late.
+    orders: usize,
+    late: Vec<String>,
+}
+
 /// An engine.
 struct Engine {
     address: String,
@@ -109,6 +129,8 @@
     store: Arc<Store>,
     /// The time between two events of a stream.
     event_interval: Duration,
+    late: Mutex<Late>,
+    joins: AtomicUsize,
     /// What broke a rule.
     pub breaks: Mutex<Vec<String>>,
 }
@@ -120,6 +142,8 @@
             engines: Mutex::default(),
             store: Arc::clone(store),
             event_interval,
+            late: Mutex::default(),
+            joins: AtomicUsize::new(0),
             breaks: Mutex::default(),
         });
         let renewing = Arc::clone(&fleet);
@@ -177,6 +201,39 @@
         sleep_until(until);
     }
 
+    /// Lets joins go unanswered and be carried out late from now on, or no longer.
+    pub fn set_late(&self, is_active: bool) {
+        note(&format!("orders may be late: {is_active}"));
+        self.late.lock().unwrap().is_active = is_active;
+    }
+
+    /// Returns the orders that came while some could be late, and how many were late.
+    pub fn late_orders(&self) -> (usize, usize) {
+        let late = self.late.lock().unwrap();
+        (late.orders, late.late.len())
+    }
+
+    /// Returns the engines of the group of `id` that were ordered to join another one.
+    fn is_late(&self, id: &str, order: &str) -> bool {
+        let mut late = self.late.lock().unwrap();
+        if !late.is_active {
+            return false;
+        }
+        late.orders += 1;
+        let is_late = order.contains("\"op\":\"join\"")
+            && late.late.len() < SIZE
+            && !late.late.iter().any(|known| known == id);
+        if is_late {
+            late.late.push(id.to_owned());
+        }
+        is_late
+    }
+
+    /// Returns how many joins were received, late ones too.
+    pub fn joins(&self) -> usize {
+        self.joins.load(Ordering::SeqCst)
+    }
+
     /// Returns how many requests an engine runs.
     pub fn running(&self, id: &str) -> usize {
         self.engines().get(id).map_or(0, |engine| engine.state.running)
@@ -217,7 +274,15 @@
         match request.target() {
             ("GET", "/report") => Some(response(200, &[], self.report(id).as_bytes())),
             ("POST", "/order") => {
-                let status = self.order(id, &request.text());
+                let order = request.text();
+                self.joins.fetch_add(usize::from(order.contains("\"op\":\"join\"")), Ordering::SeqCst);
+                if self.is_late(id, &order) {
+                    note(&format!("engine {id}: order {order}: not answered, carried out {LATE_S} s later"));
+                    thread::sleep(Duration::from_secs_f64(LATE_S));
+                    self.order(id, &order);
+                    return None;
+                }
+                let status = self.order(id, &order);
                 Some(response(status, &[], b"{}"))
             }
             _ => self.stream(id, request, stream),
@@ -289,18 +354,23 @@
                 }
                 self.check_join(&engines, id, &group, epoch);
                 let state = &mut engines.get_mut(id).expect("an engine of the fleet").state;
-                let time = match (state.has_held, state.staged_at) {
+                let model = text("model").unwrap_or_default();
+                let staged = state.staged.clone().filter(|(staged, _)| *staged == model);
+                let time = match (state.held.as_ref() == Some(&model), &staged) {
                     (true, _) => HELD_S,
-                    (_, Some(at)) => WARM_S + (at - now).max(0.0),
+                    (_, Some((_, at))) => WARM_S + (at - now).max(0.0),
                     _ => LOAD_S,
                 };
                 state.seen.insert(key, members.clone());
                 state.epoch = epoch;
-                state.has_held = true;
-                state.staged_at = Some(state.staged_at.unwrap_or(now + time));
+                state.held = Some(model.clone());
+                if staged.is_none() {
+                    state.staged = Some((model.clone(), now + time));
+                }
                 state.member = Some(Member {
                     group,
                     epoch,
+                    model,
                     members,
                     rank,
                     ready_at: now + time,
@@ -314,10 +384,11 @@
             }
             Some("stage") => {
                 let state = &mut engines.get_mut(id).expect("an engine of the fleet").state;
-                if state.staged_at.is_some() {
+                let model = text("model").unwrap_or_default();
+                if state.staged.as_ref().is_some_and(|(staged, _)| *staged == model) {
                     return 200;
                 }
-                state.staged_at = Some(now + LOAD_S);
+                state.staged = Some((model, now + LOAD_S));
                 state.sequence += 1;
                 202
             }
@@ -386,6 +457,9 @@
             let state = &mut engines.get_mut(id)?.state;
             let member = state.member.clone().filter(|m| m.rank == 0);
             match member {
+                Some(member) if request.header("model") != Some(&member.model) => {
+                    return Some(response(421, &not_executed, b""));
+                }
                 Some(member) if member.state() == "open" => {
                     state.running += 1;
                     member
@@ -447,9 +521,10 @@
 /// Returns what an engine says of itself in its entry and in its report.
 fn describe(engine: &Engine) -> String {
     let state = &engine.state;
-    let is_loaded = state.member.as_ref().is_some_and(|m| m.state() != "joining");
-    let models = if is_loaded { r#"{"name":"m0","version":1,"adapters":[]}"# } else { "" };
-    let staged = if state.staged_at.is_some_and(|at| seconds() >= at) { "\"m0\"" } else { "" };
+    let loaded = state.member.as_ref().filter(|m| m.state() != "joining");
+    let models = loaded.map_or(String::new(), |m| format!(r#"{{"name":"{}","version":1,"adapters":[]}}"#, m.model));
+    let staged = state.staged.as_ref().filter(|(_, at)| seconds() >= *at);
+    let staged = staged.map_or(String::new(), |(model, _)| format!("\"{model}\""));
     let group = state.member.as_ref().map_or("null".to_owned(), |m| {
         format!(r#"{{"name":"{}","epoch":{},"rank":{},"state":"{}"}}"#, m.group, m.epoch, m.rank, m.state())
     });
--- a/review/rig/http.rs
+++ b/review/rig/http.rs
@@ -11,6 +11,9 @@
     time::Duration,
 };
 
+/// The number of pieces in which a slow client sends a body.
+const PIECES: usize = 10;
+
 /// A request or a response.
 #[derive(Debug, Clone, Default)]
 pub struct Message {
@@ -195,13 +198,26 @@
 
     /// Sends a request and reads the response.
     pub fn call(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8]) -> io::Result<Message> {
+        self.call_slowly(line, headers, body, Duration::ZERO)
+    }
+
+    /// Sends a request whose body takes a time to send, and reads the response.
+    pub fn call_slowly(&mut self, line: &str, headers: &[(&str, &str)], body: &[u8], time: Duration) -> io::Result<Message> {
         let mut bytes = format!("{line} HTTP/1.1\r\n").into_bytes();
         for (name, value) in headers {
             bytes.extend(format!("{name}: {value}\r\n").into_bytes());
         }
         bytes.extend(format!("content-length: {}\r\n\r\n", body.len()).into_bytes());
-        bytes.extend(body);
-        self.reader.get_mut().write_all(&bytes)?;
+        if time.is_zero() {
+            bytes.extend(body);
+            self.reader.get_mut().write_all(&bytes)?;
+        } else {
+            self.reader.get_mut().write_all(&bytes)?;
+            for piece in body.chunks(body.len().div_ceil(PIECES)) {
+                thread::sleep(time / PIECES as u32);
+                self.reader.get_mut().write_all(piece)?;
+            }
+        }
         read(&mut self.reader)?.ok_or_else(|| broken("the connection ended"))
     }
 }
--- a/review/rig/proxy.rs
+++ b/review/rig/proxy.rs
@@ -1,9 +1,12 @@
-//! A link between a node and the store, whose connections can be reset.
+//! A link between a node and the store, whose connections can be reset, once or for a time.
 
 use std::{
     io::{self, Read, Write},
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
-    sync::{Arc, Mutex},
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
     thread,
     time::{Duration, Instant},
 };
@@ -22,6 +25,8 @@
 pub struct Link {
     pub address: SocketAddr,
     connections: Mutex<Vec<Connection>>,
+    /// While true, connections end as they come.
+    is_down: AtomicBool,
 }
 
 impl Link {
@@ -31,11 +36,15 @@
         let link = Arc::new(Self {
             address: listener.local_addr()?,
             connections: Mutex::default(),
+            is_down: AtomicBool::new(false),
         });
         let accepting = Arc::clone(&link);
         let to = to.to_owned();
         thread::spawn(move || {
             for near in listener.incoming().flatten() {
+                if accepting.is_down.load(Ordering::SeqCst) {
+                    continue;
+                }
                 if let Ok(far) = TcpStream::connect(&to) {
                     let _ = accepting.join(near, far);
                 }
@@ -67,6 +76,17 @@
         Ok(())
     }
 
+    /// Ends all connections and those that come, or lets new ones pass again.
+    pub fn set_down(&self, is_down: bool) {
+        self.is_down.store(is_down, Ordering::SeqCst);
+        if is_down {
+            for connection in self.connections.lock().unwrap().drain(..) {
+                let _ = connection.far.shutdown(Shutdown::Both);
+                let _ = connection.near.shutdown(Shutdown::Both);
+            }
+        }
+    }
+
     /// Ends the connection with a call in progress whose first line contains a text; waits for
     /// one, and returns whether there was one.
     pub fn reset_call(&self, text: &str, time_limit: Duration) -> bool {
