--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -26,6 +26,9 @@
 
 const HOST: &str = "h.example";
 
+/// The usual length of a body.
+const SHORT_BODY: usize = 21;
+
 /// The time within which a started node is ready.
 const READY_TIME: Duration = Duration::from_secs(10);
 
@@ -36,6 +39,7 @@
         "revoked" => revoked(program, has_trouble),
         "link" => link(program, has_trouble),
         "upload" => upload(program, has_trouble),
+        "bodies" => bodies(program, has_trouble),
         "claim" => claim(program, has_trouble),
         "late" => late(program, has_trouble),
         "silent" => silent(program, has_trouble),
@@ -76,6 +80,8 @@
     key: String,
     node: String,
     sent_at: f64,
+    /// Whether the connection was kept from an earlier request.
+    is_kept: bool,
     /// The status; 0 if there was no answer.
     status: u16,
     /// Whether the answer is signed and whole.
@@ -90,8 +96,9 @@
     key: String,
     path: &'static str,
     pause: Duration,
-    /// How long the client takes to send a body.
+    /// How long the client takes to send a body, and the body's length.
     upload: Duration,
+    length: usize,
     exchanges: Exchanges,
     is_stopped: Arc<AtomicBool>,
 }
@@ -102,6 +109,7 @@
         while !self.is_stopped.load(Ordering::SeqCst) {
             let id = format!("a{:06}", unique());
             let sent_at = seconds();
+            let is_kept = connection.is_some();
             note(&format!("client: sends {id} with {} to {}{}", self.key, self.node.name, self.path));
             let answer = self.call(&mut connection, &id);
             let status = answer.as_ref().map_or(0, Message::status);
@@ -123,6 +131,7 @@
                 key: self.key.clone(),
                 node: self.node.name.clone(),
                 sent_at,
+                is_kept,
                 status,
                 is_whole,
             });
@@ -143,7 +152,7 @@
             ("Authorization", &authorization),
         ];
         let line = format!("POST {}{id}", self.path);
-        client.call_slowly(&line, &headers, b"the body of a request", self.upload)
+        client.call_slowly(&line, &headers, &vec![b'x'; self.length], self.upload)
     }
 }
 
@@ -157,17 +166,18 @@
 
 impl Callers {
     fn start(&mut self, node: &Node, key: &str, path: &'static str, pause_ms: u64) {
-        self.start_slow(node, key, path, pause_ms, Duration::ZERO);
+        self.start_slow(node, key, path, pause_ms, Duration::ZERO, SHORT_BODY);
     }
 
     /// Starts a caller that takes a time to send each body.
-    fn start_slow(&mut self, node: &Node, key: &str, path: &'static str, pause_ms: u64, upload: Duration) {
+    fn start_slow(&mut self, node: &Node, key: &str, path: &'static str, pause_ms: u64, upload: Duration, length: usize) {
         let caller = Caller {
             node: node.clone(),
             key: key.to_owned(),
             path,
             pause: Duration::from_millis(pause_ms),
             upload,
+            length,
             exchanges: Arc::clone(&self.exchanges),
             is_stopped: Arc::clone(&self.is_stopped),
         };
@@ -347,8 +357,8 @@
     for node in &nodes {
         for n in 0..CALLERS_PER_NODE {
             // Different pauses spread the requests evenly.
-            callers.start_slow(node, "key1", "/commit/", 130 + 40 * n, UPLOAD);
-            callers.start_slow(node, "key2", "/commit/", 110 + 40 * n, UPLOAD);
+            callers.start_slow(node, "key1", "/commit/", 130 + 40 * n, UPLOAD, SHORT_BODY);
+            callers.start_slow(node, "key2", "/commit/", 110 + 40 * n, UPLOAD, SHORT_BODY);
         }
     }
     sleep_until(DOWN_AT);
@@ -741,3 +751,84 @@
         Outcome::Broken
     })
 }
+
+/// More clients than usual send long bodies at once: does a node keep to its memory, or is it
+/// killed with the requests that it has accepted?
+fn bodies(program: &Path, has_trouble: bool) -> io::Result<Outcome> {
+    const BURST_AT: f64 = 12.0;
+    const BURST_TIME: f64 = 3.0;
+    const END: f64 = 24.0;
+    /// The clients with long bodies at each node, usually and in the burst: 1.7 times as many.
+    const CLIENTS: u64 = 34;
+    const BURST_CLIENTS: u64 = 57;
+    const LENGTH: usize = 4_000_000;
+    const UPLOAD: Duration = Duration::from_millis(2_000);
+    /// `memory-mb` of the settings.
+    const MAX_MEMORY: u64 = 260 << 20;
+    /// How many such requests the rule allows.
+    const ALLOWED: usize = 3;
+    let store = Store::start()?;
+    let executions = Executions::default();
+    store.put("keyed.op", "config", &config(10, &[("t1", &["key1"])]));
+    let work = Duration::from_millis(100);
+    let _servers: Vec<_> = ["i-1", "i-2", "i-3", "i-4", "i-5", "i-6"]
+        .iter()
+        .map(|id| Plain::start(id, "ledger", work, &store, &executions))
+        .collect::<io::Result<_>>()?;
+    let nodes = start_nodes(program, &store, 3)?;
+    let watches: Vec<_> = nodes
+        .iter()
+        .cloned()
+        .map(|node| {
+            let program = program.to_owned();
+            thread::spawn(move || node.limit_memory(&program, MAX_MEMORY, END))
+        })
+        .collect();
+    let mut callers = Callers::default();
+    let mut long = Callers::default();
+    for node in &nodes {
+        for n in 0..6 {
+            callers.start(node, "key1", "/commit/", 13 + 9 * n);
+        }
+        for n in 0..CLIENTS {
+            long.start_slow(node, "key1", "/commit/", 20 + 3 * n, UPLOAD, LENGTH);
+        }
+    }
+    sleep_until(BURST_AT);
+    let mut burst = Callers::default();
+    if has_trouble {
+        note("the burst begins");
+        for node in &nodes {
+            for n in CLIENTS..BURST_CLIENTS {
+                burst.start_slow(node, "key1", "/commit/", 20 + 3 * n, UPLOAD, LENGTH);
+            }
+        }
+    }
+    sleep_until(BURST_AT + BURST_TIME);
+    let mut exchanges = burst.stop();
+    sleep_until(END);
+    exchanges.extend(callers.stop());
+    exchanges.extend(long.stop());
+    let mut kills = 0;
+    for (node, watch) in nodes.iter().zip(watches) {
+        let (count, most) = watch.join().map_err(|_| io::Error::other("the watch ended"))??;
+        kills += count;
+        note(&format!("{}: at most {most} bytes of memory, killed {count} times", node.name));
+    }
+    let executions = executions.lock().unwrap();
+    let passed: std::collections::HashSet<&str> = executions.iter().map(|e| e.id.as_str()).collect();
+    let lost: Vec<_> = exchanges.iter().filter(|e| e.status == 0 && e.is_kept && passed.contains(e.id.as_str())).collect();
+    for exchange in &lost {
+        note(&format!("LOST: {} sent to {} at {:.3} on a kept connection, run, and not answered", exchange.id, exchange.node, exchange.sent_at));
+    }
+    let before: Vec<_> = exchanges.iter().filter(|e| e.sent_at > 6.0 && e.sent_at < BURST_AT - 4.0).collect();
+    let served = before.iter().filter(|e| e.is_whole).count();
+    note(&format!("{kills} kills, {} requests lost; {served} of {} served before", lost.len(), before.len()));
+    Ok(if before.len() < 200 || served * 10 < before.len() * 9 {
+        Outcome::NotRun
+    } else if lost.len() <= ALLOWED {
+        Outcome::Held
+    } else {
+        Outcome::Broken
+    })
+}
--- a/review/rig/node.rs
+++ b/review/rig/node.rs
@@ -1,6 +1,6 @@
 //! Entry nodes as processes, started with the command of the deploy file.
 
-use crate::{http::Client, note};
+use crate::{http::Client, note, seconds};
 use std::{
     fs::{self, File},
     io,
@@ -38,6 +38,31 @@
     pub readiness: SocketAddr,
     pub log: PathBuf,
     pub pid: i32,
+    settings: PathBuf,
+}
+
+/// Starts the program with the command of the deploy file; returns the process.
+fn spawn(program: &Path, settings: &Path, log: &Path) -> io::Result<i32> {
+    let output = File::options().create(true).append(true).open(log)?;
+    let mut command = Command::new(program);
+    command
+        .args(["edge", "--metrics-port", "9464"])
+        .env("ARBUTUSFORD_CONFIG", settings)
+        .stdin(Stdio::null())
+        .stdout(output.try_clone()?)
+        .stderr(output);
+    // The node ends with the rig, however that ends.
+    // SAFETY: the closure makes one system call, which is allowed after a fork.
+    unsafe {
+        command.pre_exec(|| {
+            prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64);
+            Ok(())
+        })
+    };
+    let child = command.spawn()?;
+    let pid = child.id() as i32;
+    CHILDREN.lock().unwrap().push(child);
+    Ok(pid)
 }
 
 /// Ends all nodes that were started, and removes their folders.
@@ -69,25 +94,7 @@
         let settings = folder.join("local.json");
         fs::write(&settings, settings_text(&name, &ip, ports, store))?;
         let log = folder.join("log.txt");
-        let output = File::create(&log)?;
-        let mut command = Command::new(program);
-        command
-            .args(["edge", "--metrics-port", "9464"])
-            .env("ARBUTUSFORD_CONFIG", &settings)
-            .stdin(Stdio::null())
-            .stdout(output.try_clone()?)
-            .stderr(output);
-        // The node ends with the rig, however that ends.
-        // SAFETY: the closure makes one system call, which is allowed after a fork.
-        unsafe {
-            command.pre_exec(|| {
-                prctl(PARENT_DEATH_SIGNAL, SIGKILL as u64);
-                Ok(())
-            })
-        };
-        let child = command.spawn()?;
-        let pid = child.id() as i32;
-        CHILDREN.lock().unwrap().push(child);
+        let pid = spawn(program, &settings, &log)?;
         note(&format!("node {name} started at {ip}"));
         let address = |port: u16| SocketAddr::new(ip.parse().unwrap(), port);
         Ok(Self {
@@ -96,9 +103,31 @@
             readiness: address(ports[1]),
             log,
             pid,
+            settings,
         })
     }
 
+    /// Does what the platform does to a process with too much memory for a time: kills it, and
+    /// starts it again after a second. Returns how often, and the most memory that was seen.
+    pub fn limit_memory(&self, program: &Path, max_bytes: u64, until: f64) -> io::Result<(usize, u64)> {
+        let (mut pid, mut kills, mut most) = (self.pid, 0, 0);
+        while seconds() < until {
+            let bytes = resident_bytes(pid);
+            most = most.max(bytes);
+            if bytes > max_bytes {
+                kills += 1;
+                note(&format!("platform: {} has {bytes} bytes of memory and is killed", self.name));
+                // SAFETY: the call has no memory arguments, and the child is not reaped before the end.
+                unsafe { kill(pid, SIGKILL) };
+                thread::sleep(Duration::from_secs(1));
+                pid = spawn(program, &self.settings, &self.log)?;
+                note(&format!("platform: {} is started again", self.name));
+            }
+            thread::sleep(Duration::from_millis(2));
+        }
+        Ok((kills, most))
+    }
+
     /// Waits until the node is ready; returns false if it is not in time.
     pub fn wait_ready(&self, time_limit: Duration) -> bool {
         let begin = Instant::now();
@@ -133,6 +162,14 @@
     }
 }
 
+/// Returns the resident memory of a process.
+fn resident_bytes(pid: i32) -> u64 {
+    let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+    let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+    let kilobytes = line.and_then(|line| line.trim().split(' ').next()?.parse::<u64>().ok());
+    kilobytes.unwrap_or(0) * 1024
+}
+
 /// Returns a loopback address whose metrics port is free.
 fn free_ip(n: u8) -> io::Result<String> {
     for attempt in 0..200 {
