--- a/review/rig/cases.rs
+++ b/review/rig/cases.rs
@@ -759,10 +759,10 @@
     const BURST_TIME: f64 = 3.0;
     const END: f64 = 24.0;
     /// The clients with long bodies at each node, usually and in the burst: 1.7 times as many.
-    const CLIENTS: u64 = 34;
-    const BURST_CLIENTS: u64 = 57;
+    const CLIENTS: u64 = 40;
+    const BURST_CLIENTS: u64 = 67;
     const LENGTH: usize = 4_000_000;
-    const UPLOAD: Duration = Duration::from_millis(2_000);
+    const UPLOAD: Duration = Duration::from_millis(2_300);
     /// `memory-mb` of the settings.
     const MAX_MEMORY: u64 = 260 << 20;
     /// How many such requests the rule allows.
@@ -790,17 +790,21 @@
         for n in 0..6 {
             callers.start(node, "key1", "/commit/", 13 + 9 * n);
         }
-        for n in 0..CLIENTS {
-            long.start_slow(node, "key1", "/commit/", 20 + 3 * n, UPLOAD, LENGTH);
+    }
+    // The usual clients are spread evenly over time.
+    for _ in 0..CLIENTS {
+        for node in &nodes {
+            long.start_slow(node, "key1", "/commit/", 60, UPLOAD, LENGTH);
         }
+        thread::sleep(UPLOAD / CLIENTS as u32);
     }
     sleep_until(BURST_AT);
     let mut burst = Callers::default();
     if has_trouble {
         note("the burst begins");
         for node in &nodes {
-            for n in CLIENTS..BURST_CLIENTS {
-                burst.start_slow(node, "key1", "/commit/", 20 + 3 * n, UPLOAD, LENGTH);
+            for _ in CLIENTS..BURST_CLIENTS {
+                burst.start_slow(node, "key1", "/commit/", 60, UPLOAD, LENGTH);
             }
         }
     }
