Read a server's response only if it answers the request

`Job::check` looked at `Not-Executed` and 421 before it compared the attempt's identifier, and announcements were followed before that, so an unsafe request that the server was running went to a second one.

Change: a response without the request's own identifier fails the attempt at once; the request counts as run, the connection is dropped with the response, and nothing that it announces is followed.

Ruled out: extra bytes on an idle connection (the HTTP client closes it before a request is written) and a late copy of a refusal (the connection is not used again).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -174,6 +174,13 @@
     pub(crate) slot: Slot,
 }
 
+impl Answer {
+    /// Returns whether the response claims success without a server's proof of it.
+    fn is_unsigned_success(&self) -> bool {
+        self.status.is_success() && !self.head.is_signed
+    }
+}
+
 /// Why an attempt gave no response for the caller.
 enum AttemptError {
     /// The server did not run the request.
@@ -451,14 +458,18 @@
             connection,
             slot,
         };
+        // A faulty server may send an extra response where the next one is due. Nothing in it
+        // concerns this request, which the server may be running.
+        if !self.is_answered_by(&answer) {
+            return Err(AttemptError::Failed("not an answer to this request"));
+        }
         if answer.slot.node.is_some() {
             if self.follow_node(shared, &answer, attempts) {
                 attempts.executions -= 1;
                 return Err(AttemptError::Refused(None));
             }
-            let is_unsigned = answer.status.is_success() && !answer.head.is_signed;
-            return if is_unsigned {
-                Err(AttemptError::Failed("not an answer to this request"))
+            return if answer.is_unsigned_success() {
+                Err(AttemptError::Failed("unsigned answer"))
             } else {
                 Ok(answer)
             };
@@ -595,7 +606,18 @@
         }
     }
 
-    /// Checks whether a response is one for the caller.
+    /// Returns whether a response is proved to belong to this request.
+    ///
+    /// Servers copy the identifier of the attempt to every response. Another node writes
+    /// none into an error of its own, but never sends extra responses.
+    fn is_answered_by(&self, answer: &Answer) -> bool {
+        match answer.head.attempt_id.as_deref() {
+            Some(id) => id == &*self.call.attempt_id,
+            None => answer.slot.node.is_some(),
+        }
+    }
+
+    /// Checks whether a response to this request is one for the caller.
     fn check(&self, answer: Answer, attempts: &mut Attempts) -> Result<Answer, AttemptError> {
         let is_refused =
             answer.head.is_not_executed || answer.status == StatusCode::MISDIRECTED_REQUEST;
@@ -603,9 +625,8 @@
             attempts.executions -= 1;
             return Err(AttemptError::Refused(answer.head.faulty_server));
         }
-        let is_matching = answer.head.attempt_id.as_deref() == Some(&*self.call.attempt_id);
-        if !is_matching || (answer.status.is_success() && !answer.head.is_signed) {
-            return Err(AttemptError::Failed("not an answer to this request"));
+        if answer.is_unsigned_success() {
+            return Err(AttemptError::Failed("unsigned answer"));
         }
         let is_retry_allowed = self.is_repeatable() && attempts.has_executions_left(self);
         if answer.status.is_server_error() && is_retry_allowed {
