Check a request's secret with the configuration and age that are in force

A body that took a second carried a revoked key past the check once the store served the node again.

Also: a response without an identifier is proved to belong to a request if it is the first on its connection.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -6,8 +6,13 @@
 use place::Urgency;
 use quarantine::Part;
 use rand::Rng;
-use site::{CallerRequest, Config, call::OutgoingRequest, config::Route};
+use site::{
+    CallerRequest,
+    call::OutgoingRequest,
+    config::{KeyHolder, Route},
+};
 use std::{
+    collections::HashMap,
     sync::{Arc, OnceLock},
     time::Duration,
 };
@@ -17,6 +22,9 @@
 /// The retry delay for requests that another node may serve.
 pub(crate) const RETRY_ELSEWHERE: Duration = Duration::from_millis(50);
 
+/// The reason for refusing requests before the first read of the store.
+pub(crate) const NO_CONFIG: &str = "no configuration is known yet";
+
 /// An admitted request.
 #[derive(Debug, Clone)]
 pub(crate) struct Job {
@@ -42,23 +50,26 @@
 /// Admits or denies a request, and picks its service.
 pub(crate) fn admit(
     shared: &Shared,
-    config: &Arc<Config>,
     call: CallerRequest,
     outgoing: OutgoingRequest,
     arrived: Moment,
     begin: Instant,
 ) -> Result<Job, Error> {
+    let unavailable = |message: &str| {
+        Error::not_run(Kind::Unavailable, message).with_retry_after(RETRY_ELSEWHERE)
+    };
     let tables = shared.tables();
     let now = shared.now();
+    // The configuration and its age are read together: a body takes seconds to arrive, and
+    // the age of a newer configuration says nothing about the one from before.
+    let config = tables.config.clone();
     let is_current = tables.is_config_current(&shared.settings, now);
     let is_fresh = tables.is_config_fresh(&shared.settings, now);
     let view_age = tables
         .config_confirmed
         .map_or(Duration::MAX, |at| now.since(at));
     drop(tables);
-    let unavailable = |message: &str| {
-        Error::not_run(Kind::Unavailable, message).with_retry_after(RETRY_ELSEWHERE)
-    };
+    let config = config.ok_or_else(|| unavailable(NO_CONFIG))?;
     if shared.has_stopped_admission() {
         return Err(unavailable("the node stops"));
     }
@@ -75,7 +86,7 @@
     let mut account = None;
     let mut priority = route.priority;
     if let (Some(accounts), false) = (&config.accounts, route.is_anonymous) {
-        let client = call.api_key.as_ref().and_then(|key| accounts.get(key));
+        let client = key_holder(accounts, &call);
         let Some(client) = client else {
             return Err(deny(
                 Kind::Unauthenticated,
@@ -113,6 +124,33 @@
     })
 }
 
+/// Returns the holder of a request's secret.
+fn key_holder<'a>(
+    accounts: &'a HashMap<Arc<str>, Arc<KeyHolder>>,
+    call: &CallerRequest,
+) -> Option<&'a KeyHolder> {
+    let key = call.api_key.as_ref()?;
+    accounts.get(key).map(|holder| &**holder)
+}
+
+impl Job {
+    /// Returns whether the newest configuration is fresh and still gives the request's
+    /// secret to its account.
+    ///
+    /// It is asked right before the first byte goes to a server: a request may have waited
+    /// for a slot or a connection since it was admitted.
+    pub(crate) fn has_valid_secret(&self, shared: &Shared) -> bool {
+        let Some(account) = &self.account else {
+            return true;
+        };
+        let tables = shared.tables();
+        let accounts = tables.config.as_ref().and_then(|c| c.accounts.as_ref());
+        let holder = accounts.and_then(|accounts| key_holder(accounts, &self.call));
+        tables.is_config_fresh(&shared.settings, shared.now())
+            && holder.is_some_and(|holder| holder.account == *account)
+    }
+}
+
 /// Picks one of a route's services at random, by weight.
 fn pick_service(route: &Route) -> Option<Service> {
     let total: u32 = route.services.iter().map(|(_, weight)| weight).sum();
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts to run a request on backend servers until one of them answers.
 
 use crate::{
-    admit::Job,
+    admit::{Job, RETRY_ELSEWHERE},
     evidence::{Progress, format_digest, withheld_error},
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
@@ -189,6 +189,8 @@
     Failed(&'static str),
     /// A part of the request was quarantined meanwhile.
     Withheld,
+    /// The request's secret was revoked meanwhile, or the configuration is too old to tell.
+    Unauthorized,
     /// The request's deadline passed.
     DeadlineExceeded,
 }
@@ -268,6 +270,12 @@
                     "the request was withdrawn from its server",
                 ));
             }
+            AttemptError::Unauthorized => {
+                shared.metrics.count("attempts", "unauthorized");
+                return Err(job
+                    .error(attempts, Kind::Unavailable, "the secret was not confirmed")
+                    .with_retry_after(RETRY_ELSEWHERE));
+            }
             AttemptError::DeadlineExceeded => {
                 shared.metrics.count("attempts", "late");
                 return Err(job.error(attempts, Kind::Deadline, "the deadline passed"));
@@ -431,6 +439,9 @@
             };
             (shared.platform.build_request)(&self.outgoing, &addition)
         };
+        if !self.has_valid_secret(shared) {
+            return Err(AttemptError::Unauthorized);
+        }
         attempts.sent += 1;
         attempts.executions += 1;
         let sending = connection.send(request);
@@ -608,12 +619,13 @@
 
     /// Returns whether a response is proved to belong to this request.
     ///
-    /// Servers copy the identifier of the attempt to every response. Another node writes
-    /// none into an error of its own, but never sends extra responses.
+    /// Servers copy the identifier of the attempt to every response. Without one, a
+    /// response may still be the first on its connection, where no earlier request can have
+    /// another. Other nodes write none into their own errors, and send no extra responses.
     fn is_answered_by(&self, answer: &Answer) -> bool {
         match answer.head.attempt_id.as_deref() {
             Some(id) => id == &*self.call.attempt_id,
-            None => answer.slot.node.is_some(),
+            None => answer.slot.node.is_some() || !answer.connection.is_reused(),
         }
     }
 
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -1,7 +1,7 @@
 //! The path of a request from its body to the response for the caller.
 
 use crate::{
-    admit::{Job, RETRY_ELSEWHERE, admit},
+    admit::{Job, NO_CONFIG, RETRY_ELSEWHERE, admit},
     attempt::{Answer, Attempts, BodyEnd, attempt},
     evidence::{Progress, format_digest},
     forward::{self, SERVER, server_mark},
@@ -46,16 +46,19 @@
         Ok(call) => call,
         Err(malformed) => return refuse(shared, None, &malformed.error),
     };
-    let config = shared.tables().config.clone();
-    let Some(config) = config else {
-        let error = Error::not_run(Kind::Unavailable, "no configuration is known yet");
+    let limits = {
+        let tables = shared.tables();
+        tables.config.as_ref().map(|config| config.limits.clone())
+    };
+    let Some(limits) = limits else {
+        let error = Error::not_run(Kind::Unavailable, NO_CONFIG);
         return refuse(
             shared,
             Some(&call),
             &error.with_retry_after(RETRY_ELSEWHERE),
         );
     };
-    let body = match read_body(body, config.limits.max_body_bytes).await {
+    let body = match read_body(body, limits.max_body_bytes).await {
         Ok(body) => body,
         Err(error) => return refuse(shared, Some(&call), &error),
     };
@@ -69,7 +72,7 @@
         headers: parts.headers,
         body,
     };
-    let mut job = match admit(shared, &config, call.clone(), outgoing, arrived, begin) {
+    let mut job = match admit(shared, call.clone(), outgoing, arrived, begin) {
         Ok(job) => job,
         Err(error) => return refuse(shared, Some(&call), &error),
     };
