Defer removals only after an outage, and never past what other nodes are told

A node that had lost the store alone deferred removals minutes later, when it next read.

Change: an outage is a time of a second or more in which the view was confirmed by no read, own or relayed. While the planner defers removals, its updates neither confirm views nor pass the offset of the removal, so that other nodes read and decide by their own evidence. Deferred removals are applied when they are due, without a further read.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -81,6 +81,13 @@
 /// server is alive and reaches the store.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
 
+/// The time without a successful read from which entries may have expired since servers
+/// could not renew them.
+///
+/// Servers renew an entry about once a second, and it expires after three renewals were
+/// missed. A connection that is reset costs one read, which is repeated at once.
+const MIN_OUTAGE: Duration = Duration::from_millis(1_000);
+
 /// The time between two reads of the other nodes' records.
 ///
 /// Starting nodes send heartbeats to all others. Later reads only find nodes that
@@ -117,7 +124,8 @@
 #[derive(Debug)]
 struct FeedReader {
     name: &'static str,
-    is_lost: bool,
+    /// When the first of the reads began that have failed since the last successful one.
+    lost_since: Option<Moment>,
     faults: FaultLog,
 }
 
@@ -126,29 +134,33 @@
     fn new(name: &'static str) -> Self {
         Self {
             name,
-            is_lost: false,
+            lost_since: None,
             faults: FaultLog::default(),
         }
     }
 
-    /// Handles the result of a read, and delays after a failed one.
+    /// Handles the result of a read that began at `started`, and delays after a failed one.
     async fn handle_read<T>(
         &mut self,
         shared: &Shared,
+        started: Moment,
         answer: Result<Batch<T>, site::feed::Error>,
     ) -> Option<Batch<T>> {
         match answer {
             Ok(batch) => {
-                if std::mem::take(&mut self.is_lost) {
-                    shared.tables().store_recovered = Some(shared.now());
-                    info!(shared.log, "store reachable again"; "feed" => self.name);
+                if let Some(since) = self.lost_since.take() {
+                    let is_outage = shared.tables().record_recovery(since, shared.now());
+                    info!(shared.log, "store reachable again"; "feed" => self.name,
+                        "lost_ms" => shared.now().since(since).as_millis() as u64,
+                        "defers_removals" => is_outage);
                 }
                 self.faults.log(shared, self.name, &batch.invalid_records);
                 Some(batch)
             }
             Err(error) => {
                 shared.metrics.count("store_failures", self.name);
-                if !std::mem::replace(&mut self.is_lost, true) {
+                if self.lost_since.is_none() {
+                    self.lost_since = Some(started);
                     warn!(shared.log, "store unreachable"; "feed" => self.name, "error" => %error);
                 }
                 sleep(RETRY_DELAY).await;
@@ -158,6 +170,23 @@
     }
 }
 
+impl Tables {
+    /// Records that the store is reachable again after reads failed since `lost_since`.
+    ///
+    /// Returns whether that was an outage in which entries may have expired. It was none
+    /// if it was short, or if a planner read the servers' feed meanwhile: then only this
+    /// node had lost the store.
+    fn record_recovery(&mut self, lost_since: Moment, now: Moment) -> bool {
+        let confirmed = self.servers_confirmed;
+        let unconfirmed_since = confirmed.map_or(lost_since, |at| at.max(lost_since));
+        let is_outage = now.since(unconfirmed_since) >= MIN_OUTAGE;
+        if is_outage {
+            self.defer_removals_until = Some(now + REMOVAL_GRACE);
+        }
+        is_outage
+    }
+}
+
 /// Polls the tables until `answer` returns a value; the first poll is immediate.
 async fn poll_until_some<T>(shared: &Shared, answer: impl Fn(&Tables, Moment) -> Option<T>) -> T {
     loop {
@@ -258,7 +287,7 @@
             (cursor, received_sequences(&tables))
         };
         let answer = (shared.platform.read_operator_changes)(cursor, wait).await;
-        if let Some(batch) = feed.handle_read(&shared, answer).await {
+        if let Some(batch) = feed.handle_read(&shared, started, answer).await {
             apply_operators(&shared, batch, started, &received);
         }
     }
@@ -340,18 +369,18 @@
             (cursor, received_sequences(&tables))
         };
         let answer = (shared.platform.read_servers)(cursor, wait).await;
-        if let Some(batch) = feed.handle_read(&shared, answer).await {
+        if let Some(batch) = feed.handle_read(&shared, started, answer).await {
             apply_servers(&shared, batch, started, &received);
         }
         wait_until_due(&shared).await;
     }
 }
 
-/// Waits until the next read of the servers' feed is due.
-async fn wait_until_due(shared: &Shared) {
+/// Waits until the next read of the servers' feed is due, and applies deferred removals
+/// meanwhile: a node with a relayed view may not read for minutes.
+async fn wait_until_due(shared: &Arc<Shared>) {
     let begin = shared.now();
     let leaving = shared.settings.bounds.max_leaving_delay;
-    sleep(POLL_INTERVAL).await;
     let is_due = |tables: &Tables, now: Moment| {
         let waited = now.since(begin);
         match feed_source(tables, now) {
@@ -369,7 +398,18 @@
             }
         }
     };
-    poll_until_some(shared, |tables, now| is_due(tables, now).then_some(())).await;
+    loop {
+        sleep(POLL_INTERVAL).await;
+        let now = shared.now();
+        let mut tables = shared.tables();
+        if apply_deferred_removals(shared, &mut tables, now) {
+            shared.update_targets(&mut tables);
+            shared.request_heartbeat();
+        }
+        if is_due(&tables, now) {
+            return;
+        }
+    }
 }
 
 /// Applies changes of servers' entries, and confirms the view of them.
@@ -391,7 +431,7 @@
     let now = shared.now();
     let mut guard = shared.tables();
     let tables = &mut *guard;
-    let mut is_changed = apply_deferred_removals(shared, tables, offset, now);
+    let mut is_changed = apply_deferred_removals(shared, tables, now);
     let known = tables.servers_offset;
     let is_newer = known.is_none_or(|known| known < offset);
     if is_newer && (batch.is_snapshot || known.is_some()) {
@@ -411,11 +451,17 @@
     if batch.is_at_end && tables.servers_offset.is_some() {
         tables.is_behind.servers = false;
         tables.servers_confirmed = tables.servers_confirmed.max(Some(started));
-        tables.peers.record_read(received, |ack| &mut ack.servers);
+        // A planner does not confirm for other nodes what it withholds from them: each
+        // defers by its own evidence of an outage.
+        if tables.deferred_removals.is_empty() {
+            tables.peers.record_read(received, |ack| &mut ack.servers);
+        }
     }
     // Changes that were skipped, as too old or as not part of a listing, are not
     // relayed either.
-    if let Some(read) = tables.servers_offset {
+    if let Some(read) = tables.servers_offset
+        && tables.deferred_removals.is_empty()
+    {
         tables.peers.backlog.set_end(read);
     }
     if is_changed {
@@ -434,21 +480,23 @@
 
 /// Returns whether removals are deferred after a recent outage of the store.
 fn is_deferring_removals(tables: &Tables, now: Moment) -> bool {
-    let deferred_until = tables.store_recovered.map(|at| at + REMOVAL_GRACE);
-    deferred_until.is_some_and(|until| now < until)
+    tables.defer_removals_until.is_some_and(|until| now < until)
 }
 
 /// Applies the deferred removals once they are due; returns whether there were any.
-fn apply_deferred_removals(shared: &Shared, tables: &mut Tables, offset: u64, now: Moment) -> bool {
-    if is_deferring_removals(tables, now) {
+fn apply_deferred_removals(shared: &Shared, tables: &mut Tables, now: Moment) -> bool {
+    if tables.deferred_removals.is_empty() || is_deferring_removals(tables, now) {
         return false;
     }
+    // The entries are known to be absent up to the end of the last read.
+    let offset = tables.servers_offset.unwrap_or(0);
     let due = std::mem::take(&mut tables.deferred_removals);
     for id in &due {
         info!(shared.log, "backend server entry removed"; "server" => %id, "was_held_back" => true);
         queue_for_relay(tables, &Change::Removed(id.clone()), offset);
         tables.fleet.apply(Change::Removed(id.clone()));
     }
+    tables.peers.backlog.set_end(offset);
     !due.is_empty()
 }
 
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -1,6 +1,9 @@
 //! Application of feed reads to the tables.
 
-use super::{REMOVAL_GRACE, ReadSchedule, ReceivedSequences, apply_relayed_change, apply_servers};
+use super::{
+    MIN_OUTAGE, REMOVAL_GRACE, ReadSchedule, ReceivedSequences, apply_deferred_removals,
+    apply_relayed_change, apply_servers,
+};
 use crate::{
     feed_relay::{self, Backlog},
     state::Shared,
@@ -107,6 +110,14 @@
         apply_servers(&self.shared, batch, started, &ReceivedSequences::default());
     }
 
+    /// Ends an outage of the store that was long enough for entries to expire.
+    fn recover_from_outage(&self) {
+        let lost_since = self.shared.now();
+        self.advance(MIN_OUTAGE);
+        let now = self.shared.now();
+        assert!(self.shared.tables().record_recovery(lost_since, now));
+    }
+
     fn has_server(&self, name: &str) -> bool {
         self.shared.tables().fleet.server(&id(name)).is_some()
     }
@@ -118,7 +129,7 @@
 fn removals_after_outage_are_deferred_for_grace_period() {
     let node = Node::new();
     node.apply_read(vec![entry("a"), entry("b"), entry("c")], 10, true);
-    node.shared.tables().store_recovered = Some(node.shared.now());
+    node.recover_from_outage();
     node.advance(Duration::from_millis(500));
     let gone = ["a", "b", "c"].map(|name| Change::Removed(id(name)));
     node.apply_read(gone.to_vec(), 13, false);
@@ -135,6 +146,76 @@
     assert!(node.has_server("b") && node.has_server("c"));
 }
 
+/// Guards against taking one reset connection for an outage of the store: a server that
+/// left then got requests of all nodes until it ended.
+#[test]
+fn only_a_time_without_any_confirmation_is_an_outage() {
+    struct Case {
+        what: &'static str,
+        /// Milliseconds since reads have failed, and since the view was last confirmed.
+        lost: u64,
+        confirmed: u64,
+        is_outage: bool,
+    }
+    let cases = [
+        Case {
+            what: "one read failed",
+            lost: 450,
+            confirmed: 700,
+            is_outage: false,
+        },
+        Case {
+            what: "only this node lost the store, and a planner relayed its reads",
+            lost: 60_000,
+            confirmed: 300,
+            is_outage: false,
+        },
+        Case {
+            what: "the store was down",
+            lost: 1_500,
+            confirmed: 2_000,
+            is_outage: true,
+        },
+    ];
+    for case in cases {
+        let node = Node::new();
+        node.advance(Duration::from_secs(100));
+        let now = node.shared.now();
+        let ago = |millis| now - Duration::from_millis(millis);
+        let mut tables = node.shared.tables();
+        tables.servers_confirmed = Some(ago(case.confirmed));
+        let is_outage = tables.record_recovery(ago(case.lost), now);
+        assert_eq!(is_outage, case.is_outage, "{}", case.what);
+    }
+}
+
+/// Guards against a removal that the planner deferred and no other node ever saw: its
+/// heartbeats confirmed views up to an offset behind the removal, and relayed it later
+/// with an offset that all had reached.
+#[test]
+fn planner_neither_confirms_nor_passes_a_removal_that_it_defers() {
+    let node = Node::new();
+    node.apply_read(vec![entry("a")], 10, true);
+    let mut tables = node.shared.tables();
+    tables.operators_offset = Some(1);
+    tables.peers.own_token = Some(1);
+    tables.peers.backlog = Backlog::starting_at(10);
+    drop(tables);
+    node.recover_from_outage();
+    node.apply_read(vec![Change::Removed(id("a"))], 11, false);
+    let update = feed_relay::next_update(&mut node.shared.tables(), false).expect("an update");
+    assert_eq!((update.to, update.changes.len()), (10, 0));
+    node.advance(REMOVAL_GRACE);
+    // No further read is needed.
+    let now = node.shared.now();
+    let mut tables = node.shared.tables();
+    assert!(apply_deferred_removals(&node.shared, &mut tables, now));
+    let update = feed_relay::next_update(&mut tables, false).expect("an update");
+    assert_eq!((update.to, update.changes.len()), (11, 1));
+    drop(tables);
+    assert!(!node.has_server("a"));
+}
+
 #[test]
 fn removal_without_outage_applies_at_once() {
     let node = Node::new();
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -77,8 +77,8 @@
     pub(crate) config_confirmed: Option<Moment>,
     /// The start of the read that last confirmed the servers' entries.
     pub(crate) servers_confirmed: Option<Moment>,
-    /// When the store last became reachable again after a failed read.
-    pub(crate) store_recovered: Option<Moment>,
+    /// Until when removals are deferred after an outage of the store.
+    pub(crate) defer_removals_until: Option<Moment>,
     /// The servers whose removal is deferred after an outage of the store.
     pub(crate) deferred_removals: HashSet<Instance>,
     /// The offset up to which the operators' feed is applied; `None` before its first
@@ -215,7 +215,7 @@
             config: None,
             config_confirmed: None,
             servers_confirmed: None,
-            store_recovered: None,
+            defer_removals_until: None,
             deferred_removals: HashSet::new(),
             operators_offset: None,
             servers_offset: None,
