Keep the replica of a silent engine while requests there may run once only

Change: at services with routes whose requests run at most once, the planner treats an engine as lost after 2 s of silence. It gets no new requests from the first unanswered queries on, as before. Services whose requests may all be repeated are served as before: their requests go on elsewhere.

--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -330,11 +330,17 @@
     }
     drop(tables);
     for (service, engine_spec) in config.engines() {
+        let has_unrepeatable = config.has_unrepeatable_routes(service);
         let known_engines: HashMap<Instance, form::Engine> = servers
             .iter()
             .filter(|known| known.server.service == *service)
             .filter_map(|known| {
-                let engine = planning.probes.engine(&known.server, known.is_in_service)?;
+                let engine = planning.probes.engine(
+                    &known.server,
+                    known.is_in_service,
+                    has_unrepeatable,
+                    now,
+                )?;
                 Some(form::Engine {
                     has_entry: known.is_listed,
                     ..engine
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -43,6 +43,13 @@
 /// The network can lose one query; it loses two in a row once in thousands of times.
 const MAX_UNANSWERED: u32 = 2;
 
+/// How long an engine must have been silent to count as lost if requests that run at
+/// most once may run there.
+///
+/// A working engine may be silent for about a second and go on. Taking its replica apart
+/// cuts off such requests, while repeatable ones go on elsewhere.
+const MAX_SILENCE: Duration = Duration::from_millis(2_000);
+
 /// How long a dead engine is still reported after its entry was removed, since
 /// other nodes read the feed less often.
 const DEAD_RETENTION: Duration = Duration::from_secs(4);
@@ -57,6 +64,8 @@
     next: Moment,
     is_pending: bool,
     unanswered: u32,
+    /// When the first of the unanswered queries was sent.
+    silent_since: Option<Moment>,
     report: Option<(Moment, Report)>,
     /// When its entry last changed, and the entry.
     entry: (Moment, Server),
@@ -138,6 +147,7 @@
                 next: now,
                 is_pending: false,
                 unanswered: 0,
+                silent_since: None,
                 report: None,
                 entry: (now, server.clone()),
             });
@@ -211,14 +221,17 @@
         match answer {
             Ok(report) if is_own(&report) => {
                 probe.unanswered = 0;
+                probe.silent_since = None;
                 probe.report = Some((query.sent_at, report));
             }
-            _ if query.is_suspect => {
-                probe.unanswered = probe.unanswered.max(MAX_UNANSWERED - 1) + 1;
-                probe.next = now + RETRY_DELAY;
-            }
             _ => {
-                probe.unanswered += 1;
+                let before = if query.is_suspect {
+                    probe.unanswered.max(MAX_UNANSWERED - 1)
+                } else {
+                    probe.unanswered
+                };
+                probe.unanswered = before + 1;
+                probe.silent_since.get_or_insert(query.sent_at);
                 probe.next = now + RETRY_DELAY;
             }
         }
@@ -265,12 +278,25 @@
 
     /// Returns the planner's view of an engine: its entry, or its report where that is
     /// newer or names a replica that the entry denies.
-    pub(crate) fn engine(&self, server: &Server, is_in_service: bool) -> Option<form::Engine> {
+    ///
+    /// With `has_unrepeatable` work at its service, a silent engine counts as alive until it
+    /// has been silent for [`MAX_SILENCE`]; it gets no new requests meanwhile.
+    pub(crate) fn engine(
+        &self,
+        server: &Server,
+        is_in_service: bool,
+        has_unrepeatable: bool,
+        now: Moment,
+    ) -> Option<form::Engine> {
         let probe = self.probes.get(&server.id)?;
         let is_confirmed = !probe.is_contradicted();
+        let is_silent = probe.unanswered >= MAX_UNANSWERED;
+        let silence = probe.silent_since.map(|since| now.since(since));
+        let is_lost = is_silent
+            && (!has_unrepeatable || silence.is_some_and(|silence| silence >= MAX_SILENCE));
         let mut engine = form::Engine {
             server: server.clone(),
-            is_alive: probe.unanswered < MAX_UNANSWERED,
+            is_alive: !is_lost,
             has_entry: true,
             is_in_service,
             is_busy: false,
--- a/crates/edge/src/probe/tests.rs
+++ b/crates/edge/src/probe/tests.rs
@@ -102,6 +102,59 @@
     assert!(probes.dead_engines().is_empty(), "it answers");
 }
 
+/// Guards against taking a replica apart whose head was silent for a second: requests that
+/// run at most once were cut off there, though it went on.
+#[test]
+fn silent_engine_is_lost_only_after_its_unrepeatable_work_may_be() {
+    struct Case {
+        what: &'static str,
+        has_unrepeatable: bool,
+        /// The time of silence at the last query, in milliseconds.
+        silence: u64,
+        is_alive: bool,
+    }
+    let cases = [
+        Case {
+            what: "repeatable work",
+            has_unrepeatable: false,
+            silence: 400,
+            is_alive: false,
+        },
+        Case {
+            what: "a pause",
+            has_unrepeatable: true,
+            silence: 1_600,
+            is_alive: true,
+        },
+        Case {
+            what: "a loss",
+            has_unrepeatable: true,
+            silence: 2_000,
+            is_alive: false,
+        },
+    ];
+    for case in cases {
+        let mut probes = Probes::default();
+        let begin = Moment::from_millis(1_000);
+        let servers = servers(1);
+        for silence in (0..=case.silence).step_by(200) {
+            let now = begin + Duration::from_millis(silence);
+            run_queries(&mut probes, &servers, now, |_| no_answer());
+        }
+        let now = begin + Duration::from_millis(case.silence);
+        let entry = servers.values().next().expect("an entry");
+        let engine = probes.engine(entry, true, case.has_unrepeatable, now);
+        let engine = engine.expect("an engine");
+        assert_eq!(engine.is_alive, case.is_alive, "{}", case.what);
+        assert_eq!(probes.dead_engines().len(), 1, "no new requests either way");
+        // It goes on.
+        let now = now + Duration::from_millis(200);
+        run_queries(&mut probes, &servers, now, |_| report(1));
+        let engine = probes.engine(entry, true, case.has_unrepeatable, now);
+        assert!(engine.expect("an engine").is_alive, "{}", case.what);
+    }
+}
+
 /// Guards against querying three thousand engines at once: most queries timed out,
 /// and the planner counted as isolated.
 #[test]
@@ -292,7 +345,7 @@
         let now = reported_at + Duration::from_millis(50);
         let queries = probes.due_queries(&servers, |_| false, &HashSet::new(), now);
         assert_eq!(queries.is_empty(), case.is_confirmed, "{}", case.name);
-        let engine = probes.engine(&entry, true).expect("an engine");
+        let engine = probes.engine(&entry, true, false, now).expect("an engine");
         assert_eq!(engine.is_confirmed, case.is_confirmed, "{}", case.name);
         let view = engine.server.engine;
         assert_eq!(
@@ -315,7 +368,7 @@
                 now,
             );
         }
-        let engine = probes.engine(&entry, true).expect("an engine");
+        let engine = probes.engine(&entry, true, false, now).expect("an engine");
         assert!(engine.is_confirmed, "{}", case.name);
     }
 }
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -29,6 +29,14 @@
             .find_map(|(at, _)| routes.get(&path[..=at]))
     }
 
+    /// Returns whether a service has routes whose requests run at most once.
+    pub fn has_unrepeatable_routes(&self, service: &Service) -> bool {
+        let mut routes = self.routes.values().flat_map(HashMap::values);
+        routes.any(|route| {
+            !route.kind.is_repeatable() && route.services.iter().any(|(name, _)| name == service)
+        })
+    }
+
     /// Returns every service that serves models.
     pub fn engines(&self) -> impl Iterator<Item = (&Service, &EngineSpec)> {
         self.services
