Open an inherited replica only after its members refuse earlier planners' orders

A join that the predecessor had ordered and that got no response was carried out seconds later and took a member of the open replica away. The wait for orders of earlier planners concerned heads only, and ended after 3 s, though orders are late by up to 12 s.

Change: before a replica is opened, each member must have seen this planner's token. Those that have not are ordered to join the replica once more, which changes nothing there but raises the token that they require. A join of this planner without a response counts in the same way until the engine's sequence number has passed it. If members cannot be held, the replica is formed anew. No time excludes late orders any more; heads that do not count the order to close leave.

The simulated engines of the planner's tests now check sequence numbers and generations, and report an order's outcome when it is carried out.

--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -16,7 +16,8 @@
 /// the timeout of a call plus the age of a report.
 const OPEN_EFFECT_TIMEOUT: Duration = Duration::from_millis(700);
 
-/// The time for which a replica that an earlier planner started may stay incomplete.
+/// The time for which a replica that an earlier planner started may stay incomplete, or
+/// have members that have not obeyed this planner.
 const INHERITED_INCOMPLETE_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The time from the order to close a replica until its members are formed anew, so
@@ -83,10 +84,8 @@
         let is_reclaimed = self.is_reclaimed(replica);
         if replica.is_healthy && replica.is_complete(inputs.engine_spec) && !is_reclaimed {
             let is_openable = replica.head_phase == Some(Phase::Ready) && replica.is_ready;
-            if let (true, Some(head)) = (is_openable, head) {
-                commands.push((head.clone(), replica.open_command()));
-            }
-            if replica.head_phase != Some(Phase::Broken) {
+            let is_formed_anew = is_openable && !self.open_if_held(replica, engines, now, commands);
+            if replica.head_phase != Some(Phase::Broken) && !is_formed_anew {
                 return;
             }
         }
@@ -135,11 +134,21 @@
             }
             (Some(Phase::Closing), _) => {}
             (Some(_), Some(head)) if self.may_have_opened(head, replica, engines) => {}
-            (Some(Phase::Joining), Some(head)) if self.is_unfenced(&engines[head], now) => {}
-            (Some(Phase::Ready), Some(head)) if self.is_unfenced(&engines[head], now) => {
+            (Some(Phase::Joining), Some(head)) if self.is_unfenced(&engines[head]) => {
+                // It obeys by leaving, and refuses a late order to open.
+                commands.push((head.clone(), replica.leave_command()));
+            }
+            (Some(Phase::Ready), Some(head)) if self.is_unfenced(&engines[head]) => {
                 // An order of an earlier planner to open the head may be in flight. Once
-                // the head has obeyed this planner, it refuses that order.
-                commands.push((head.clone(), replica.close_command(false)));
+                // the head has obeyed this planner, it refuses that order. If closing a
+                // replica that is not open does not count, leaving it does.
+                let is_close_enough = now.since(since) < 2 * INHERITED_INCOMPLETE_TIMEOUT;
+                let command = if is_close_enough {
+                    replica.close_command(false)
+                } else {
+                    replica.leave_command()
+                };
+                commands.push((head.clone(), command));
             }
             (Some(_), _) => {
                 // A join replaces the membership in a replica that does not serve.
@@ -159,6 +168,44 @@
         }
     }
 
+    /// Opens a complete replica, or first orders its members to join it once more.
+    ///
+    /// A join into another replica that an earlier planner ordered, or that this one got no
+    /// response to, may still be carried out while the head is open. Members that have
+    /// obeyed this planner refuse the former. Returns false if a member may be taken and
+    /// the replica has to be formed anew, which supersedes all earlier orders.
+    fn open_if_held(
+        &mut self,
+        replica: &ReportedReplica,
+        engines: &HashMap<Instance, Engine>,
+        now: Moment,
+        commands: &mut Vec<(Instance, Command)>,
+    ) -> bool {
+        let members: Vec<Instance> = replica.members.values().cloned().collect();
+        let (Some(head), Some(model)) = (members.first(), &replica.model) else {
+            return false;
+        };
+        let may_be_taken = |id: &&Instance| self.may_be_taken(&engines[*id], &replica.replica);
+        if !members.iter().any(|id| may_be_taken(&id)) {
+            self.incomplete_since.remove(&replica.key());
+            commands.push((head.clone(), replica.open_command()));
+            return true;
+        }
+        let has_open_join = members.iter().any(|id| self.open_joins.contains_key(id));
+        let unfenced = members.iter().filter(|id| self.is_unfenced(&engines[*id]));
+        commands.extend(unfenced.map(|id| {
+            let join = Command::Join {
+                replica: replica.replica.clone(),
+                generation: replica.generation,
+                model: model.clone(),
+                members: members.clone(),
+            };
+            (id.clone(), join)
+        }));
+        let since = *self.incomplete_since.entry(replica.key()).or_insert(now);
+        !has_open_join && now.since(since) < INHERITED_INCOMPLETE_TIMEOUT
+    }
+
     /// Adds the members of a replica to the engines that can form another one.
     ///
     /// Their joins are held back while the head may serve, but other members of the
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -27,14 +27,14 @@
 /// largest models, since engines are still starting.
 const STARTUP_WAIT: Duration = Duration::from_millis(3_000);
 
-/// The time after the planner's start during which an earlier planner may still send
-/// orders: it steps down when its view of the store is two seconds old, and its last
-/// orders time out after that.
-const PREDECESSOR_TIMEOUT: Duration = Duration::from_millis(3_000);
-
 /// The engines without a membership, by fabric domain.
 pub(crate) type FreeEngines = HashMap<Option<Fabric>, Vec<Instance>>;
 
+/// Returns what the names of all replicas begin with that a planner forms.
+pub(crate) fn replica_prefix(token: u64) -> String {
+    format!("r{token}-")
+}
+
 /// An order that may still take effect.
 #[derive(Debug, Clone)]
 pub(crate) struct PendingOrder {
@@ -78,6 +78,10 @@
     /// The engines that have carried out an order of this planner, and when that was
     /// first known. They refuse orders of earlier planners.
     pub(crate) obeyed_at: HashMap<Instance, Moment>,
+    /// The joins of this planner that got no response, by engine, each with the sequence
+    /// number that it expects. One may still be carried out while the engine reports that
+    /// number.
+    pub(crate) open_joins: HashMap<Instance, (Replica, Option<u64>)>,
     pub(crate) events: Vec<Event>,
     /// The replicas and the reserve of the last [`Event::ServingChanged`].
     pub(crate) last_serving: Option<(Vec<(Model, usize)>, usize)>,
@@ -117,6 +121,10 @@
         let engines = &engines;
         let startup_end = *self.started_at.get_or_insert(now) + STARTUP_WAIT;
         self.obeyed_at.retain(|id, _| engines.contains_key(id));
+        self.open_joins.retain(|id, (_, expected)| {
+            let engine = engines.get(id);
+            engine.is_some_and(|engine| expected.is_none() || engine.sequence == *expected)
+        });
         self.pending_orders.retain(|id, pending| {
             engines.contains_key(id) && now.since(pending.sent_at) < ORDER_EFFECT_TIMEOUT
         });
@@ -221,6 +229,13 @@
         if matches!(outcome, Outcome::Started | Outcome::AlreadyDone) {
             self.obeyed_at.entry(engine.clone()).or_insert(now);
         }
+        let pending = self.pending_orders.get(engine);
+        if let (Outcome::Unknown, Some(pending)) = (outcome, pending)
+            && let Command::Join { replica, .. } = &pending.command
+        {
+            let expected = (replica.clone(), pending.sequence);
+            self.open_joins.insert(engine.clone(), expected);
+        }
         if matches!(outcome, Outcome::WrongEngine | Outcome::Refused) {
             self.pending_orders.remove(engine);
         }
@@ -243,7 +258,7 @@
         now: Moment,
         commands: &mut Vec<(Instance, Command)>,
     ) {
-        let is_unfenced = |id: &Instance| self.is_unfenced(&engines[id], now);
+        let is_unfenced = |id: &Instance| self.is_unfenced(&engines[id]);
         let heads = heads(engines, is_unfenced);
         let events = &mut self.events;
         self.formations.retain(|formation| {
@@ -264,15 +279,31 @@
         });
     }
 
-    /// Returns whether an engine may still carry out an order of an earlier planner that
-    /// is not reported yet.
-    pub(crate) fn is_unfenced(&self, engine: &Engine, now: Moment) -> bool {
+    /// Returns whether an engine may still carry out an order of an earlier planner.
+    ///
+    /// An order that got no response may be carried out many seconds later, so no time
+    /// excludes it. An engine refuses it once it has seen the higher token of this planner:
+    /// when it has obeyed an order, or is a member of a replica that this planner named.
+    pub(crate) fn is_unfenced(&self, engine: &Engine) -> bool {
         let obeyed_at = self.obeyed_at.get(engine.id());
         let has_reported = obeyed_at.is_some_and(|at| engine.report_requested_at > *at);
-        let may_have_predecessor = self
-            .started_at
-            .is_none_or(|at| now.since(at) < PREDECESSOR_TIMEOUT);
-        !has_reported && may_have_predecessor
+        let is_own = engine
+            .membership()
+            .is_some_and(|member| self.has_named(&member.replica));
+        !has_reported && !is_own
+    }
+
+    /// Returns whether a late order may still take an engine out of a replica that it is a
+    /// member of.
+    pub(crate) fn may_be_taken(&self, engine: &Engine, replica: &Replica) -> bool {
+        let late = self.open_joins.get(engine.id());
+        self.is_unfenced(engine) || late.is_some_and(|(other, _)| other != replica)
+    }
+
+    /// Returns whether this planner has given a replica its name.
+    fn has_named(&self, replica: &Replica) -> bool {
+        let number = replica.as_str().strip_prefix(&replica_prefix(self.token));
+        number.is_some_and(|number| number.parse::<u64>().is_ok())
     }
 
     /// Returns the engines without a membership, by fabric domain.
--- a/crates/form/src/start.rs
+++ b/crates/form/src/start.rs
@@ -4,7 +4,7 @@
     Engine, Event, Inputs,
     demand::{Reserves, Scarcity},
     formation::Formation,
-    planner::{FreeEngines, Planner},
+    planner::{FreeEngines, Planner, replica_prefix},
 };
 use clock::Moment;
 use name::{Fabric, Instance, Replica};
@@ -240,7 +240,7 @@
         // Concurrent loads share the weight store and take longer.
         let longest = joins.iter().max().copied().unwrap_or_default() * 3;
         self.formation_count += 1;
-        let name = format!("r{}-{}", self.token, self.formation_count);
+        let name = replica_prefix(self.token) + &self.formation_count.to_string();
         let Ok(replica) = Replica::try_from(name) else {
             return;
         };
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -32,6 +32,8 @@
     pub(crate) orders_in_flight: Vec<(Moment, Instance, Order)>,
     /// The highest fencing token that each engine has received.
     pub(crate) tokens: HashMap<Instance, u64>,
+    /// The highest generation that each engine has joined.
+    pub(crate) generations: HashMap<Instance, u64>,
     pub(crate) joining: HashMap<Instance, Moment>,
     /// The joins that load from the weight store, and when they end.
     pub(crate) loading: HashMap<Instance, Moment>,
@@ -84,6 +86,7 @@
             engines,
             orders_in_flight: Vec::new(),
             tokens: HashMap::new(),
+            generations: HashMap::new(),
             joining: HashMap::new(),
             loading: HashMap::new(),
             staging: HashMap::new(),
@@ -106,7 +109,11 @@
         let end = self.now + time;
         while self.now < end {
             self.now = self.now + STEP;
-            self.apply_due();
+            for (engine, token, outcome) in self.apply_due() {
+                if token == planner.token() {
+                    planner.record_outcome(&engine, outcome, self.now);
+                }
+            }
             let inputs = Inputs {
                 engine_spec: &self.spec.clone(),
                 demand: &self.demand.clone(),
@@ -117,13 +124,6 @@
             let step = planner.step(engines, &inputs, self.now);
             self.events.extend(step.events);
             for outgoing in step.orders {
-                let is_alive = self.engines[&outgoing.engine].is_alive;
-                let outcome = if is_alive {
-                    Outcome::Started
-                } else {
-                    Outcome::Refused
-                };
-                planner.record_outcome(&outgoing.engine, outcome, self.now);
                 let at = self.now + REPORT_LAG;
                 self.orders_in_flight
                     .push((at, outgoing.engine, outgoing.order));
@@ -132,12 +132,16 @@
     }
 
     /// Carries out the due orders, and ends the due joins and stagings.
-    pub(crate) fn apply_due(&mut self) {
+    ///
+    /// Returns the outcome of each order, with its engine and fencing token.
+    pub(crate) fn apply_due(&mut self) -> Vec<(Instance, u64, Outcome)> {
         let now = self.now;
+        let mut outcomes = Vec::new();
         let ordered = std::mem::take(&mut self.orders_in_flight);
         for (at, id, order) in ordered {
             if now >= at {
-                self.apply_order(&id, &order);
+                let outcome = self.apply_order(&id, &order);
+                outcomes.push((id, order.token, outcome));
             } else {
                 self.orders_in_flight.push((at, id, order));
             }
@@ -161,18 +165,72 @@
         for engine in self.engines.values_mut() {
             engine.report_requested_at = now;
         }
+        outcomes
     }
 
-    /// Carries out an order, unless its fencing token is too low.
-    pub(crate) fn apply_order(&mut self, id: &Instance, order: &Order) {
+    /// Carries out an order, unless its fencing token, its expected sequence number or its
+    /// generation is too low, or the engine is in the requested state already.
+    pub(crate) fn apply_order(&mut self, id: &Instance, order: &Order) -> Outcome {
         let command = &order.command;
         let highest = self.tokens.entry(id.clone()).or_default();
-        if !self.engines[id].is_alive || order.token < *highest {
-            return;
+        if !self.engines[id].is_alive {
+            return Outcome::Refused;
+        }
+        if order.token < *highest {
+            return Outcome::Fenced;
         }
         *highest = order.token;
-        if let Command::Join { .. } = command {
-            self.check_join(id);
+        let engine = &self.engines[id];
+        if order.expected_sequence.is_some() && order.expected_sequence != engine.sequence {
+            return Outcome::Mismatch;
+        }
+        let member = engine.membership();
+        match command {
+            Command::Join {
+                replica,
+                generation,
+                ..
+            } => {
+                let newest = self.generations.entry(id.clone()).or_default();
+                if generation < newest {
+                    return Outcome::Fenced;
+                }
+                *newest = *generation;
+                if member.is_some_and(|m| m.replica == *replica && m.generation == *generation) {
+                    return Outcome::AlreadyDone;
+                }
+                self.check_join(id);
+            }
+            Command::Open {
+                replica,
+                generation,
+            }
+            | Command::Close {
+                replica,
+                generation,
+                ..
+            }
+            | Command::Leave {
+                replica,
+                generation,
+            } => {
+                let member = member.filter(|member| {
+                    member.replica == *replica && member.generation == *generation
+                });
+                let Some(member) = member else {
+                    return Outcome::Mismatch;
+                };
+                let is_open = member.phase == Phase::Open;
+                match command {
+                    Command::Open { .. } if is_open => return Outcome::AlreadyDone,
+                    Command::Open { .. } if member.phase != Phase::Ready || member.rank != 0 => {
+                        return Outcome::Mismatch;
+                    }
+                    Command::Close { .. } if !is_open => return Outcome::AlreadyDone,
+                    _ => {}
+                }
+            }
+            Command::Stage { .. } => {}
         }
         let is_traffic = !self.demand.replicas.is_empty();
         // A join waits for a staging of its model that is in progress.
@@ -225,6 +283,7 @@
                 self.record_loads();
             }
         }
+        Outcome::Started
     }
 
     /// Records a violation if an engine joins while its present replica's head is
--- a/crates/form/tests/planner/main.rs
+++ b/crates/form/tests/planner/main.rs
@@ -3,6 +3,7 @@
 mod cluster;
 mod handover;
 mod losses;
+mod succession;
 
 use cluster::{Cluster, STEP, model};
 use form::{Engine, Event, Inputs, Planner};
--- /dev/null
+++ b/crates/form/tests/planner/succession.rs
@@ -0,0 +1,233 @@
+//! Simulation of planners that follow each other while their orders are lost, late or
+//! carried out twice, and members restart.
+
+use crate::cluster::{Cluster, REPORT_LAG, STEP};
+use clock::Moment;
+use form::{Engine, Inputs, Planner};
+use name::Instance;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use site::{
+    fixture::model_spec,
+    order::{Order, Outcome},
+};
+use std::{
+    collections::{HashMap, VecDeque},
+    time::Duration,
+};
+
+/// The environment variable that sets the number of seeds.
+const SEEDS_VARIABLE: &str = "SUCCESSION_SEEDS";
+
+/// The number of seeds in a usual run.
+const DEFAULT_SEEDS: u64 = 150;
+
+/// The share of orders that get no response.
+const UNANSWERED_SHARE: f64 = 0.35;
+
+/// The time until a late order is carried out.
+const LATE_SECONDS: std::ops::Range<f64> = 2.0..12.0;
+
+/// What became of an order on its way.
+enum Delivery {
+    /// It is carried out at once, and answered.
+    Answered,
+    /// It is carried out at once, but its response is lost.
+    ResponseLost,
+    /// It is carried out late, without a response.
+    Late(Duration),
+    /// It is lost.
+    Lost,
+    /// It is carried out at once and once more later, without a response.
+    Twice(Duration),
+}
+
+/// A planner, and until when it plans.
+struct Term {
+    planner: Planner,
+    end: Moment,
+}
+
+/// One run with several planners.
+struct Simulation {
+    cluster: Cluster,
+    rng: ChaCha8Rng,
+    late: Vec<(Moment, Instance, Order)>,
+    /// The states of the engines, from which reports are taken.
+    history: VecDeque<(Moment, HashMap<Instance, Engine>)>,
+    terms: Vec<Term>,
+}
+
+impl Simulation {
+    /// Returns a cluster whose replicas one planner has formed without faults.
+    fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let size = rng.random_range(6..=9);
+        let mut cluster = Cluster::new(1, size);
+        cluster.spec.models = vec![model_spec("large", 2, 0.67), model_spec("small", 2, 0.33)];
+        let mut planner = Planner::new(1);
+        cluster.run(&mut planner, Duration::from_secs(8));
+        let first_end = cluster.now + Duration::from_millis(rng.random_range(300..4_000));
+        let mut terms = vec![Term {
+            planner,
+            end: first_end,
+        }];
+        for token in 2..=rng.random_range(2..=4) {
+            let begin = terms.last().expect("a term").end;
+            terms.push(Term {
+                planner: Planner::new(token),
+                end: begin + Duration::from_millis(rng.random_range(1_500..7_000)),
+            });
+        }
+        Self {
+            cluster,
+            rng,
+            late: Vec::new(),
+            history: VecDeque::new(),
+            terms,
+        }
+    }
+
+    /// Runs all terms, and some time after the last one began.
+    fn run(&mut self) {
+        // An earlier planner may not yet know of its successor.
+        let overlap = Duration::from_millis(self.rng.random_range(0..2_000));
+        let end = self.terms.last().expect("a term").end + Duration::from_secs(10);
+        let mut begin = self.cluster.now;
+        let begins: Vec<Moment> = self
+            .terms
+            .iter()
+            .map(|term| std::mem::replace(&mut begin, term.end))
+            .collect();
+        let count = self.terms.len();
+        while self.cluster.now < end {
+            self.cluster.now = self.cluster.now + STEP;
+            self.disturb();
+            self.cluster.apply_due();
+            self.apply_late();
+            let now = self.cluster.now;
+            let state = self.cluster.engines.clone().into_iter().collect();
+            self.history.push_back((now, state));
+            while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
+                self.history.pop_front();
+            }
+            for term in 0..count {
+                let is_last = term + 1 == count;
+                if now >= begins[term] && (is_last || now < self.terms[term].end + overlap) {
+                    self.plan(term);
+                }
+            }
+        }
+    }
+
+    /// Changes the demand and restarts engines at random.
+    fn disturb(&mut self) {
+        if self.rng.random_bool(0.03) {
+            let large = self.rng.random_range(0.0..4.0);
+            self.cluster.set_demand(large, 4.0 - large);
+        }
+        if self.rng.random_bool(0.004) {
+            let count = self.cluster.engines.len();
+            let chosen = self.rng.random_range(0..count);
+            let id = self.cluster.engines.keys().nth(chosen).expect("an engine");
+            self.restart(&id.clone());
+        }
+    }
+
+    /// Starts an engine again, which then knows nothing of before.
+    fn restart(&mut self, id: &Instance) {
+        let cluster = &mut self.cluster;
+        cluster.tokens.remove(id);
+        cluster.generations.remove(id);
+        cluster.joining.remove(id);
+        cluster.staging.remove(id);
+        let engine = cluster.engines.get_mut(id).expect("an engine");
+        engine.sequence = Some(0);
+        engine.server.incarnation += 1;
+        engine.server.engine.membership = None;
+        engine.server.engine.loaded_models.clear();
+        // Orders name the instance, which a restarted process no longer is.
+        self.late.retain(|(_, other, _)| other != id);
+    }
+
+    fn apply_late(&mut self) {
+        let now = self.cluster.now;
+        let (due, late) = std::mem::take(&mut self.late)
+            .into_iter()
+            .partition(|(at, _, _)| now >= *at);
+        self.late = late;
+        for (_, id, order) in due {
+            self.cluster.apply_order(&id, &order);
+        }
+    }
+
+    /// Runs a step of a planner, and delivers its orders.
+    fn plan(&mut self, term: usize) {
+        let (reported_at, engines) = self.history.front().expect("a state").clone();
+        let engines = engines.into_iter().map(|(id, mut engine)| {
+            engine.report_requested_at = reported_at;
+            (id, engine)
+        });
+        let inputs = Inputs {
+            engine_spec: &self.cluster.spec.clone(),
+            demand: &self.cluster.demand.clone(),
+            has_traffic: true,
+            load_window: Duration::from_secs(5),
+        };
+        let now = self.cluster.now;
+        let planner = &mut self.terms[term].planner;
+        let step = planner.step(engines.collect(), &inputs, now);
+        for sent in step.orders {
+            let delivery = draw_delivery(&mut self.rng);
+            let is_now = !matches!(delivery, Delivery::Late(_) | Delivery::Lost);
+            let outcome = if is_now {
+                self.cluster.apply_order(&sent.engine, &sent.order)
+            } else {
+                Outcome::Unknown
+            };
+            if let Delivery::Late(delay) | Delivery::Twice(delay) = delivery {
+                self.late
+                    .push((now + delay, sent.engine.clone(), sent.order));
+            }
+            let outcome = match delivery {
+                Delivery::Answered => outcome,
+                _ => Outcome::Unknown,
+            };
+            let planner = &mut self.terms[term].planner;
+            planner.record_outcome(&sent.engine, outcome, now);
+        }
+    }
+}
+
+fn draw_delivery(rng: &mut ChaCha8Rng) -> Delivery {
+    if !rng.random_bool(UNANSWERED_SHARE) {
+        return Delivery::Answered;
+    }
+    let delay = Duration::from_secs_f64(rng.random_range(LATE_SECONDS));
+    match rng.random_range(0..4) {
+        0 => Delivery::ResponseLost,
+        1 => Delivery::Late(delay),
+        2 => Delivery::Lost,
+        _ => Delivery::Twice(delay),
+    }
+}
+
+/// Guards against a planner that opens a replica while a join that an earlier planner, or
+/// it itself, ordered may still take one of its members away.
+#[test]
+fn no_late_order_takes_a_member_of_an_open_replica() {
+    let seeds = match std::env::var(SEEDS_VARIABLE) {
+        Ok(seeds) => seeds.parse().expect("a number of seeds"),
+        Err(_) => DEFAULT_SEEDS,
+    };
+    let mut served = 0;
+    for seed in 0..seeds {
+        let mut simulation = Simulation::new(seed);
+        simulation.run();
+        let cluster = &simulation.cluster;
+        assert_eq!(cluster.violations, Vec::<String>::new(), "seed {seed}");
+        served += cluster.serving("large") + cluster.serving("small");
+    }
+    // The planners must not merely do nothing.
+    assert!(served as u64 >= seeds, "{served} replicas in {seeds} runs");
+}
