Follow the store's era, and keep what is in force when it returns from an older copy

After a return from an older copy, a node with an offset above the copy's end waited for records there and went on accepting a revoked key; the next planner claimed at the same offset, got the token of the planner before it, and gave its replicas the same names.

Change: positions and fencing tokens contain the era, so that those of a later era are higher everywhere they are compared: in reads, relayed updates, claims, heartbeats, names of replicas. Until operators and servers have written again what was lost (2 s), a node keeps the newer configuration, domains out of service, servers that left or are leaving and those that are missing, and confirms no view. Planners of an earlier era step down; node records and quarantined parts are written again, the former after a random delay. Without the header there is one era, and positions equal offsets.

--- a/crates/edge/src/feed_relay.rs
+++ b/crates/edge/src/feed_relay.rs
@@ -7,10 +7,10 @@
 //! *began*. The recipient sent that heartbeat at a known time of its own clock, so
 //! its view is confirmed as of that time, and no clocks are compared.
 
-use crate::{follow, state::Tables};
+use crate::{era, follow, state::Tables};
 use clock::Moment;
 use serde::{Deserialize, Serialize};
-use site::server::Change;
+use site::{feed, server::Change};
 use slog::Logger;
 
 /// The number of heartbeats that carry a change of an entry.
@@ -30,11 +30,11 @@
 /// The planner's progress in both feeds, with recent changes of servers' entries.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct FeedUpdate {
-    /// The offset up to which the planner has read the operators' feed.
+    /// The position up to which the planner has read the operators' feed.
     pub(crate) operators: u64,
-    /// The offset of the servers' feed from which `changes` is complete.
+    /// The position of the servers' feed from which `changes` is complete.
     pub(crate) from: u64,
-    /// The offset up to which the planner has read the servers' feed.
+    /// The position up to which the planner has read the servers' feed.
     pub(crate) to: u64,
     /// The newest change of each entry, with the end offset of the read that
     /// returned it.
@@ -149,16 +149,22 @@
     now: Moment,
 ) -> bool {
     let mut is_changed = false;
+    // A planner that has not seen the present era confirms nothing.
+    let is_earlier = |position| tables.era.compare(position) == era::Order::Earlier;
+    if is_earlier(update.operators) || is_earlier(update.to) {
+        return false;
+    }
     let Some(known) = tables.servers_offset else {
         // Changes can only be applied on top of a complete listing.
         return false;
     };
     for (offset, change) in update.changes {
-        is_changed |= follow::apply_relayed_change(log, tables, offset, change);
+        is_changed |= follow::apply_relayed_change(log, tables, offset, change, now);
     }
     let servers = ack.and_then(|ack| tables.peers.sent_at(ack.servers));
     let operators = ack.and_then(|ack| tables.peers.sent_at(ack.operators));
-    let is_complete = update.from <= known;
+    // A view of an earlier era has to be read anew.
+    let is_complete = update.from <= known && feed::era(update.to) == feed::era(known);
     if is_complete {
         let read = known.max(update.to);
         tables.servers_offset = Some(read);
@@ -169,7 +175,7 @@
     let is_behind = tables
         .operators_offset
         .is_none_or(|read| read < update.operators);
-    if !is_behind {
+    if !is_behind && tables.era.confirms_config(now) {
         tables.config_confirmed = tables.config_confirmed.max(operators);
     }
     tables.is_behind.operators = is_behind;
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,6 +1,7 @@
 //! Reads of the store's feeds into the tables.
 
 use crate::{
+    era,
     peers::ReceivedSequences,
     state::{Shared, Tables},
 };
@@ -8,13 +9,13 @@
 use name::Instance;
 use site::{
     config,
-    feed::{Batch, Cursor, InvalidRecord},
+    feed::{self, Batch, Cursor, InvalidRecord},
     server::Change,
     settings::Bounds,
 };
 use slog::{Logger, info, warn};
 use std::{collections::HashSet, sync::Arc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How long a read of the operators' feed waits for a change, as a fraction of the
 /// maximum delay until a configuration takes effect.
@@ -94,6 +95,9 @@
 /// were isolated for so long that the others removed them.
 const NODE_RECORD_READ_INTERVAL: Duration = Duration::from_secs(60);
 
+/// The longest random delay before a node writes its record again in a new era.
+const MAX_REWRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// The maximum number of distinct faults that are stored, so that each is logged
 /// once.
 const MAX_FAULTS: usize = 1_000;
@@ -310,15 +314,30 @@
     started: Moment,
     received: &ReceivedSequences,
 ) {
+    let Cursor::At(position) = batch.next else {
+        return;
+    };
+    let now = shared.now();
     let mut tables = shared.tables();
+    let tables = &mut *tables;
+    let order = shared.enter_era(tables, position, now);
+    let known = tables.operators_offset;
+    let is_same_era = known.is_some_and(|known| feed::era(known) == feed::era(position));
+    // Records of another era do not continue those that this node has applied.
+    if order == era::Order::Earlier || !(batch.is_snapshot || is_same_era) {
+        return;
+    }
     let is_changed = batch.is_snapshot || !batch.records.is_empty();
     if batch.is_snapshot {
-        tables.fleet.bring_all_back();
+        tables.begin_operators_listing(now);
     }
     for change in batch.records {
         match change {
             config::Change::Config(config) => {
                 let known = tables.config.as_ref().map(|c| c.version);
+                tables
+                    .era
+                    .record_version(config.version, known.unwrap_or(0));
                 // Versions only increase; a record that is read twice must not
                 // restore an older configuration.
                 if known.is_none_or(|known| config.version > known) {
@@ -329,26 +348,26 @@
             }
             config::Change::TakeOut(domain) => {
                 info!(shared.log, "failure domain taken out of service"; "domain" => %domain);
-                tables.fleet.set_taken_out(domain, true);
+                tables.set_taken_out(domain, true);
             }
             config::Change::BringBack(domain) => {
                 info!(shared.log, "failure domain restored"; "domain" => %domain);
-                tables.fleet.set_taken_out(domain, false);
+                tables.set_taken_out(domain, false);
             }
         }
     }
-    if let Cursor::At(offset) = batch.next {
-        tables.operators_offset = Some(offset);
-    }
+    tables.operators_offset = Some(position);
     if batch.is_at_end {
         tables.is_behind.operators = false;
-        if tables.config.is_some() {
-            tables.config_confirmed = tables.config_confirmed.max(Some(started));
+        if tables.era.confirms_config(now) {
+            if tables.config.is_some() {
+                tables.config_confirmed = tables.config_confirmed.max(Some(started));
+            }
+            tables.peers.record_read(received, |ack| &mut ack.operators);
         }
-        tables.peers.record_read(received, |ack| &mut ack.operators);
     }
     if is_changed {
-        shared.update_targets(&mut tables);
+        shared.update_targets(tables);
         shared.request_heartbeat();
     }
 }
@@ -402,7 +421,8 @@
         sleep(POLL_INTERVAL).await;
         let now = shared.now();
         let mut tables = shared.tables();
-        if apply_deferred_removals(shared, &mut tables, now) {
+        let has_settled = shared.end_settling(&mut tables, now);
+        if apply_deferred_removals(shared, &mut tables, now) || has_settled {
             shared.update_targets(&mut tables);
             shared.request_heartbeat();
         }
@@ -431,9 +451,15 @@
     let now = shared.now();
     let mut guard = shared.tables();
     let tables = &mut *guard;
-    let mut is_changed = apply_deferred_removals(shared, tables, now);
+    let order = shared.enter_era(tables, offset, now);
     let known = tables.servers_offset;
+    let is_same_era = known.is_some_and(|known| feed::era(known) == feed::era(offset));
+    if order == era::Order::Earlier || !(batch.is_snapshot || is_same_era || known.is_none()) {
+        return;
+    }
+    let mut is_changed = apply_deferred_removals(shared, tables, now);
     let is_newer = known.is_none_or(|known| known < offset);
+    let is_copy = tables.era.is_settling(now) && batch.is_snapshot;
     if is_newer && (batch.is_snapshot || known.is_some()) {
         let removals = if batch.is_snapshot {
             unlisted_removals(tables, &changes)
@@ -441,6 +467,9 @@
             Vec::new()
         };
         for change in changes.into_iter().chain(removals) {
+            if is_copy && tables.era.is_outdated(&change, now) {
+                continue;
+            }
             is_changed |= apply_server_change(shared, tables, change, offset, now);
         }
         tables.servers_offset = Some(offset);
@@ -494,7 +523,7 @@
     for id in &due {
         info!(shared.log, "backend server entry removed"; "server" => %id, "was_held_back" => true);
         queue_for_relay(tables, &Change::Removed(id.clone()), offset);
-        tables.fleet.apply(Change::Removed(id.clone()));
+        tables.apply_server(Change::Removed(id.clone()), now);
     }
     tables.peers.backlog.set_end(offset);
     !due.is_empty()
@@ -535,7 +564,7 @@
     if is_significant {
         queue_for_relay(tables, &change, offset);
     }
-    tables.fleet.apply(change);
+    tables.apply_server(change, now);
     is_significant
 }
 
@@ -566,6 +595,7 @@
     tables: &mut Tables,
     offset: u64,
     change: Change,
+    now: Moment,
 ) -> bool {
     let id = change.id().clone();
     let relayed = tables.relayed_offsets.get(&id).copied().unwrap_or(0);
@@ -583,7 +613,7 @@
     let is_significant = is_significant(tables, &change);
     tables.relayed_offsets.insert(id.clone(), offset);
     tables.deferred_removals.remove(&id);
-    tables.fleet.apply(change);
+    tables.apply_server(change, now);
     is_significant
 }
 
@@ -611,10 +641,12 @@
 /// for as long as the node runs.
 ///
 /// The record is written before the first read, so that of two nodes that start
-/// together at least one finds the other.
+/// together at least one finds the other. In a new era of the store, both are repeated
+/// after a random delay, since all nodes see it at about the same time.
 pub(crate) async fn node_records(shared: Arc<Shared>, record: site::node::NodeRecord) {
     let own = record.node.clone();
-    publish_node_record(&shared, record).await;
+    let mut eras = shared.era_changes.subscribe();
+    publish_node_record(&shared, record.clone()).await;
     let mut faults = FaultLog::default();
     loop {
         match (shared.platform.read_nodes)(Cursor::Start, Duration::ZERO).await {
@@ -632,7 +664,15 @@
                 continue;
             }
         }
-        sleep(NODE_RECORD_READ_INTERVAL).await;
+        // The sender lives as long as the node.
+        if timeout(NODE_RECORD_READ_INTERVAL, eras.changed())
+            .await
+            .is_ok()
+        {
+            sleep(MAX_REWRITE_DELAY.mul_f64(rand::random())).await;
+            shared.metrics.count("eras", "node records rewritten");
+            publish_node_record(&shared, record.clone()).await;
+        }
     }
 }
 
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -2,7 +2,7 @@
 
 use super::{
     MIN_OUTAGE, REMOVAL_GRACE, ReadSchedule, ReceivedSequences, apply_deferred_removals,
-    apply_relayed_change, apply_servers,
+    apply_operators, apply_relayed_change, apply_servers,
 };
 use crate::{
     feed_relay::{self, Backlog},
@@ -10,8 +10,8 @@
 };
 use clock::{Clock, Moment, WallTime};
 use site::{
-    Platform, Settings,
-    feed::{Batch, Cursor},
+    Config, Platform, Settings, config,
+    feed::{self, Batch, Cursor},
     fixture::{self, id},
     server::Change,
 };
@@ -78,6 +78,9 @@
     }
 }
 
+/// The time after which the store's return from an older copy has settled.
+const SETTLE_TIME: Duration = Duration::from_secs(2);
+
 /// A node whose clock is set by the test.
 struct Node {
     shared: Arc<Shared>,
@@ -137,7 +140,13 @@
     // One entry is written again in this node's own read, one in a relayed change.
     node.apply_read(vec![entry("b")], 14, false);
     let mut tables = node.shared.tables();
-    apply_relayed_change(&node.shared.log, &mut tables, 20, entry("c"));
+    apply_relayed_change(
+        &node.shared.log,
+        &mut tables,
+        20,
+        entry("c"),
+        node.shared.now(),
+    );
     drop(tables);
     node.advance(REMOVAL_GRACE);
     // A read without records applies the deferred removals.
@@ -230,7 +239,13 @@
     let node = Node::new();
     node.apply_read(vec![entry("a"), entry("b")], 10, true);
     let mut tables = node.shared.tables();
-    apply_relayed_change(&node.shared.log, &mut tables, 30, entry("later"));
+    apply_relayed_change(
+        &node.shared.log,
+        &mut tables,
+        30,
+        entry("later"),
+        node.shared.now(),
+    );
     drop(tables);
     node.apply_read(vec![entry("b")], 20, true);
     assert!(!node.has_server("a"));
@@ -294,6 +309,98 @@
     assert_eq!(node.shared.tables().servers_confirmed, Some(started));
 }
 
+/// Guards against taking what an older copy of the store lacks for removed: the servers in
+/// it, a domain that is out of service, a newer configuration, and a server that left.
+#[test]
+fn return_of_the_store_from_an_older_copy_undoes_nothing() {
+    let node = Node::new();
+    let at = |era, offset| feed::position(era, offset);
+    let config = |version| {
+        config::Change::Config(Box::new(Config {
+            version,
+            ..Config::default()
+        }))
+    };
+    let domain: name::Domain = "z2".parse().expect("a name");
+    let operators = |records, position, is_snapshot| {
+        let batch = Batch {
+            records,
+            next: Cursor::At(position),
+            is_snapshot,
+            is_at_end: true,
+            invalid_records: Vec::new(),
+        };
+        let received = ReceivedSequences::default();
+        apply_operators(&node.shared, batch, node.shared.now(), &received);
+    };
+    node.apply_read(vec![entry("a"), entry("b"), entry("gone")], at(1, 10), true);
+    node.apply_read(vec![Change::Removed(id("gone"))], at(1, 11), false);
+    operators(vec![config(13)], at(1, 5), true);
+    operators(
+        vec![config(17), config::Change::TakeOut(domain.clone())],
+        at(1, 7),
+        false,
+    );
+    let confirmed = node.shared.tables().config_confirmed;
+    node.advance(Duration::from_millis(100));
+
+    // The copy is from before version 17, the removal of one server, and the start of another.
+    node.apply_read(vec![entry("a"), entry("gone")], at(2, 9), true);
+    operators(vec![config(13)], at(2, 4), true);
+    // A read of the earlier era was on its way.
+    node.apply_read(vec![Change::Removed(id("a"))], at(1, 12), false);
+    let has_servers = node.has_server("a") && node.has_server("b") && !node.has_server("gone");
+    assert!(has_servers);
+    assert!(node.shared.tables().fleet.is_taken_out(&domain));
+    let version = |node: &Node| {
+        let tables = node.shared.tables();
+        tables.config.as_ref().map(|config| config.version)
+    };
+    assert_eq!(version(&node), Some(17));
+    assert_eq!(node.shared.tables().config_confirmed, confirmed);
+
+    // Operators and servers write again what was lost, but for the domain.
+    node.apply_read(vec![entry("b")], at(2, 10), false);
+    operators(vec![config(17)], at(2, 5), false);
+    node.advance(SETTLE_TIME);
+    let now = node.shared.now();
+    assert!(node.shared.end_settling(&mut node.shared.tables(), now));
+    operators(Vec::new(), at(2, 5), false);
+    assert!(!node.shared.tables().fleet.is_taken_out(&domain));
+    assert_eq!(node.shared.tables().config_confirmed, Some(now));
+    assert!(node.has_server("a") && node.has_server("b"));
+}
+
+/// Guards against confirming a view by a planner that has not seen the store's return.
+#[test]
+fn update_of_an_earlier_era_confirms_nothing() {
+    let node = Node::new();
+    let at = |era, offset| feed::position(era, offset);
+    node.apply_read(vec![entry("a")], at(2, 10), true);
+    let mut tables = node.shared.tables();
+    tables.operators_offset = Some(at(2, 4));
+    let now = node.shared.now();
+    let update = feed_relay::FeedUpdate {
+        operators: at(1, 900),
+        from: at(1, 900),
+        to: at(1, 950),
+        changes: vec![(at(1, 940), Change::Removed(id("a")))],
+    };
+    let log = node.shared.log.clone();
+    let is_changed = feed_relay::apply_update(&log, &mut tables, update, None, now);
+    assert!(!is_changed && tables.peers.last_update.is_none());
+    // An update of a newer era makes the node read.
+    let update = feed_relay::FeedUpdate {
+        operators: at(3, 1),
+        from: at(3, 1),
+        to: at(3, 2),
+        changes: Vec::new(),
+    };
+    feed_relay::apply_update(&log, &mut tables, update, None, now);
+    assert!(tables.is_behind.operators && tables.is_behind.servers);
+    assert!(tables.fleet.server(&id("a")).is_some());
+}
+
 /// With relayed updates, a node reads the feed only if it lacks a change or its view
 /// is too old.
 #[test]
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -11,6 +11,7 @@
 //!   over restarts; `exchange` sends what nodes learn from servers' answers to the others,
 //! - `end_check` tells servers that ended from lost connections, `isolation` whether this
 //!   node reaches the servers at all; `forward` then passes requests on to other nodes,
+//! - `era` keeps what was applied while the store returns from an older copy,
 //! - `plan` forms replicas while this node holds the newest planner claim,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
 //!   `attempt` (which takes a `slot`), `stream` forwards the events of a response,
@@ -24,6 +25,7 @@
 mod attempt;
 mod directory;
 mod end_check;
+mod era;
 mod events;
 mod evidence;
 mod exchange;
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -1,7 +1,8 @@
 //! The planner's driver: claims, state queries to engines, orders.
 //!
-//! The node with the newest claim in the store is the planner; the claim's offset is
-//! the fencing token of all its orders. A node claims when it has received no
+//! The node with the newest claim in the store is the planner; the claim's position is
+//! the fencing token of all its orders, so that claims of a later era of the store have
+//! higher tokens. A node claims when it has received no
 //! heartbeat from a planner for some time and its own view of the store is recent. A
 //! planner whose view becomes too old steps down, since it would not notice that
 //! another planner has superseded it.
@@ -16,7 +17,7 @@
 use name::{Instance, Service};
 use site::{
     Server,
-    feed::{AppendOutcome, Cursor},
+    feed::{self, AppendOutcome, Cursor},
     node::{self, NodeRecord},
     order::Outcome,
 };
@@ -152,6 +153,8 @@
     let confirmed = tables.servers_confirmed;
     if tables.peers.highest_token() > token {
         Some("heartbeat from a newer planner")
+    } else if feed::era(token) < tables.era.latest() {
+        Some("claim of an earlier era of the store")
     } else if shared.is_stopping() {
         Some("node stopping")
     } else if tables.reach.isolated_since().is_some() {
@@ -212,7 +215,7 @@
         return ClaimOutcome::Unknown;
     };
     // Claims expire, so a feed without records may have had some before.
-    let has_new_claims = *cursor != batch.next && end > 0;
+    let has_new_claims = *cursor != batch.next && feed::offset(end) > 0;
     *cursor = batch.next;
     let own = node::PlannerClaim {
         node: record.node.clone(),
--- a/crates/edge/src/quarantine_store.rs
+++ b/crates/edge/src/quarantine_store.rs
@@ -32,14 +32,21 @@
 pub(crate) async fn run(shared: Arc<Shared>) {
     let mut changes = shared.treatment_changes.subscribe();
     let mut stored = read_until_success(&shared).await;
-    let mut was_planner = false;
+    // The era of the store in which this node last became the planner.
+    let mut planner_era = None;
     loop {
-        let is_planner = shared.tables().peers.own_token.is_some();
-        if is_planner && !was_planner {
-            // Another planner may have written since this node started.
+        let era = {
+            let tables = shared.tables();
+            let is_planner = tables.peers.own_token.is_some();
+            is_planner.then(|| tables.era.latest())
+        };
+        let is_planner = era.is_some();
+        if is_planner && era != planner_era {
+            // Another planner may have written since this node started, or the store may have
+            // lost what was written.
             stored = read_until_success(&shared).await;
         }
-        was_planner = is_planner;
+        planner_era = era;
         if is_planner && let Err(error) = write_changes(&shared, &mut stored).await {
             warn!(shared.log, "writing quarantined parts failed"; "error" => %error);
             sleep(RETRY_DELAY).await;
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,8 +1,8 @@
 //! The state that a node's tasks share.
 
 use crate::{
-    end_check::EndChecks, exchange::Outbox, memory::Memory, metrics::Metrics, peers::Peers,
-    slot::Waiter,
+    end_check::EndChecks, era::Era, exchange::Outbox, memory::Memory, metrics::Metrics,
+    peers::Peers, slot::Waiter,
 };
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
@@ -49,6 +49,8 @@
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Wakes the heartbeat sender before its interval ends.
     pub(crate) heartbeat_requested: Notify,
+    /// The latest era of the store.
+    pub(crate) era_changes: watch::Sender<u64>,
     /// Requests a check of the links to the servers.
     pub(crate) check_requested: Notify,
     /// The number of such checks so far.
@@ -79,17 +81,19 @@
     pub(crate) servers_confirmed: Option<Moment>,
     /// Until when removals are deferred after an outage of the store.
     pub(crate) defer_removals_until: Option<Moment>,
+    /// The era of the store, and what is kept over its changes.
+    pub(crate) era: Era,
     /// The servers whose removal is deferred after an outage of the store.
     pub(crate) deferred_removals: HashSet<Instance>,
-    /// The offset up to which the operators' feed is applied; `None` before its first
+    /// The position up to which the operators' feed is applied; `None` before its first
     /// read.
     pub(crate) operators_offset: Option<u64>,
-    /// The offset up to which the servers' feed is applied; `None` before its first
+    /// The position up to which the servers' feed is applied; `None` before its first
     /// listing.
     pub(crate) servers_offset: Option<u64>,
     /// The feeds of which this node lacks records that the planner has read.
     pub(crate) is_behind: Behind,
-    /// The feed offset of the last relayed change of each server's entry.
+    /// The feed position of the last relayed change of each server's entry.
     pub(crate) relayed_offsets: HashMap<Instance, u64>,
     pub(crate) fleet: Fleet,
     pub(crate) targets: Arc<Vec<Target>>,
@@ -126,6 +130,7 @@
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
+            era_changes: watch::Sender::new(0),
             check_requested: Notify::new(),
             checks: watch::Sender::new(0),
             exchange_due: Notify::new(),
@@ -216,6 +221,7 @@
             config_confirmed: None,
             servers_confirmed: None,
             defer_removals_until: None,
+            era: Era::default(),
             deferred_removals: HashSet::new(),
             operators_offset: None,
             servers_offset: None,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -334,9 +334,27 @@
         time_limit: Duration,
         max_body: usize,
     ) -> Result<(StatusCode, Bytes), Failure> {
+        let response = self
+            .exchange(address, request, time_limit, max_body)
+            .await?;
+        Ok((response.status(), response.into_body()))
+    }
+
+    /// Sends a request like [`Pool::call`], and returns the headers as well.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Pool::call`].
+    pub async fn exchange(
+        &self,
+        address: SocketAddr,
+        request: Request<Bytes>,
+        time_limit: Duration,
+        max_body: usize,
+    ) -> Result<Response<Bytes>, Failure> {
         timeout(
             time_limit,
-            self.call_without_timeout(address, request, time_limit, max_body),
+            self.exchange_without_timeout(address, request, time_limit, max_body),
         )
         .await
         .unwrap_or_else(|_| Err(Failure::sent(format!("no response within {time_limit:?}"))))
@@ -345,13 +363,13 @@
     /// Sends a request and reads the response without an overall time limit.
     ///
     /// `time_limit` applies to the opening of a connection only.
-    async fn call_without_timeout(
+    async fn exchange_without_timeout(
         &self,
         address: SocketAddr,
         request: Request<Bytes>,
         time_limit: Duration,
         max_body: usize,
-    ) -> Result<(StatusCode, Bytes), Failure> {
+    ) -> Result<Response<Bytes>, Failure> {
         let mut connection = self.take(address, DEFAULT_KEEP_ALIVE, time_limit).await?;
         let response = match connection.send(request.clone()).await {
             Err(failure) if failure.is_unsent && connection.is_reused => {
@@ -360,13 +378,13 @@
             }
             result => result?,
         };
-        let status = response.status();
-        let body = Limited::new(response.into_body(), max_body)
+        let (parts, body) = response.into_parts();
+        let body = Limited::new(body, max_body)
             .collect()
             .await
             .map_err(Failure::sent)?
             .to_bytes();
         self.put(connection, None);
-        Ok((status, body))
+        Ok(Response::from_parts(parts, body))
     }
 }
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -163,6 +163,19 @@
         self.announced_leaving.insert(id.clone(), incarnation) != Some(incarnation)
     }
 
+    /// Keeps all servers that are leaving as such, whatever later entries of the same
+    /// incarnations say.
+    pub fn keep_leaving(&mut self) {
+        let leaving = self.servers.values().filter(|server| server.is_leaving);
+        let leaving = leaving.map(|server| (server.id.clone(), server.incarnation));
+        self.announced_leaving.extend(leaving);
+    }
+
+    /// Returns the failure domains that are taken out of service.
+    pub fn taken_out(&self) -> impl Iterator<Item = &Domain> {
+        self.taken_out.iter()
+    }
+
     /// Marks a failure domain as taken out of service or brought back.
     pub fn set_taken_out(&mut self, domain: Domain, is_out: bool) {
         if is_out {
