Bound the memory for callers and servers by the machine's memory

A burst of long bodies took nodes of 260 MiB over their memory, and they were killed with what they had accepted.

Change: one budget, which follows from the memory limit in the settings, covers bodies of requests (kept for further attempts), incomplete responses, responses and streams that callers read slowly, and connections. Without memory for a body a node stops reading it, and after a second refuses it as not run; new long bodies are refused at once when three quarters are used. Short bodies may use what long ones leave. Accepted work is kept.

Open: bytes in the kernel's receive buffers are not bounded by the program.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -1,6 +1,6 @@
 //! Admission of requests, and the choice of their service.
 
-use crate::state::Shared;
+use crate::{memory::Reservation, state::Shared};
 use clock::Moment;
 use name::{Account, Service};
 use place::Urgency;
@@ -39,6 +39,8 @@
     /// The digest of the whole request, once it was needed.
     pub(crate) whole: OnceLock<Part>,
     pub(crate) outgoing: Arc<OutgoingRequest>,
+    /// The memory of the body, which is kept for further attempts.
+    pub(crate) body_memory: Option<Arc<Reservation>>,
     pub(crate) rank: Urgency,
     pub(crate) arrived: Moment,
     pub(crate) deadline: Moment,
@@ -114,6 +116,7 @@
         is_forwarded: false,
         whole: OnceLock::new(),
         outgoing: Arc::new(outgoing),
+        body_memory: None,
         rank: Urgency { priority, due },
         arrived,
         deadline: arrived + wait,
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -71,7 +71,7 @@
 /// Returns a time with random jitter of 25 %.
 ///
 /// Callers that were refused together should not retry together.
-fn jitter(time: Duration) -> Duration {
+pub(crate) fn jitter(time: Duration) -> Duration {
     time.mul_f64(rand::rng().random_range(0.75..1.25))
 }
 
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -60,6 +60,7 @@
         peer_address: address,
         store_address: address,
         link_mbit_per_s: None,
+        memory_bytes: None,
         bounds: fixture::bounds(),
     }
 }
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -1,7 +1,9 @@
 //! The HTTP listeners: callers, readiness, directory, operators.
 
 use crate::{
-    admin, directory, serve,
+    admin, directory,
+    memory::CONNECTION_BYTES,
+    serve,
     state::Shared,
     stream::{Body, full_body},
 };
@@ -23,6 +25,11 @@
 /// If descriptors ran out, some become free as requests end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The maximum size of a connection's buffer, in bytes.
+///
+/// It holds the longest head of a request.
+const MAX_BUFFER_BYTES: usize = 64 << 10;
+
 /// What a listener serves.
 #[derive(Debug, Clone)]
 pub(crate) enum Role {
@@ -71,6 +78,8 @@
     if let Err(error) = net::set_socket_options(&stream) {
         debug!(shared.log, "setting socket options failed"; "error" => %error);
     }
+    let mut reservation = shared.memory.reserve();
+    reservation.charge(CONNECTION_BYTES);
     let idle = {
         let tables = shared.tables();
         let limits = tables.config.as_ref().map(|c| c.limits.clone());
@@ -85,6 +94,7 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(idle)
+        .max_buf_size(MAX_BUFFER_BYTES)
         .serve_connection(TokioIo::new(stream), service);
     tokio::pin!(served);
     loop {
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -2,17 +2,17 @@
 
 use crate::{
     admit::{Job, NO_CONFIG, RETRY_ELSEWHERE, admit},
-    attempt::{Answer, Attempts, BodyEnd, attempt},
+    attempt::{Answer, Attempts, BodyEnd, attempt, jitter},
     evidence::{Progress, format_digest},
     forward::{self, SERVER, server_mark},
-    memory::MAX_RESPONSE_BYTES,
+    memory::{Blocks, MAX_RESPONSE_BYTES, Reservation, WholeBody},
     state::Shared,
     stream::{Body, full_body, relay},
 };
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version, header};
-use http_body_util::{BodyExt, Limited};
-use hyper::body::Incoming;
+use http_body_util::BodyExt;
+use hyper::body::{Body as _, Incoming};
 use net::Framing;
 use site::{CallerRequest, call::OutgoingRequest};
 use slog::info;
@@ -23,6 +23,11 @@
 /// How long a request's body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The retry delay for callers whose bodies found no memory.
+///
+/// Long bodies take a second or so to arrive and are given back after that.
+const RETRY_WITHOUT_MEMORY: Duration = Duration::from_millis(1_000);
+
 /// The reason of a response whose connection was lost before its end.
 const BROKE_OFF: &str = "answer broke off";
 
@@ -58,9 +63,14 @@
             &error.with_retry_after(RETRY_ELSEWHERE),
         );
     };
-    let body = match read_body(body, limits.max_body_bytes).await {
+    let (body, reservation) = match read_body(shared, body, limits.max_body_bytes).await {
         Ok(body) => body,
-        Err(error) => return refuse(shared, Some(&call), &error),
+        Err(error) => {
+            let mut response = refuse(shared, Some(&call), &error);
+            // The rest of the body is not read.
+            close_after(&mut response);
+            return response;
+        }
     };
     let target = parts
         .uri
@@ -76,6 +86,7 @@
         Ok(job) => job,
         Err(error) => return refuse(shared, Some(&call), &error),
     };
+    job.body_memory = Some(Arc::new(reservation));
     job.is_forwarded = runs.is_some();
     // A caller that accepts no chunks cannot tell a body that broke off from a whole one.
     let accepts_chunks = parts.version >= Version::HTTP_11;
@@ -92,16 +103,14 @@
     }
 }
 
-/// Reads the whole body of a request.
-async fn read_body(body: Incoming, max_bytes: usize) -> Result<Bytes, Error> {
-    let reading = Limited::new(body, max_bytes).collect();
-    match timeout(BODY_TIMEOUT, reading).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<http_body_util::LengthLimitError>() => Err(Error::not_run(
-            Kind::TooLarge,
-            format!("the body is longer than {max_bytes} bytes"),
-        )),
-        Ok(Err(_)) => Err(Error::not_run(Kind::Malformed, "the body broke off")),
+/// Reads the whole body of a request, and returns it with its memory.
+async fn read_body(
+    shared: &Shared,
+    body: Incoming,
+    max_bytes: usize,
+) -> Result<(Bytes, Reservation), Error> {
+    match timeout(BODY_TIMEOUT, collect_body(shared, body, max_bytes)).await {
+        Ok(result) => result,
         Err(_) => Err(Error::not_run(
             Kind::SlowRequest,
             "the body came too slowly",
@@ -109,6 +118,44 @@
     }
 }
 
+/// Reads the whole body of a request without a time limit.
+async fn collect_body(
+    shared: &Shared,
+    mut body: Incoming,
+    max_bytes: usize,
+) -> Result<(Bytes, Reservation), Error> {
+    let too_long = || {
+        let message = format!("the body is longer than {max_bytes} bytes");
+        Error::not_run(Kind::TooLarge, message)
+    };
+    let no_memory = || {
+        Error::not_run(Kind::Overloaded, "no memory for the body")
+            .with_retry_after(jitter(RETRY_WITHOUT_MEMORY))
+    };
+    let announced = body.size_hint().exact().unwrap_or(0);
+    let announced = usize::try_from(announced).map_err(|_| too_long())?;
+    if announced > max_bytes {
+        return Err(too_long());
+    }
+    if announced > 0 && shared.memory.refuses_body(announced) {
+        return Err(no_memory());
+    }
+    let mut blocks = Blocks::new(&shared.memory);
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|_| Error::not_run(Kind::Malformed, "the body broke off"))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if blocks.len() + data.len() > max_bytes {
+            return Err(too_long());
+        }
+        if !blocks.push(&data, announced).await {
+            return Err(no_memory());
+        }
+    }
+    Ok(blocks.into_bytes())
+}
+
 /// Builds the caller's response from a server's response.
 ///
 /// A stream is forwarded as it arrives if the caller accepts chunks, and otherwise
@@ -140,7 +187,7 @@
         let server = answer.slot.choice.target.server.clone();
         let framing = answer.framing;
         match job.read_whole(shared, answer).await {
-            Ok(bytes) => {
+            Ok((bytes, reservation)) => {
                 let body_end = BodyEnd {
                     framing,
                     bytes: bytes.len() as u64,
@@ -154,7 +201,8 @@
                     Some(&server),
                     Some(body_end),
                 );
-                return response(shared, status, headers, full_body(bytes));
+                let body = WholeBody::new(bytes, reservation).boxed();
+                return response(shared, status, headers, body);
             }
             Err(reason) => {
                 shared.metrics.count("attempts", reason);
@@ -181,7 +229,11 @@
 
 impl Job {
     /// Reads the whole body of a response.
-    async fn read_whole(&self, shared: &Shared, answer: Answer) -> Result<Bytes, &'static str> {
+    async fn read_whole(
+        &self,
+        shared: &Shared,
+        answer: Answer,
+    ) -> Result<(Bytes, Reservation), &'static str> {
         let Answer {
             head,
             framing,
@@ -218,7 +270,10 @@
 ///
 /// Returns the reason if the body breaks off or is longer than [`MAX_RESPONSE_BYTES`], or
 /// if the responses that this node reads use too much memory.
-async fn read_response(shared: &Shared, mut body: Incoming) -> Result<Bytes, &'static str> {
+async fn read_response(
+    shared: &Shared,
+    mut body: Incoming,
+) -> Result<(Bytes, Reservation), &'static str> {
     let mut reservation = shared.memory.reserve();
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
@@ -235,7 +290,7 @@
         }
         whole.extend_from_slice(&data);
     }
-    Ok(whole.freeze())
+    Ok((whole.freeze(), reservation))
 }
 
 /// Returns the headers of a server's response that are sent to the caller.
@@ -269,11 +324,16 @@
 /// Its next request then goes to another node.
 fn close_if_stopping(shared: &Shared, response: &mut Response<Body>) {
     if shared.is_stopping() {
-        let close = http::HeaderValue::from_static("close");
-        response.headers_mut().insert(header::CONNECTION, close);
+        close_after(response);
     }
 }
 
+/// Closes the caller's connection after a response.
+fn close_after(response: &mut Response<Body>) {
+    let close = http::HeaderValue::from_static("close");
+    response.headers_mut().insert(header::CONNECTION, close);
+}
+
 /// Builds the response for an error, and logs it.
 fn refuse(shared: &Shared, call: Option<&CallerRequest>, error: &Error) -> Response<Body> {
     let mut response = (shared.platform.build_error_response)(error).map(full_body);
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -42,7 +42,7 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) pool: net::Pool,
-    /// The memory for incomplete responses of servers.
+    /// The memory for requests and responses.
     pub(crate) memory: Memory,
     pub(crate) metrics: Metrics,
     /// The number of changes of the fleet so far.
@@ -120,13 +120,14 @@
     /// Returns the state of a node that has read nothing yet.
     pub(crate) fn new(settings: Settings, platform: Platform, clock: Clock, log: Logger) -> Self {
         let tables = Tables::new();
+        let memory = Memory::new(settings.memory_bytes);
         Self {
             settings,
             platform,
             clock,
             log,
             pool: net::Pool::default(),
-            memory: Memory::default(),
+            memory,
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -58,8 +58,8 @@
 /// A part of a response body.
 #[derive(Debug)]
 enum Part {
-    /// Bytes of the body.
-    Data(Bytes),
+    /// Bytes of the body, with their memory until the caller's connection takes them.
+    Data { bytes: Bytes, _memory: Reservation },
     /// The end of a complete body.
     End,
 }
@@ -95,7 +95,7 @@
             return Poll::Ready(None);
         }
         self.parts.poll_recv(context).map(|part| match part {
-            Some(Part::Data(bytes)) => Some(Ok(Frame::data(bytes))),
+            Some(Part::Data { bytes, .. }) => Some(Ok(Frame::data(bytes))),
             Some(Part::End) => {
                 self.is_complete = true;
                 None
@@ -348,10 +348,19 @@
             } else {
                 Some(bytes)
             };
-            if let Some(bytes) = bytes
-                && self.sink.send(Part::Data(bytes)).await.is_err()
-            {
-                return End::CallerDisconnected;
+            if let Some(bytes) = bytes {
+                // Without memory for a slow caller, the server's response is not read on.
+                let mut reservation = self.shared.memory.reserve();
+                if !reservation.grow(bytes.len(), deadline).await {
+                    return End::DeadlineExceeded;
+                }
+                let part = Part::Data {
+                    bytes,
+                    _memory: reservation,
+                };
+                if self.sink.send(part).await.is_err() {
+                    return End::CallerDisconnected;
+                }
             }
             // Complete events count as delivered, so they are forwarded before.
             let partial = self.events.partial_bytes();
--- a/crates/edge/src/stream/tests.rs
+++ b/crates/edge/src/stream/tests.rs
@@ -1,6 +1,7 @@
 //! A response is completed only if its stream is known to be complete.
 
 use super::{ChannelBody, End, Fault, Part, end_of_stream};
+use crate::memory::Memory;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use net::Framing;
@@ -13,7 +14,10 @@
         parts: Vec<Part>,
         is_complete: bool,
     }
-    let data = || Part::Data(Bytes::from_static(b"id: 1\n\n"));
+    let data = || Part::Data {
+        bytes: Bytes::from_static(b"id: 1\n\n"),
+        _memory: Memory::new(None).reserve(),
+    };
     let cases = [
         Case {
             what: "data and the end",
--- a/crates/form/tests/planner/succession.rs
+++ b/crates/form/tests/planner/succession.rs
@@ -111,9 +111,9 @@
             while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
                 self.history.pop_front();
             }
-            for term in 0..count {
+            for (term, begin) in begins.iter().enumerate() {
                 let is_last = term + 1 == count;
-                if now >= begins[term] && (is_last || now < self.terms[term].end + overlap) {
+                if now >= *begin && (is_last || now < self.terms[term].end + overlap) {
                     self.plan(term);
                 }
             }
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -22,6 +22,8 @@
     pub store_address: SocketAddr,
     /// The bandwidth of the machine's network link, if the platform gives it.
     pub link_mbit_per_s: Option<f64>,
+    /// The memory above which the platform kills the process, in bytes, if it gives it.
+    pub memory_bytes: Option<u64>,
     /// The limits that the deployment guarantees.
     pub bounds: Bounds,
 }
