--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts to run a request on backend servers until one of them answers.
 
 use crate::{
-    admit::Job,
+    admit::{Job, RETRY_ELSEWHERE},
     evidence::{Progress, format_digest, withheld_error},
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
@@ -71,7 +71,7 @@
 /// Returns a time with random jitter of 25 %.
 ///
 /// Callers that were refused together should not retry together.
-fn jitter(time: Duration) -> Duration {
+pub(crate) fn jitter(time: Duration) -> Duration {
     time.mul_f64(rand::rng().random_range(0.75..1.25))
 }
 
@@ -174,6 +174,13 @@
     pub(crate) slot: Slot,
 }
 
+impl Answer {
+    /// Returns whether the response claims success without a server's proof of it.
+    fn is_unsigned_success(&self) -> bool {
+        self.status.is_success() && !self.head.is_signed
+    }
+}
+
 /// Why an attempt gave no response for the caller.
 enum AttemptError {
     /// The server did not run the request.
@@ -182,6 +189,8 @@
     Failed(&'static str),
     /// A part of the request was quarantined meanwhile.
     Withheld,
+    /// The request's secret was revoked meanwhile, or the configuration is too old to tell.
+    Unauthorized,
     /// The request's deadline passed.
     DeadlineExceeded,
 }
@@ -261,6 +270,12 @@
                     "the request was withdrawn from its server",
                 ));
             }
+            AttemptError::Unauthorized => {
+                shared.metrics.count("attempts", "unauthorized");
+                return Err(job
+                    .error(attempts, Kind::Unavailable, "the secret was not confirmed")
+                    .with_retry_after(RETRY_ELSEWHERE));
+            }
             AttemptError::DeadlineExceeded => {
                 shared.metrics.count("attempts", "late");
                 return Err(job.error(attempts, Kind::Deadline, "the deadline passed"));
@@ -424,6 +439,9 @@
             };
             (shared.platform.build_request)(&self.outgoing, &addition)
         };
+        if !self.has_valid_secret(shared) {
+            return Err(AttemptError::Unauthorized);
+        }
         attempts.sent += 1;
         attempts.executions += 1;
         let sending = connection.send(request);
@@ -451,14 +469,18 @@
             connection,
             slot,
         };
+        // A faulty server may send an extra response where the next one is due. Nothing in it
+        // concerns this request, which the server may be running.
+        if !self.is_answered_by(&answer) {
+            return Err(AttemptError::Failed("not an answer to this request"));
+        }
         if answer.slot.node.is_some() {
             if self.follow_node(shared, &answer, attempts) {
                 attempts.executions -= 1;
                 return Err(AttemptError::Refused(None));
             }
-            let is_unsigned = answer.status.is_success() && !answer.head.is_signed;
-            return if is_unsigned {
-                Err(AttemptError::Failed("not an answer to this request"))
+            return if answer.is_unsigned_success() {
+                Err(AttemptError::Failed("unsigned answer"))
             } else {
                 Ok(answer)
             };
@@ -595,7 +617,19 @@
         }
     }
 
-    /// Checks whether a response is one for the caller.
+    /// Returns whether a response is proved to belong to this request.
+    ///
+    /// Servers copy the identifier of the attempt to every response. Without one, a
+    /// response may still be the first on its connection, where no earlier request can have
+    /// another. Other nodes write none into their own errors, and send no extra responses.
+    fn is_answered_by(&self, answer: &Answer) -> bool {
+        match answer.head.attempt_id.as_deref() {
+            Some(id) => id == &*self.call.attempt_id,
+            None => answer.slot.node.is_some() || !answer.connection.is_reused(),
+        }
+    }
+
+    /// Checks whether a response to this request is one for the caller.
     fn check(&self, answer: Answer, attempts: &mut Attempts) -> Result<Answer, AttemptError> {
         let is_refused =
             answer.head.is_not_executed || answer.status == StatusCode::MISDIRECTED_REQUEST;
@@ -603,9 +637,8 @@
             attempts.executions -= 1;
             return Err(AttemptError::Refused(answer.head.faulty_server));
         }
-        let is_matching = answer.head.attempt_id.as_deref() == Some(&*self.call.attempt_id);
-        if !is_matching || (answer.status.is_success() && !answer.head.is_signed) {
-            return Err(AttemptError::Failed("not an answer to this request"));
+        if answer.is_unsigned_success() {
+            return Err(AttemptError::Failed("unsigned answer"));
         }
         let is_retry_allowed = self.is_repeatable() && attempts.has_executions_left(self);
         if answer.status.is_server_error() && is_retry_allowed {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -1,6 +1,7 @@
 //! Reads of the store's feeds into the tables.
 
 use crate::{
+    era,
     peers::ReceivedSequences,
     state::{Shared, Tables},
 };
@@ -8,13 +9,13 @@
 use name::Instance;
 use site::{
     config,
-    feed::{Batch, Cursor, InvalidRecord},
+    feed::{self, Batch, Cursor, InvalidRecord},
     server::Change,
     settings::Bounds,
 };
 use slog::{Logger, info, warn};
 use std::{collections::HashSet, sync::Arc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// How long a read of the operators' feed waits for a change, as a fraction of the
 /// maximum delay until a configuration takes effect.
@@ -81,12 +82,22 @@
 /// server is alive and reaches the store.
 const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
 
+/// The time without a successful read from which entries may have expired since servers
+/// could not renew them.
+///
+/// Servers renew an entry about once a second, and it expires after three renewals were
+/// missed. A connection that is reset costs one read, which is repeated at once.
+const MIN_OUTAGE: Duration = Duration::from_millis(1_000);
+
 /// The time between two reads of the other nodes' records.
 ///
 /// Starting nodes send heartbeats to all others. Later reads only find nodes that
 /// were isolated for so long that the others removed them.
 const NODE_RECORD_READ_INTERVAL: Duration = Duration::from_secs(60);
 
+/// The longest random delay before a node writes its record again in a new era.
+const MAX_REWRITE_DELAY: Duration = Duration::from_secs(2);
+
 /// The maximum number of distinct faults that are stored, so that each is logged
 /// once.
 const MAX_FAULTS: usize = 1_000;
@@ -117,7 +128,8 @@
 #[derive(Debug)]
 struct FeedReader {
     name: &'static str,
-    is_lost: bool,
+    /// When the first of the reads began that have failed since the last successful one.
+    lost_since: Option<Moment>,
     faults: FaultLog,
 }
 
@@ -126,29 +138,33 @@
     fn new(name: &'static str) -> Self {
         Self {
             name,
-            is_lost: false,
+            lost_since: None,
             faults: FaultLog::default(),
         }
     }
 
-    /// Handles the result of a read, and delays after a failed one.
+    /// Handles the result of a read that began at `started`, and delays after a failed one.
     async fn handle_read<T>(
         &mut self,
         shared: &Shared,
+        started: Moment,
         answer: Result<Batch<T>, site::feed::Error>,
     ) -> Option<Batch<T>> {
         match answer {
             Ok(batch) => {
-                if std::mem::take(&mut self.is_lost) {
-                    shared.tables().store_recovered = Some(shared.now());
-                    info!(shared.log, "store reachable again"; "feed" => self.name);
+                if let Some(since) = self.lost_since.take() {
+                    let is_outage = shared.tables().record_recovery(since, shared.now());
+                    info!(shared.log, "store reachable again"; "feed" => self.name,
+                        "lost_ms" => shared.now().since(since).as_millis() as u64,
+                        "defers_removals" => is_outage);
                 }
                 self.faults.log(shared, self.name, &batch.invalid_records);
                 Some(batch)
             }
             Err(error) => {
                 shared.metrics.count("store_failures", self.name);
-                if !std::mem::replace(&mut self.is_lost, true) {
+                if self.lost_since.is_none() {
+                    self.lost_since = Some(started);
                     warn!(shared.log, "store unreachable"; "feed" => self.name, "error" => %error);
                 }
                 sleep(RETRY_DELAY).await;
@@ -158,6 +174,23 @@
     }
 }
 
+impl Tables {
+    /// Records that the store is reachable again after reads failed since `lost_since`.
+    ///
+    /// Returns whether that was an outage in which entries may have expired. It was none
+    /// if it was short, or if a planner read the servers' feed meanwhile: then only this
+    /// node had lost the store.
+    fn record_recovery(&mut self, lost_since: Moment, now: Moment) -> bool {
+        let confirmed = self.servers_confirmed;
+        let unconfirmed_since = confirmed.map_or(lost_since, |at| at.max(lost_since));
+        let is_outage = now.since(unconfirmed_since) >= MIN_OUTAGE;
+        if is_outage {
+            self.defer_removals_until = Some(now + REMOVAL_GRACE);
+        }
+        is_outage
+    }
+}
+
 /// Polls the tables until `answer` returns a value; the first poll is immediate.
 async fn poll_until_some<T>(shared: &Shared, answer: impl Fn(&Tables, Moment) -> Option<T>) -> T {
     loop {
@@ -258,7 +291,7 @@
             (cursor, received_sequences(&tables))
         };
         let answer = (shared.platform.read_operator_changes)(cursor, wait).await;
-        if let Some(batch) = feed.handle_read(&shared, answer).await {
+        if let Some(batch) = feed.handle_read(&shared, started, answer).await {
             apply_operators(&shared, batch, started, &received);
         }
     }
@@ -281,15 +314,30 @@
     started: Moment,
     received: &ReceivedSequences,
 ) {
+    let Cursor::At(position) = batch.next else {
+        return;
+    };
+    let now = shared.now();
     let mut tables = shared.tables();
+    let tables = &mut *tables;
+    let order = shared.enter_era(tables, position, now);
+    let known = tables.operators_offset;
+    let is_same_era = known.is_some_and(|known| feed::era(known) == feed::era(position));
+    // Records of another era do not continue those that this node has applied.
+    if order == era::Order::Earlier || !(batch.is_snapshot || is_same_era) {
+        return;
+    }
     let is_changed = batch.is_snapshot || !batch.records.is_empty();
     if batch.is_snapshot {
-        tables.fleet.bring_all_back();
+        tables.begin_operators_listing(now);
     }
     for change in batch.records {
         match change {
             config::Change::Config(config) => {
                 let known = tables.config.as_ref().map(|c| c.version);
+                tables
+                    .era
+                    .record_version(config.version, known.unwrap_or(0));
                 // Versions only increase; a record that is read twice must not
                 // restore an older configuration.
                 if known.is_none_or(|known| config.version > known) {
@@ -300,26 +348,26 @@
             }
             config::Change::TakeOut(domain) => {
                 info!(shared.log, "failure domain taken out of service"; "domain" => %domain);
-                tables.fleet.set_taken_out(domain, true);
+                tables.set_taken_out(domain, true);
             }
             config::Change::BringBack(domain) => {
                 info!(shared.log, "failure domain restored"; "domain" => %domain);
-                tables.fleet.set_taken_out(domain, false);
+                tables.set_taken_out(domain, false);
             }
         }
     }
-    if let Cursor::At(offset) = batch.next {
-        tables.operators_offset = Some(offset);
-    }
+    tables.operators_offset = Some(position);
     if batch.is_at_end {
         tables.is_behind.operators = false;
-        if tables.config.is_some() {
-            tables.config_confirmed = tables.config_confirmed.max(Some(started));
+        if tables.era.confirms_config(now) {
+            if tables.config.is_some() {
+                tables.config_confirmed = tables.config_confirmed.max(Some(started));
+            }
+            tables.peers.record_read(received, |ack| &mut ack.operators);
         }
-        tables.peers.record_read(received, |ack| &mut ack.operators);
     }
     if is_changed {
-        shared.update_targets(&mut tables);
+        shared.update_targets(tables);
         shared.request_heartbeat();
     }
 }
@@ -340,18 +388,18 @@
             (cursor, received_sequences(&tables))
         };
         let answer = (shared.platform.read_servers)(cursor, wait).await;
-        if let Some(batch) = feed.handle_read(&shared, answer).await {
+        if let Some(batch) = feed.handle_read(&shared, started, answer).await {
             apply_servers(&shared, batch, started, &received);
         }
         wait_until_due(&shared).await;
     }
 }
 
-/// Waits until the next read of the servers' feed is due.
-async fn wait_until_due(shared: &Shared) {
+/// Waits until the next read of the servers' feed is due, and applies deferred removals
+/// meanwhile: a node with a relayed view may not read for minutes.
+async fn wait_until_due(shared: &Arc<Shared>) {
     let begin = shared.now();
     let leaving = shared.settings.bounds.max_leaving_delay;
-    sleep(POLL_INTERVAL).await;
     let is_due = |tables: &Tables, now: Moment| {
         let waited = now.since(begin);
         match feed_source(tables, now) {
@@ -369,7 +417,19 @@
             }
         }
     };
-    poll_until_some(shared, |tables, now| is_due(tables, now).then_some(())).await;
+    loop {
+        sleep(POLL_INTERVAL).await;
+        let now = shared.now();
+        let mut tables = shared.tables();
+        let has_settled = shared.end_settling(&mut tables, now);
+        if apply_deferred_removals(shared, &mut tables, now) || has_settled {
+            shared.update_targets(&mut tables);
+            shared.request_heartbeat();
+        }
+        if is_due(&tables, now) {
+            return;
+        }
+    }
 }
 
 /// Applies changes of servers' entries, and confirms the view of them.
@@ -391,9 +451,15 @@
     let now = shared.now();
     let mut guard = shared.tables();
     let tables = &mut *guard;
-    let mut is_changed = apply_deferred_removals(shared, tables, offset, now);
+    let order = shared.enter_era(tables, offset, now);
     let known = tables.servers_offset;
+    let is_same_era = known.is_some_and(|known| feed::era(known) == feed::era(offset));
+    if order == era::Order::Earlier || !(batch.is_snapshot || is_same_era || known.is_none()) {
+        return;
+    }
+    let mut is_changed = apply_deferred_removals(shared, tables, now);
     let is_newer = known.is_none_or(|known| known < offset);
+    let is_copy = tables.era.is_settling(now) && batch.is_snapshot;
     if is_newer && (batch.is_snapshot || known.is_some()) {
         let removals = if batch.is_snapshot {
             unlisted_removals(tables, &changes)
@@ -401,6 +467,9 @@
             Vec::new()
         };
         for change in changes.into_iter().chain(removals) {
+            if is_copy && tables.era.is_outdated(&change, now) {
+                continue;
+            }
             is_changed |= apply_server_change(shared, tables, change, offset, now);
         }
         tables.servers_offset = Some(offset);
@@ -411,11 +480,17 @@
     if batch.is_at_end && tables.servers_offset.is_some() {
         tables.is_behind.servers = false;
         tables.servers_confirmed = tables.servers_confirmed.max(Some(started));
-        tables.peers.record_read(received, |ack| &mut ack.servers);
+        // A planner does not confirm for other nodes what it withholds from them: each
+        // defers by its own evidence of an outage.
+        if tables.deferred_removals.is_empty() {
+            tables.peers.record_read(received, |ack| &mut ack.servers);
+        }
     }
     // Changes that were skipped, as too old or as not part of a listing, are not
     // relayed either.
-    if let Some(read) = tables.servers_offset {
+    if let Some(read) = tables.servers_offset
+        && tables.deferred_removals.is_empty()
+    {
         tables.peers.backlog.set_end(read);
     }
     if is_changed {
@@ -434,21 +509,23 @@
 
 /// Returns whether removals are deferred after a recent outage of the store.
 fn is_deferring_removals(tables: &Tables, now: Moment) -> bool {
-    let deferred_until = tables.store_recovered.map(|at| at + REMOVAL_GRACE);
-    deferred_until.is_some_and(|until| now < until)
+    tables.defer_removals_until.is_some_and(|until| now < until)
 }
 
 /// Applies the deferred removals once they are due; returns whether there were any.
-fn apply_deferred_removals(shared: &Shared, tables: &mut Tables, offset: u64, now: Moment) -> bool {
-    if is_deferring_removals(tables, now) {
+fn apply_deferred_removals(shared: &Shared, tables: &mut Tables, now: Moment) -> bool {
+    if tables.deferred_removals.is_empty() || is_deferring_removals(tables, now) {
         return false;
     }
+    // The entries are known to be absent up to the end of the last read.
+    let offset = tables.servers_offset.unwrap_or(0);
     let due = std::mem::take(&mut tables.deferred_removals);
     for id in &due {
         info!(shared.log, "backend server entry removed"; "server" => %id, "was_held_back" => true);
         queue_for_relay(tables, &Change::Removed(id.clone()), offset);
-        tables.fleet.apply(Change::Removed(id.clone()));
+        tables.apply_server(Change::Removed(id.clone()), now);
     }
+    tables.peers.backlog.set_end(offset);
     !due.is_empty()
 }
 
@@ -487,7 +564,7 @@
     if is_significant {
         queue_for_relay(tables, &change, offset);
     }
-    tables.fleet.apply(change);
+    tables.apply_server(change, now);
     is_significant
 }
 
@@ -518,6 +595,7 @@
     tables: &mut Tables,
     offset: u64,
     change: Change,
+    now: Moment,
 ) -> bool {
     let id = change.id().clone();
     let relayed = tables.relayed_offsets.get(&id).copied().unwrap_or(0);
@@ -535,7 +613,7 @@
     let is_significant = is_significant(tables, &change);
     tables.relayed_offsets.insert(id.clone(), offset);
     tables.deferred_removals.remove(&id);
-    tables.fleet.apply(change);
+    tables.apply_server(change, now);
     is_significant
 }
 
@@ -563,10 +641,12 @@
 /// for as long as the node runs.
 ///
 /// The record is written before the first read, so that of two nodes that start
-/// together at least one finds the other.
+/// together at least one finds the other. In a new era of the store, both are repeated
+/// after a random delay, since all nodes see it at about the same time.
 pub(crate) async fn node_records(shared: Arc<Shared>, record: site::node::NodeRecord) {
     let own = record.node.clone();
-    publish_node_record(&shared, record).await;
+    let mut eras = shared.era_changes.subscribe();
+    publish_node_record(&shared, record.clone()).await;
     let mut faults = FaultLog::default();
     loop {
         match (shared.platform.read_nodes)(Cursor::Start, Duration::ZERO).await {
@@ -584,7 +664,15 @@
                 continue;
             }
         }
-        sleep(NODE_RECORD_READ_INTERVAL).await;
+        // The sender lives as long as the node.
+        if timeout(NODE_RECORD_READ_INTERVAL, eras.changed())
+            .await
+            .is_ok()
+        {
+            sleep(MAX_REWRITE_DELAY.mul_f64(rand::random())).await;
+            shared.metrics.count("eras", "node records rewritten");
+            publish_node_record(&shared, record.clone()).await;
+        }
     }
 }
 
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,8 +1,8 @@
 //! The state that a node's tasks share.
 
 use crate::{
-    end_check::EndChecks, exchange::Outbox, memory::Memory, metrics::Metrics, peers::Peers,
-    slot::Waiter,
+    end_check::EndChecks, era::Era, exchange::Outbox, memory::Memory, metrics::Metrics,
+    peers::Peers, slot::Waiter,
 };
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
@@ -42,13 +42,15 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) pool: net::Pool,
-    /// The memory for incomplete responses of servers.
+    /// The memory for requests and responses.
     pub(crate) memory: Memory,
     pub(crate) metrics: Metrics,
     /// The number of changes of the fleet so far.
     pub(crate) fleet_changes: watch::Sender<u64>,
     /// Wakes the heartbeat sender before its interval ends.
     pub(crate) heartbeat_requested: Notify,
+    /// The latest era of the store.
+    pub(crate) era_changes: watch::Sender<u64>,
     /// Requests a check of the links to the servers.
     pub(crate) check_requested: Notify,
     /// The number of such checks so far.
@@ -77,19 +79,21 @@
     pub(crate) config_confirmed: Option<Moment>,
     /// The start of the read that last confirmed the servers' entries.
     pub(crate) servers_confirmed: Option<Moment>,
-    /// When the store last became reachable again after a failed read.
-    pub(crate) store_recovered: Option<Moment>,
+    /// Until when removals are deferred after an outage of the store.
+    pub(crate) defer_removals_until: Option<Moment>,
+    /// The era of the store, and what is kept over its changes.
+    pub(crate) era: Era,
     /// The servers whose removal is deferred after an outage of the store.
     pub(crate) deferred_removals: HashSet<Instance>,
-    /// The offset up to which the operators' feed is applied; `None` before its first
+    /// The position up to which the operators' feed is applied; `None` before its first
     /// read.
     pub(crate) operators_offset: Option<u64>,
-    /// The offset up to which the servers' feed is applied; `None` before its first
+    /// The position up to which the servers' feed is applied; `None` before its first
     /// listing.
     pub(crate) servers_offset: Option<u64>,
     /// The feeds of which this node lacks records that the planner has read.
     pub(crate) is_behind: Behind,
-    /// The feed offset of the last relayed change of each server's entry.
+    /// The feed position of the last relayed change of each server's entry.
     pub(crate) relayed_offsets: HashMap<Instance, u64>,
     pub(crate) fleet: Fleet,
     pub(crate) targets: Arc<Vec<Target>>,
@@ -116,16 +120,18 @@
     /// Returns the state of a node that has read nothing yet.
     pub(crate) fn new(settings: Settings, platform: Platform, clock: Clock, log: Logger) -> Self {
         let tables = Tables::new();
+        let memory = Memory::new(settings.memory_bytes);
         Self {
             settings,
             platform,
             clock,
             log,
             pool: net::Pool::default(),
-            memory: Memory::default(),
+            memory,
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
+            era_changes: watch::Sender::new(0),
             check_requested: Notify::new(),
             checks: watch::Sender::new(0),
             exchange_due: Notify::new(),
@@ -215,7 +221,8 @@
             config: None,
             config_confirmed: None,
             servers_confirmed: None,
-            store_recovered: None,
+            defer_removals_until: None,
+            era: Era::default(),
             deferred_removals: HashSet::new(),
             operators_offset: None,
             servers_offset: None,
