Admit the share of requests that replicas answer in time, and level stale views

First tokens come in 160 ms up to 40 requests at a replica of 48 slots, and in 0.5 s and more at 60; replicas had up to 90, since all nodes sent to the one that was the emptiest in views 0.4 s old.

Change: - A replica is drawn in proportion to what it is below the level that all nodes' arrivals within the age of the view fill (load interpretation), in place of the best of three. - The planner computes for each model the share of requests that is admitted, from the requests in progress against a target, and the target from how many first tokens were late (additive increase, multiplicative decrease). Nodes report cumulative counts to it and get the share with its heartbeats; it expires after 3 s. Urgent priorities use the share first, requests past their objective last. Both travel behind the acknowledgment of a heartbeat, where earlier versions read nothing. - The delay of first tokens beyond the latency model is learned, as a median. - Requests wait for a slot until their latest start only.

--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -36,6 +36,8 @@
     pub(crate) prompt_parts: Arc<[Part]>,
     /// Whether another node passed the request on.
     pub(crate) is_forwarded: bool,
+    /// When the first output came, once it has.
+    pub(crate) first: OnceLock<FirstOutput>,
     /// The digest of the whole request, once it was needed.
     pub(crate) whole: OnceLock<Part>,
     pub(crate) outgoing: Arc<OutgoingRequest>,
@@ -49,6 +51,19 @@
     pub(crate) view_age: Duration,
 }
 
+/// The first output of a response, and what its server was expected to do.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FirstOutput {
+    /// The time from the request's arrival to its slot.
+    pub(crate) waited: Duration,
+    /// The time from the slot to the first output.
+    pub(crate) took: Duration,
+    /// The time that was predicted for that.
+    pub(crate) predicted: Duration,
+    /// The requests at the target when it was chosen.
+    pub(crate) in_progress: u32,
+}
+
 /// Admits or denies a request, and picks its service.
 pub(crate) fn admit(
     shared: &Shared,
@@ -114,6 +129,7 @@
         account,
         prompt_parts,
         is_forwarded: false,
+        first: OnceLock::new(),
         whole: OnceLock::new(),
         outgoing: Arc::new(outgoing),
         body_memory: None,
--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts to run a request on backend servers until one of them answers.
 
 use crate::{
-    admit::{Job, RETRY_ELSEWHERE},
+    admit::{FirstOutput, Job, RETRY_ELSEWHERE},
     evidence::{Progress, format_digest, withheld_error},
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 use name::{Instance, Node};
 use net::{Connection, Framing};
-use place::Urgency;
+use place::{Outcomes, Urgency};
 use quarantine::Refusal;
 use rand::Rng;
 use site::call::{RequestContext, ResponseHead};
@@ -56,6 +56,10 @@
 /// The maximum time to the first token, as a multiple of the prediction.
 const FIRST_TOKEN_TIMEOUT_FACTOR: u32 = 4;
 
+/// The time to the first token, as a multiple of the prediction, above which a server has
+/// stalled rather than been full.
+const STALL_FACTOR: u32 = 3;
+
 /// The retry delay for callers if no target serves the model.
 const RETRY_WITHOUT_TARGET: Duration = Duration::from_millis(1_000);
 
@@ -345,13 +349,6 @@
 
     /// Waits for a slot at a server.
     async fn acquire_slot(&self, shared: &Arc<Shared>, attempts: &Attempts) -> Result<Slot, Error> {
-        let request = SlotRequest {
-            service: self.service.clone(),
-            model: self.call.model.clone(),
-            prompt: self.call.prompt_tokens,
-            excluded: attempts.excluded.clone(),
-            trial: self.trial_digest(shared),
-        };
         let begin = shared.now();
         let left = begin.until(self.deadline);
         // A partly answered request is worth more than a new one: an interrupted
@@ -362,9 +359,22 @@
             let due = begin + left.mul_f64(MAX_RESUME_WAIT_FRACTION);
             (MAX_RESUME_WAIT_FRACTION, Urgency { due, ..self.rank })
         };
-        let slot = shared
-            .acquire_slot(request, rank, left.mul_f64(fraction))
-            .await;
+        let request = SlotRequest {
+            service: self.service.clone(),
+            model: self.call.model.clone(),
+            prompt: self.call.prompt_tokens,
+            excluded: attempts.excluded.clone(),
+            urgency: rank,
+            is_resumed: attempts.executions > 0,
+            trial: self.trial_digest(shared),
+        };
+        let max_wait = left.mul_f64(fraction);
+        let max_wait = match shared.time_to_latest_start(&request) {
+            // Waiting longer would make it late, and others after it.
+            Some(latest) if !latest.is_zero() => max_wait.min(latest),
+            _ => max_wait,
+        };
+        let slot = shared.acquire_slot(request, max_wait).await;
         let waited = shared.now().since(begin);
         shared.metrics.record_time("wait", &self.route.name, waited);
         slot.map_err(|no_slot| {
@@ -374,7 +384,14 @@
                     RETRY_WITHOUT_TARGET,
                     "no server serves this",
                 ),
-                NoSlot::Full(after) => (Kind::Overloaded, after, "all servers are full"),
+                NoSlot::Full(after) => {
+                    self.record_outcome(shared, |outcomes| &mut outcomes.refused);
+                    (Kind::Overloaded, after, "all servers are full")
+                }
+                NoSlot::AboveLevel(after) => {
+                    self.record_outcome(shared, |outcomes| &mut outcomes.refused);
+                    (Kind::Overloaded, after, "above the admission level")
+                }
                 NoSlot::Declined(after) => {
                     return self
                         .error(attempts, Kind::Overloaded, "all servers declined requests")
@@ -654,15 +671,42 @@
         shared
             .metrics
             .record_time("first", &self.route.name, now.since(self.arrived));
+        self.first.get_or_init(|| FirstOutput {
+            waited: slot.acquired_at.since(self.arrived),
+            took: now.since(slot.acquired_at),
+            predicted: choice.time_to_first_token,
+            in_progress: choice.in_progress,
+        });
         if slot.node.is_some() {
             return;
         }
-        shared.tables().load.record_latency(
-            &choice.target.server,
-            now.since(slot.acquired_at),
-            choice.time_to_first_token,
-            now,
-        );
+        let took = now.since(slot.acquired_at);
+        let predicted = choice.time_to_first_token;
+        {
+            let mut tables = shared.tables();
+            let server = &choice.target.server;
+            tables.load.record_latency(server, took, predicted, now);
+            if let Some(model) = &self.call.model {
+                tables.delays.record(model, took, predicted);
+            }
+        }
+        // What was late before it was placed, or waited at a server that stalled, says
+        // nothing about how full replicas are.
+        let is_stall = took > predicted * STALL_FACTOR;
+        if choice.is_in_time && now <= self.rank.due {
+            self.record_outcome(shared, |outcomes| &mut outcomes.on_time);
+        } else if choice.is_in_time && !is_stall {
+            self.record_outcome(shared, |outcomes| &mut outcomes.late);
+        }
+    }
+
+    /// Counts an outcome of a request for a model.
+    fn record_outcome(&self, shared: &Shared, count: impl Fn(&mut Outcomes) -> &mut u64) {
+        if let Some(model) = &self.call.model {
+            let mut outcomes = Outcomes::default();
+            *count(&mut outcomes) += 1;
+            shared.tables().levels.record(model, outcomes);
+        }
     }
 
     /// Logs the end of a request.
@@ -686,6 +730,11 @@
             "service" => %self.service, "server" => server.map(|s| s.as_str().to_owned()),
             "framing" => body_end.map(|end| end.framing.as_str()), "body_bytes" => body_end.map(|end| end.bytes),
             "partial_event_bytes" => body_end.map(|end| end.partial_event_bytes),
+            "waited_ms" => self.first.get().map(|first| first.waited.as_millis() as u64),
+            "first_ms" => self.first.get().map(|first| first.took.as_millis() as u64),
+            "predicted_ms" => self.first.get().map(|first| first.predicted.as_millis() as u64),
+            "in_progress" => self.first.get().map(|first| first.in_progress),
+            "prompt_tokens" => self.call.prompt_tokens,
             "sent" => attempts.sent, "runs" => attempts.executions, "took_ms" => took.as_millis() as u64,
             "config_version" => self.config_version, "view_age_ms" => self.view_age.as_millis() as u64);
     }
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -6,6 +6,7 @@
 use crate::{
     exchange,
     feed_relay::{self, Ack, FeedUpdate},
+    level::Extension,
     state::Shared,
 };
 use clock::Moment;
@@ -102,6 +103,8 @@
             let mut tables = shared.tables();
             tables.peers.now = now;
             tables.load.expire(now);
+            let is_planning = tables.peers.own_token.is_some();
+            shared.log_levels(&tables.step_levels(is_planning, now));
             tables.update_limits(shared.settings.node.as_str(), now);
             let nodes = tables.peers.node_count();
             for budget in tables.budgets.values_mut() {
@@ -133,8 +136,8 @@
         let all = (is_planning || is_broadcast_due).then_some(Recipients::All);
         for recipients in planner.map(Recipients::Planner).into_iter().chain(all) {
             sequence += 1;
-            let (heartbeat, targets) = compose(&shared, &record, sequence, recipients, has_total);
-            send(&shared, &socket, &heartbeat, &targets).await;
+            let message = compose(&shared, &record, sequence, recipients, has_total);
+            send(&shared, &socket, &message).await;
         }
         let urgent_delay = interval.mul_f64(URGENT_DELAY_FRACTION);
         sleep(urgent_delay).await;
@@ -162,18 +165,25 @@
         "config_age_ms" => age(tables.config_confirmed), "servers_age_ms" => age(tables.servers_confirmed));
 }
 
-/// Composes the next heartbeat, and returns it with its targets and the
-/// acknowledgment for each.
+/// A heartbeat with its targets.
+struct Message {
+    heartbeat: Heartbeat,
+    extension: Extension,
+    /// The addresses, and the acknowledgment for each.
+    targets: Vec<(SocketAddr, Ack)>,
+}
+
+/// Composes the next heartbeat.
 ///
-/// Both are taken under one lock. An acknowledgment that is newer than the feed
-/// update would confirm changes that the update does not contain.
+/// It and the acknowledgments are taken under one lock. An acknowledgment that is newer
+/// than the feed update would confirm changes that the update does not contain.
 fn compose(
     shared: &Shared,
     record: &NodeRecord,
     sequence: u64,
     recipients: Recipients,
     has_total: bool,
-) -> (Heartbeat, Vec<(SocketAddr, Ack)>) {
+) -> Message {
     let is_ready = shared.is_ready();
     let now = shared.now();
     let mut tables = shared.tables();
@@ -215,17 +225,32 @@
         Recipients::Planner(address) => vec![(address, Ack::default())],
         Recipients::All => tables.peers.heartbeat_targets(now),
     };
-    (heartbeat, targets)
+    let extension = match recipients {
+        Recipients::Planner(_) => Extension {
+            outcomes: tables.levels.outcomes(),
+            shares: Vec::new(),
+        },
+        Recipients::All => Extension {
+            outcomes: Vec::new(),
+            shares: tables.levels.shares(),
+        },
+    };
+    Message {
+        heartbeat,
+        extension,
+        targets,
+    }
 }
 
 /// Sends a heartbeat to each target, with the target's acknowledgment if the
-/// heartbeat carries a feed update.
-async fn send(
-    shared: &Shared,
-    socket: &UdpSocket,
-    heartbeat: &Heartbeat,
-    targets: &[(SocketAddr, Ack)],
-) {
+/// heartbeat carries a feed update or an extension follows.
+async fn send(shared: &Shared, socket: &UdpSocket, message: &Message) {
+    let Message {
+        heartbeat,
+        extension,
+        targets,
+    } = message;
+    let has_extension = !extension.is_empty();
     let mut bytes = match postcard::to_extend(heartbeat, vec![FORMAT]) {
         Ok(bytes) => bytes,
         Err(error) => {
@@ -236,10 +261,13 @@
     let length = bytes.len();
     for (address, ack) in targets {
         bytes.truncate(length);
-        if heartbeat.feed_update.is_some()
+        if (heartbeat.feed_update.is_some() || has_extension)
             && let Ok(ack) = postcard::to_stdvec(ack)
         {
             bytes.extend(ack);
+            if has_extension && let Ok(extension) = postcard::to_stdvec(extension) {
+                bytes.extend(extension);
+            }
         }
         // A send error has the same effect as a lost datagram; the next
         // heartbeat follows within the interval.
@@ -247,17 +275,40 @@
     }
 }
 
-/// Decodes a datagram into the heartbeat and the acknowledgment for this node.
-pub(crate) fn decode(bytes: &[u8]) -> Result<(Heartbeat, Option<Ack>), postcard::Error> {
+/// A received heartbeat.
+#[derive(Debug)]
+pub(crate) struct Received {
+    pub(crate) heartbeat: Heartbeat,
+    /// The acknowledgment for this node.
+    pub(crate) ack: Option<Ack>,
+    /// The extension; `None` from earlier versions of the program.
+    pub(crate) extension: Option<Extension>,
+}
+
+/// Decodes a datagram.
+///
+/// An extension that cannot be decoded is left out: the heartbeat before it is valid.
+pub(crate) fn decode(bytes: &[u8]) -> Result<Received, postcard::Error> {
     let Some((&FORMAT, bytes)) = bytes.split_first() else {
         return Err(postcard::Error::DeserializeBadEncoding);
     };
     let (heartbeat, rest) = postcard::take_from_bytes::<Heartbeat>(bytes)?;
-    let ack = match rest {
+    let (ack, rest) = match rest {
+        [] => (None, rest),
+        rest => {
+            let (ack, rest) = postcard::take_from_bytes::<Ack>(rest)?;
+            (Some(ack), rest)
+        }
+    };
+    let extension = match rest {
         [] => None,
-        rest => Some(postcard::from_bytes(rest)?),
+        rest => postcard::from_bytes(rest).ok(),
     };
-    Ok((heartbeat, ack))
+    Ok(Received {
+        heartbeat,
+        ack,
+        extension,
+    })
 }
 
 /// Encodes shares for a heartbeat.
@@ -293,8 +344,8 @@
             continue;
         }
         match decode(&buffer[..length]) {
-            Ok((heartbeat, _)) if heartbeat.record.node == own => {}
-            Ok((heartbeat, ack)) => apply_heartbeat(&shared, heartbeat, ack),
+            Ok(received) if received.heartbeat.record.node == own => {}
+            Ok(received) => apply_heartbeat(&shared, received),
             Err(error) => {
                 shared.metrics.count("beats_malformed", "peer");
                 warn!(shared.log, "malformed heartbeat"; "from" => %from, "error" => %error);
@@ -320,7 +371,12 @@
 }
 
 /// Applies a heartbeat to the tables.
-fn apply_heartbeat(shared: &Arc<Shared>, heartbeat: Heartbeat, ack: Option<Ack>) {
+fn apply_heartbeat(shared: &Arc<Shared>, received: Received) {
+    let Received {
+        heartbeat,
+        ack,
+        extension,
+    } = received;
     let now = shared.now();
     let mut tables = shared.tables();
     let had_received = tables.peers.has_received_from(&heartbeat.record);
@@ -335,6 +391,15 @@
     let is_planner =
         heartbeat.planner_token.is_some() && is_newest && tables.peers.own_token.is_none();
     let ack = ack.filter(|ack| ack.incarnation == tables.peers.own_incarnation);
+    if let Some(extension) = extension {
+        let record = &heartbeat.record;
+        tables
+            .levels
+            .receive_outcomes(&record.node, record.incarnation, &extension.outcomes, now);
+        if is_planner {
+            tables.levels.receive_shares(&extension.shares, now);
+        }
+    }
     match heartbeat.load {
         LoadReport::Local(shares) if !tables.peers.has_recent_update(now) => {
             let shares = decode_shares(shares, now);
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -13,6 +13,7 @@
 //!   node reaches the servers at all; `forward` then passes requests on to other nodes,
 //! - `era` keeps what was applied while the store returns from an older copy,
 //! - `plan` forms replicas while this node holds the newest planner claim,
+//! - `level` holds how full the replicas of each model may be, by all nodes' outcomes,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
 //!   `attempt` (which takes a `slot`), `stream` forwards the events of a response,
 //! - `directory` lists the nodes that callers should use.
@@ -34,6 +35,7 @@
 mod forward;
 mod heartbeat;
 mod isolation;
+mod level;
 mod listener;
 mod memory;
 mod metrics;
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -3,7 +3,7 @@
 use super::{ALLOWANCE_TIMEOUT, Peers};
 use crate::{
     feed_relay::Ack,
-    heartbeat::{FORMAT, Heartbeat, LoadReport, decode},
+    heartbeat::{FORMAT, Heartbeat, LoadReport, Received, decode},
 };
 use clock::Moment;
 use place::{TargetLoad, Work};
@@ -224,11 +224,15 @@
 #[test]
 fn unknown_format_or_truncated_heartbeat_is_rejected() {
     let whole = postcard::to_extend(&heartbeat("a", 1, 7, Some(2)), vec![FORMAT]).expect("bytes");
-    let (read, ack) = decode(&whole).expect("a datagram");
+    let Received {
+        heartbeat: read,
+        ack,
+        ..
+    } = decode(&whole).expect("a datagram");
     assert_eq!((read.sequence, read.planner_token, ack), (7, Some(2), None));
     let mut longer = whole.clone();
     longer.extend(postcard::to_stdvec(&Ack::default()).expect("bytes"));
-    let (_, ack) = decode(&longer).expect("a datagram");
+    let ack = decode(&longer).expect("a datagram").ack;
     assert_eq!(ack, Some(Ack::default()));
     for end in 0..whole.len() {
         assert!(decode(&whole[..end]).is_err(), "{end} bytes");
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -3,7 +3,9 @@
 use crate::state::{Shared, Tables};
 use clock::Moment;
 use name::{Instance, Model, Node, Service};
-use place::{Contention, Decision, Placement, Query, Target, Urgency, choose_target, cold_share};
+use place::{
+    Contention, Decision, Objective, Placement, Query, Target, Urgency, choose_target, cold_share,
+};
 use site::node::NodeRecord;
 use std::{sync::Arc, time::Duration};
 use tokio::{sync::oneshot, time::timeout};
@@ -15,6 +17,10 @@
     pub(crate) model: Option<Model>,
     pub(crate) prompt: u32,
     pub(crate) excluded: Vec<Instance>,
+    /// The request's priority, and when its response should start.
+    pub(crate) urgency: Urgency,
+    /// Whether a server has begun to run it, so that its room was counted already.
+    pub(crate) is_resumed: bool,
     /// The digest of a request that may crash servers, which goes to one server only.
     pub(crate) trial: Option<u64>,
 }
@@ -64,6 +70,8 @@
             choice: Placement {
                 target,
                 time_to_first_token: Duration::ZERO,
+                modelled_time: Duration::ZERO,
+                is_in_time: true,
                 in_progress: 0,
                 candidates: 1,
             },
@@ -133,6 +141,8 @@
     NoTarget,
     /// The wait would be too long; slots should be free after this time.
     Full(Duration),
+    /// The request is above the share that the model's replicas can answer in time.
+    AboveLevel(Duration),
     /// All servers want no requests for now; one accepts them again after this time.
     Declined(Duration),
 }
@@ -145,12 +155,15 @@
     pub(crate) async fn acquire_slot(
         self: &Arc<Self>,
         request: SlotRequest,
-        rank: Urgency,
         max_wait: Duration,
     ) -> Result<Slot, NoSlot> {
+        let rank = request.urgency;
         let waiting = {
             let mut tables = self.tables();
             let now = self.now();
+            if !is_admitted(&mut tables, &request, now) {
+                return Err(NoSlot::AboveLevel(RETRY_ABOVE_LEVEL));
+            }
             let has_queued = !tables.queue.is_empty();
             match self.try_acquire(&mut tables, &request, has_queued, now) {
                 Ok(slot) => return Ok(slot),
@@ -192,6 +205,21 @@
         }
     }
 
+    /// Returns how long a request may wait for a slot until its response cannot start in
+    /// time any more, at a replica with few requests; `None` without an objective.
+    pub(crate) fn time_to_latest_start(&self, request: &SlotRequest) -> Option<Duration> {
+        /// The number of requests at such a replica.
+        const FEW_REQUESTS: f64 = 8.0;
+        let now = self.now();
+        let tables = self.tables();
+        let objective = objective(&tables, request, now);
+        let cost = tables.cost(&request.service, request.model.as_ref())?;
+        let prompt = f64::from(request.prompt);
+        let first = cost.time_to_first_token(FEW_REQUESTS, 0.0, prompt);
+        let first = Duration::from_secs_f64(first) + objective.delay;
+        Some(objective.time_left?.saturating_sub(first))
+    }
+
     /// Returns whether a target that is not excluded serves a service and model.
     pub(crate) fn has_target(
         &self,
@@ -267,6 +295,7 @@
                 report_interval: tables.peers.load_delay(now),
                 has_queued,
             },
+            objective: objective(tables, request, now),
         };
         let decision = choose_target(
             &query,
@@ -287,7 +316,7 @@
         );
         match decision {
             Decision::Place(choice) => {
-                let first = choice.time_to_first_token;
+                let first = choice.modelled_time;
                 tables
                     .load
                     .record_start(&choice.target.server, request.prompt, first, now);
@@ -343,6 +372,38 @@
     }
 }
 
+/// The time for a response's way to its caller, and of the request's way here.
+const CALLER_TIME: Duration = Duration::from_millis(10);
+
+/// The retry delay for callers whose request was above the admitted share.
+///
+/// Replicas are formed again, and bursts end, within a few seconds.
+const RETRY_ABOVE_LEVEL: Duration = Duration::from_millis(1_500);
+
+/// Draws whether a request is within the share of its model that is admitted.
+///
+/// Requests whose objective has passed already come after all others.
+fn is_admitted(tables: &mut Tables, request: &SlotRequest, now: Moment) -> bool {
+    let Some(model) = request.model.as_ref().filter(|_| !request.is_resumed) else {
+        return true;
+    };
+    let is_late = now >= request.urgency.due;
+    let rank = tables.rank(&request.service, request.urgency.priority);
+    tables.levels.admits(model, rank, is_late, now)
+}
+
+/// Returns when a response should start, for requests for a model that no server has begun.
+fn objective(tables: &Tables, request: &SlotRequest, now: Moment) -> Objective {
+    let Some(model) = request.model.as_ref().filter(|_| !request.is_resumed) else {
+        return Objective::default();
+    };
+    let time_left = now.until(request.urgency.due).saturating_sub(CALLER_TIME);
+    Objective {
+        time_left: Some(time_left),
+        delay: tables.delays.get(model),
+    }
+}
+
 /// Why no slot was free.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Shortage {
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,12 +1,12 @@
 //! The state that a node's tasks share.
 
 use crate::{
-    end_check::EndChecks, era::Era, exchange::Outbox, memory::Memory, metrics::Metrics,
+    end_check::EndChecks, era::Era, exchange::Outbox, level, memory::Memory, metrics::Metrics,
     peers::Peers, slot::Waiter,
 };
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
-use place::{CostModel, Fleet, Limits, LoadTracker, Queue, Reach, RetryBudget, Target};
+use place::{CostModel, Delays, Fleet, Limits, LoadTracker, Queue, Reach, RetryBudget, Target};
 use site::{Config, Platform, Settings, settings::Bounds};
 use slog::Logger;
 use std::{
@@ -99,6 +99,12 @@
     pub(crate) targets: Arc<Vec<Target>>,
     pub(crate) costs: HashMap<Service, HashMap<Model, Arc<CostModel>>>,
     pub(crate) load: LoadTracker,
+    /// The learned delays of first tokens.
+    pub(crate) delays: Delays,
+    /// The admission levels.
+    pub(crate) levels: level::Table,
+    /// The priorities of each service's routes, most urgent first.
+    pub(crate) priorities: HashMap<Service, Vec<u32>>,
     /// The rates that servers named.
     pub(crate) limits: Limits,
     pub(crate) queue: Queue<Waiter>,
@@ -232,6 +238,9 @@
             targets: Arc::default(),
             costs: HashMap::new(),
             load: LoadTracker::default(),
+            delays: Delays::default(),
+            levels: level::Table::default(),
+            priorities: HashMap::new(),
             limits: Limits::default(),
             queue: Queue::default(),
             budgets: HashMap::new(),
@@ -272,9 +281,16 @@
                 (service.clone(), costs.collect())
             })
             .collect();
+        self.priorities = config.priorities();
         self.config = Some(Arc::new(config));
     }
 
+    /// Returns the number of more urgent priorities among a service's routes.
+    pub(crate) fn rank(&self, service: &Service, priority: u32) -> usize {
+        let priorities = self.priorities.get(service);
+        priorities.map_or(0, |known| known.partition_point(|p| *p < priority))
+    }
+
     /// Returns the retry credit of a service.
     pub(crate) fn budget(&mut self, service: &Service, bounds: &Bounds) -> &mut RetryBudget {
         let nodes = self.peers.node_count();
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -11,12 +11,19 @@
 /// It covers the round trip, and makes targets in the own domain win among equals.
 const CROSS_DOMAIN_COST_S: f64 = 0.010;
 
-/// The number of targets drawn at random, of which the best is used.
+/// The number of servers of a plain service drawn at random, of which the best is used.
 ///
 /// Nodes choose from load reports that are some hundred milliseconds old. If all used
 /// the best of all targets, they would use the same one.
 const SAMPLE_SIZE: usize = 3;
 
+/// The requests as which a replica in another failure domain counts.
+const CROSS_DOMAIN_LOAD: f64 = 2.0;
+
+/// The requests to which a slowdown is applied besides those in progress, so that a slow
+/// replica is avoided when it is idle as well.
+const SLOW_TARGET_LOAD: f64 = 4.0;
+
 /// The properties of a request that needs a target.
 #[derive(Debug, Clone)]
 pub struct Query<'a> {
@@ -32,6 +39,25 @@
     pub domain: &'a Domain,
     /// The other nodes that choose at the same time.
     pub contention: Contention<'a>,
+    /// When the response should start.
+    pub objective: Objective,
+}
+
+/// When a response should start, and what is known of the time until it does.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Objective {
+    /// The time until the response should start; `None` if nothing is known of that.
+    pub time_left: Option<Duration>,
+    /// The delay beyond the latency model's prediction of the first token.
+    pub delay: Duration,
+}
+
+impl Objective {
+    /// Returns whether a response that starts after `first_token_s` seconds is in time.
+    fn is_in_time(&self, first_token_s: f64) -> bool {
+        let left = self.time_left.map(|left| left.as_secs_f64());
+        left.is_none_or(|left| first_token_s <= left)
+    }
 }
 
 /// The nodes that choose among the same targets at the same time.
@@ -52,7 +78,20 @@
     pub has_queued: bool,
 }
 
+/// The span in which this node's requests are counted to estimate those of all nodes.
+const ARRIVAL_SPAN: Duration = Duration::from_secs(2);
+
 impl Contention<'_> {
+    /// Returns the number of requests that all nodes place at some targets before this node
+    /// receives a report of them.
+    fn expected_arrivals(&self, targets: &[&Target], load: &LoadTracker, now: Moment) -> f64 {
+        let sent = targets
+            .iter()
+            .map(|target| load.sent_within(&target.server, ARRIVAL_SPAN, now));
+        let own_rate = sent.sum::<usize>() as f64 / ARRIVAL_SPAN.as_secs_f64();
+        own_rate * self.node_count as f64 * self.report_interval.as_secs_f64()
+    }
+
     /// Returns whether this node may claim one more free slot of a target.
     fn may_take_slot(&self, target: &Target, load: &LoadTracker, now: Moment) -> bool {
         let server = &target.server;
@@ -91,6 +130,10 @@
     pub target: Target,
     /// The predicted time to the first token.
     pub time_to_first_token: Duration,
+    /// The part of it that the latency model predicts, without learned delays.
+    pub modelled_time: Duration,
+    /// Whether the response was expected to start in time.
+    pub is_in_time: bool,
     /// The requests in progress at the target, from all nodes.
     pub in_progress: u32,
     /// The number of targets that could have accepted the request.
@@ -148,22 +191,100 @@
     } else {
         responsive
     };
-    let sample = pool.choose_multiple(rng, SAMPLE_SIZE);
-    let predicted = sample.map(|target| {
-        let (first_token_s, penalty) = predict_first_token(query, target, cost, load, now);
-        (*target, first_token_s, first_token_s * penalty)
-    });
-    let best = predicted.min_by(|a, b| a.2.total_cmp(&b.2));
-    best.map_or(Decision::Full, |(target, first_token_s, _)| {
+    let predicted: Vec<Candidate<'_>> = pool
+        .iter()
+        .map(|target| {
+            let (first_token_s, penalty) = predict_first_token(query, target, cost, load, now);
+            Candidate {
+                target,
+                first_token_s,
+                penalty,
+            }
+        })
+        .collect();
+    let chosen = if query.model.is_some() {
+        let arrivals = query.contention.expected_arrivals(&serving, load, now);
+        let loads = predicted.iter().map(|c| c.effective_load(query, load, now));
+        let loads: Vec<f64> = loads.collect();
+        pick_below_level(&loads, arrivals, rng).map(|index| &predicted[index])
+    } else {
+        let sample = predicted.choose_multiple(rng, SAMPLE_SIZE);
+        sample.min_by(|a, b| a.penalized_s().total_cmp(&b.penalized_s()))
+    };
+    chosen.map_or(Decision::Full, |chosen| {
+        let time_to_first_token = Duration::from_secs_f64(chosen.first_token_s);
         Decision::Place(Box::new(Placement {
-            target: target.clone(),
-            time_to_first_token: Duration::from_secs_f64(first_token_s),
-            in_progress: load.work(&target.server, now).requests,
+            target: chosen.target.clone(),
+            time_to_first_token,
+            modelled_time: time_to_first_token.saturating_sub(query.objective.delay),
+            is_in_time: query.objective.is_in_time(chosen.first_token_s),
+            in_progress: load.work(&chosen.target.server, now).requests,
             candidates: pool.len(),
         }))
     })
 }
 
+/// A target with its prediction.
+#[derive(Debug)]
+struct Candidate<'a> {
+    target: &'a Target,
+    first_token_s: f64,
+    /// The target's slowdown against predictions.
+    penalty: f64,
+}
+
+impl Candidate<'_> {
+    /// Returns the predicted time to the first token with the target's slowdown.
+    fn penalized_s(&self) -> f64 {
+        self.first_token_s * self.penalty
+    }
+
+    /// Returns the requests at the target, with its slowdown and its distance counted as
+    /// further requests.
+    fn effective_load(&self, query: &Query<'_>, load: &LoadTracker, now: Moment) -> f64 {
+        let requests = f64::from(load.work(&self.target.server, now).requests);
+        let distance = if self.target.domain == *query.domain {
+            0.0
+        } else {
+            CROSS_DOMAIN_LOAD
+        };
+        (requests + SLOW_TARGET_LOAD) * self.penalty.max(1.0) - SLOW_TARGET_LOAD + distance
+    }
+}
+
+/// Picks an index at random, so that all nodes together level the loads.
+///
+/// `arrivals` requests are placed by all nodes before a node sees their effect. They fill
+/// the loads up to one level if each target gets requests in proportion to what it is below
+/// that level. If all nodes used the least loaded target of their views instead, it would
+/// get all of these requests. (M. Dahlin, "Interpreting Stale Load Information", 1999.)
+fn pick_below_level(loads: &[f64], arrivals: f64, rng: &mut impl Rng) -> Option<usize> {
+    let mut sorted = loads.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let mut level = *sorted.first()?;
+    let mut left = arrivals.max(1.0);
+    for (below, next) in sorted.iter().skip(1).chain([&f64::INFINITY]).enumerate() {
+        let count = (below + 1) as f64;
+        let needed = (next - level) * count;
+        if needed >= left {
+            level += left / count;
+            break;
+        }
+        left -= needed;
+        level = *next;
+    }
+    let room = |load: &f64| (level - load).max(0.0);
+    let total: f64 = loads.iter().map(room).sum();
+    let mut drawn = rng.random_range(0.0..total.max(f64::MIN_POSITIVE));
+    let index = loads.iter().position(|load| {
+        let room = room(load);
+        let is_drawn = drawn < room;
+        drawn -= room;
+        is_drawn
+    });
+    index.or_else(|| loads.iter().position(|load| *load < level))
+}
+
 /// Returns the predicted time to the first token in seconds, and the target's
 /// slowdown against predictions.
 fn predict_first_token(
@@ -184,11 +305,14 @@
         CROSS_DOMAIN_COST_S
     };
     let first_token_s = match cost {
-        Some(cost) => cost.time_to_first_token(
-            running,
-            f64::from(work.prefill_tokens),
-            f64::from(query.prompt_tokens),
-        ),
+        Some(cost) => {
+            query.objective.delay.as_secs_f64()
+                + cost.time_to_first_token(
+                    running,
+                    f64::from(work.prefill_tokens),
+                    f64::from(query.prompt_tokens),
+                )
+        }
         None => PLAIN_SERVICE_TIME_S * (1.0 + running / f64::from(target.slots)),
     };
     (
--- a/crates/place/tests/placing/choice.rs
+++ b/crates/place/tests/placing/choice.rs
@@ -4,8 +4,8 @@
 use clock::Moment;
 use name::{Domain, Instance, Model, Service};
 use place::{
-    Contention, CostModel, Decision, LoadTracker, Query, Share, Target, TargetLoad, Work,
-    choose_target,
+    Contention, CostModel, Decision, LoadTracker, Objective, Query, Share, Target, TargetLoad,
+    Work, choose_target,
 };
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -67,6 +67,7 @@
         excluded,
         domain: &domain,
         contention: NO_CONTENTION,
+        objective: Objective::default(),
     };
     let mut rng = ChaCha8Rng::seed_from_u64(1);
     choose_target(
@@ -272,6 +273,7 @@
                         .max(Duration::from_millis(10 * nodes as u64)),
                     has_queued,
                 },
+                objective: Objective::default(),
             };
             let decision = choose_target(
                 &query,
@@ -356,3 +358,72 @@
         "slots are not divided while no request is queued"
     );
 }
+
+/// Lets nodes that see the same loads place requests, which none of them sees of the
+/// others; returns the arrivals at each target.
+pub(crate) fn choose_with_stale_view(loads: &[u32], nodes: u32, per_node: u32) -> Vec<u32> {
+    let names: Vec<String> = (0..loads.len()).map(|n| format!("t{n:02}")).collect();
+    let targets: Vec<Target> = names.iter().map(|name| target(name)).collect();
+    let service: Service = "llm".parse().expect("a name");
+    let model: Model = "m".parse().expect("a name");
+    let domain: Domain = "d".parse().expect("a name");
+    let cost = cost();
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut arrivals = vec![0; loads.len()];
+    let interval = Duration::from_millis(400);
+    // A node's share of what all place within a report interval.
+    let sent_before = (f64::from(per_node) * 2.0 / interval.as_secs_f64()) as u32;
+    for node in 0..nodes {
+        let mut load = LoadTracker::default();
+        for n in 0..sent_before {
+            let server = &targets[(node + n) as usize % targets.len()].server;
+            load.record_start(server, 0, TIME_TO_FIRST_TOKEN, at_ms(9_000));
+            load.record_first_token(server, 0);
+            load.record_end(server, at_ms(9_000));
+        }
+        let reports = std::iter::zip(&targets, loads).map(|(target, requests)| TargetLoad {
+            server: target.server.clone(),
+            work: Work {
+                requests: *requests,
+                ..Work::default()
+            },
+            last_received: None,
+        });
+        let now = at_ms(10_000);
+        load.set_node_load("planner".parse().expect("a name"), reports, now);
+        let name = format!("n{node}");
+        for _ in 0..per_node {
+            let query = Query {
+                service: &service,
+                model: Some(&model),
+                prompt_tokens: 700,
+                excluded: &[],
+                domain: &domain,
+                contention: Contention {
+                    node: &name,
+                    node_count: nodes as usize,
+                    report_interval: interval,
+                    has_queued: false,
+                },
+                objective: Objective::default(),
+            };
+            let decision = choose_target(
+                &query,
+                &targets,
+                Some(&cost),
+                &load,
+                cold_limit,
+                now,
+                &mut rng,
+            );
+            let Decision::Place(placement) = decision else {
+                continue;
+            };
+            let server = &placement.target.server;
+            load.record_start(server, 700, TIME_TO_FIRST_TOKEN, now);
+            let index = targets.iter().position(|t| t.server == *server);
+            arrivals[index.expect("a target")] += 1;
+        }
+    }
+    arrivals
+}
--- a/crates/place/tests/placing/main.rs
+++ b/crates/place/tests/placing/main.rs
@@ -3,6 +3,7 @@
 mod budget;
 mod choice;
 mod fleet;
+mod level;
 mod limit;
 mod load;
 mod queue;
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -37,6 +37,20 @@
         })
     }
 
+    /// Returns the distinct priorities of each service's routes, most urgent first.
+    pub fn priorities(&self) -> HashMap<Service, Vec<u32>> {
+        let mut priorities: HashMap<Service, Vec<u32>> = HashMap::new();
+        for route in self.routes.values().flat_map(HashMap::values) {
+            for (service, _) in &route.services {
+                let known = priorities.entry(service.clone()).or_default();
+                if let Err(at) = known.binary_search(&route.priority) {
+                    known.insert(at, route.priority);
+                }
+            }
+        }
+        priorities
+    }
+
     /// Returns every service that serves models.
     pub fn engines(&self) -> impl Iterator<Item = (&Service, &EngineSpec)> {
         self.services
