Divide the admitted share among client accounts by max-min fairness

Load: one account sends a third of all requests of a site, and accounts with a hundredth were refused as often as it is.

Change: while a model's share is below one, nodes report what accounts offer, the planner finds the level up to which each is admitted, and sends the shares of the accounts above it. Others are admitted whole. Callers above the share are asked to return after 2.5 s instead of 1.5 s, when bursts of 3 s are over for most.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -362,6 +362,7 @@
         let request = SlotRequest {
             service: self.service.clone(),
             model: self.call.model.clone(),
+            account: self.account.clone(),
             prompt: self.call.prompt_tokens,
             excluded: attempts.excluded.clone(),
             urgency: rank,
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -226,14 +226,8 @@
         Recipients::All => tables.peers.heartbeat_targets(now),
     };
     let extension = match recipients {
-        Recipients::Planner(_) => Extension {
-            outcomes: tables.levels.outcomes(),
-            shares: Vec::new(),
-        },
-        Recipients::All => Extension {
-            outcomes: Vec::new(),
-            shares: tables.levels.shares(),
-        },
+        Recipients::Planner(_) => tables.levels.report(now),
+        Recipients::All => tables.levels.announcement(),
     };
     Message {
         heartbeat,
@@ -393,11 +387,12 @@
     let ack = ack.filter(|ack| ack.incarnation == tables.peers.own_incarnation);
     if let Some(extension) = extension {
         let record = &heartbeat.record;
+        let (node, incarnation) = (&record.node, record.incarnation);
         tables
             .levels
-            .receive_outcomes(&record.node, record.incarnation, &extension.outcomes, now);
+            .receive_report(node, incarnation, &extension, now);
         if is_planner {
-            tables.levels.receive_shares(&extension.shares, now);
+            tables.levels.receive_shares(&extension, now);
         }
     }
     match heartbeat.load {
--- a/crates/edge/src/level.rs
+++ b/crates/edge/src/level.rs
@@ -7,8 +7,10 @@
 
 use crate::state::{Shared, Tables};
 use clock::Moment;
-use name::{Model, Node};
-use place::{LevelChange, Levels, MAX_SHARE_AGE, Occupancy, Outcomes, admission_probability};
+use name::{Account, Model, Node};
+use place::{
+    LevelChange, Levels, MAX_SHARE_AGE, Occupancy, Outcomes, admission_probability, fair_level,
+};
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use slog::info;
@@ -29,31 +31,69 @@
     pub(crate) outcomes: Vec<(Model, Outcomes)>,
     /// The shares that the planner sends, in thousandths of what is offered.
     pub(crate) shares: Vec<(Model, u16)>,
+    /// The requests of accounts for models at the sender since its start, while some are
+    /// refused.
+    pub(crate) offered: Vec<(Model, Account, u64)>,
+    /// The shares of the accounts that offer more than a fair part, in thousandths.
+    pub(crate) account_shares: Vec<(Model, Account, u16)>,
 }
 
 impl Extension {
     /// Returns whether there is nothing to send.
     pub(crate) fn is_empty(&self) -> bool {
-        self.outcomes.is_empty() && self.shares.is_empty()
+        self.outcomes.is_empty()
+            && self.shares.is_empty()
+            && self.offered.is_empty()
+            && self.account_shares.is_empty()
     }
 }
 
-/// The reported outcomes of a node's incarnation, by model.
-type Reported = (u64, HashMap<Model, Outcomes>);
+/// The maximum number of accounts in a report or in the shares that are sent.
+const MAX_ACCOUNTS: usize = 64;
+
+/// The half-life of what accounts have offered, at the planner.
+const OFFERED_HALF_LIFE: Duration = Duration::from_secs(3);
+
+/// The requests of accounts for models.
+type Offered<T> = HashMap<(Model, Account), T>;
+
+/// What a node's incarnation has reported.
+#[derive(Debug, Default)]
+struct Reported {
+    incarnation: u64,
+    outcomes: HashMap<Model, Outcomes>,
+    offered: Offered<u64>,
+}
+
+/// The planner's shares at a node.
+#[derive(Debug)]
+struct Received {
+    at: Moment,
+    shares: HashMap<Model, f64>,
+    account_shares: Offered<f64>,
+}
 
 /// The levels at a node.
 #[derive(Debug, Default)]
 pub(crate) struct Table {
     /// The outcomes at this node since its start.
     own: HashMap<Model, Outcomes>,
+    /// The requests of this node's accounts since its start.
+    own_offered: Offered<u64>,
     /// The planner's shares, and when they came.
-    received: Option<(Moment, HashMap<Model, f64>)>,
+    received: Option<Received>,
     /// The levels that this node computes, if it is the planner.
     computed: Option<Levels>,
     /// The outcomes that the other nodes reported to this node as the planner.
     reported: HashMap<Node, Reported>,
-    /// The own outcomes that the computed levels contain.
+    /// The own outcomes and requests that the computed levels contain.
     counted: HashMap<Model, Outcomes>,
+    counted_offered: Offered<u64>,
+    /// The requests of all accounts, decayed, if this node is the planner.
+    offered_by_all: Offered<f64>,
+    /// The shares of accounts that this node computes as the planner.
+    account_shares: Offered<f64>,
+    stepped_at: Option<Moment>,
     /// The requests of this node's callers, by model.
     offered: HashMap<Model, Mix>,
 }
@@ -91,10 +131,11 @@
         self.own.entry(model.clone()).or_default().add(outcomes);
     }
 
-    /// Draws whether a request of a rank of urgency is admitted.
+    /// Draws whether a request of an account and a rank of urgency is admitted.
     pub(crate) fn admits(
         &mut self,
         model: &Model,
+        account: Option<&Account>,
         rank: usize,
         is_late: bool,
         now: Moment,
@@ -104,7 +145,11 @@
         } else {
             rank.min(LATE_RANK - 1)
         };
-        let share = self.share(model, now);
+        let share = self.share(model, account, now);
+        if let Some(account) = account {
+            let key = (model.clone(), account.clone());
+            *self.own_offered.entry(key).or_default() += 1;
+        }
         let mix = self.offered.entry(model.clone()).or_insert(Mix {
             counts: [0.0; RANKS],
             at: now,
@@ -114,54 +159,87 @@
         probability >= 1.0 || rand::rng().random_bool(probability)
     }
 
-    /// Returns the admitted share of a model, if the planner has sent it recently.
-    fn share(&self, model: &Model, now: Moment) -> f64 {
-        if let Some(computed) = &self.computed {
+    /// Returns the admitted share of an account's requests for a model.
+    ///
+    /// Without shares of accounts, all have the model's; with them, those that are not
+    /// named offer less than a fair part.
+    fn share(&self, model: &Model, account: Option<&Account>, now: Moment) -> f64 {
+        let (share, accounts) = if let Some(computed) = &self.computed {
             let mut shares = computed.shares();
             let share = shares.find(|(known, _)| *known == model);
-            return share.map_or(1.0, |(_, share)| share);
+            (share.map(|(_, share)| share), &self.account_shares)
+        } else {
+            let recent = self.received.as_ref();
+            let recent = recent.filter(|received| now.since(received.at) < MAX_SHARE_AGE);
+            let Some(received) = recent else {
+                return 1.0;
+            };
+            let share = received.shares.get(model).copied();
+            (share, &received.account_shares)
+        };
+        let share = share.unwrap_or(1.0);
+        let Some(account) = account else {
+            return share;
+        };
+        match accounts.get(&(model.clone(), account.clone())) {
+            Some(own) => *own,
+            None if accounts.keys().any(|(known, _)| known == model) => 1.0,
+            None => share,
         }
-        let recent = self.received.as_ref();
-        let recent = recent.filter(|(at, _)| now.since(*at) < MAX_SHARE_AGE);
-        let share = recent.and_then(|(_, shares)| shares.get(model));
-        share.copied().unwrap_or(1.0)
     }
 
     /// Applies the shares of the planner, in thousandths.
-    pub(crate) fn receive_shares(&mut self, shares: &[(Model, u16)], now: Moment) {
-        let shares = shares.iter().take(MAX_MODELS);
-        let shares = shares.map(|(model, share)| {
-            let share = f64::from(*share) / SHARE_UNIT;
-            (model.clone(), share.min(1.0))
+    pub(crate) fn receive_shares(&mut self, extension: &Extension, now: Moment) {
+        let share = |thousandths: u16| (f64::from(thousandths) / SHARE_UNIT).min(1.0);
+        let shares = extension.shares.iter().take(MAX_MODELS);
+        let accounts = extension.account_shares.iter().take(MAX_ACCOUNTS);
+        self.received = Some(Received {
+            at: now,
+            shares: shares
+                .map(|(model, s)| (model.clone(), share(*s)))
+                .collect(),
+            account_shares: accounts
+                .map(|(model, account, s)| ((model.clone(), account.clone()), share(*s)))
+                .collect(),
         });
-        self.received = Some((now, shares.collect()));
     }
 
-    /// Adds the outcomes that another node reports, if this node is the planner.
+    /// Adds what another node reports, if this node is the planner.
     ///
     /// The first report of an incarnation only sets where later ones begin: an earlier
     /// planner has counted what was before.
-    pub(crate) fn receive_outcomes(
+    pub(crate) fn receive_report(
         &mut self,
         node: &Node,
         incarnation: u64,
-        outcomes: &[(Model, Outcomes)],
+        extension: &Extension,
         now: Moment,
     ) {
         let Some(computed) = &mut self.computed else {
             return;
         };
+        let outcomes = extension.outcomes.iter().take(MAX_MODELS);
+        let offered = extension.offered.iter().take(MAX_ACCOUNTS);
+        let report = Reported {
+            incarnation,
+            outcomes: outcomes.cloned().collect(),
+            offered: offered
+                .map(|(model, account, count)| ((model.clone(), account.clone()), *count))
+                .collect(),
+        };
         let known = self.reported.get(node);
-        let known = known.filter(|(known, _)| *known == incarnation);
-        let reported: HashMap<Model, Outcomes> =
-            outcomes.iter().take(MAX_MODELS).cloned().collect();
-        if let Some((_, earlier)) = known {
-            for (model, outcomes) in &reported {
-                let before = earlier.get(model).copied().unwrap_or_default();
+        if let Some(earlier) = known.filter(|known| known.incarnation == incarnation) {
+            for (model, outcomes) in &report.outcomes {
+                let before = earlier.outcomes.get(model).copied().unwrap_or_default();
                 computed.record(model, outcomes.since(before), now);
             }
+            for (key, count) in &report.offered {
+                let before = earlier.offered.get(key).copied().unwrap_or(*count);
+                let added = count.saturating_sub(before) as f64;
+                *self.offered_by_all.entry(key.clone()).or_default() += added;
+            }
         }
-        self.reported.insert(node.clone(), (incarnation, reported));
+        self.reported.insert(node.clone(), report);
     }
 
     /// Updates the levels that this node computes as the planner; discards them if it is
@@ -175,13 +253,16 @@
         if !is_planning {
             self.computed = None;
             self.reported.clear();
+            self.offered_by_all.clear();
+            self.account_shares.clear();
             return Vec::new();
         }
         if self.computed.is_none() {
             let received = self.received.take();
-            let received = received.map_or_else(HashMap::new, |(_, shares)| shares);
-            self.computed = Some(Levels::continuing(received, now));
+            let shares = received.map_or_else(HashMap::new, |received| received.shares);
+            self.computed = Some(Levels::continuing(shares, now));
             self.counted = self.own.clone();
+            self.counted_offered = self.own_offered.clone();
         }
         let Some(computed) = &mut self.computed else {
             return Vec::new();
@@ -191,18 +272,90 @@
             computed.record(model, outcomes.since(counted), now);
         }
         self.counted = self.own.clone();
-        computed.step(occupancy, now)
+        let changes = computed.step(occupancy, now);
+        self.step_accounts(now);
+        changes
+    }
+
+    /// Divides the shares of models among accounts.
+    fn step_accounts(&mut self, now: Moment) {
+        let elapsed = self.stepped_at.map_or(Duration::ZERO, |at| now.since(at));
+        self.stepped_at = Some(now);
+        let half_lives = elapsed.as_secs_f64() / OFFERED_HALF_LIFE.as_secs_f64();
+        let factor = 0.5_f64.powf(half_lives);
+        for offered in self.offered_by_all.values_mut() {
+            *offered *= factor;
+        }
+        for (key, count) in &self.own_offered {
+            let counted = self.counted_offered.get(key).copied().unwrap_or(0);
+            let added = count.saturating_sub(counted) as f64;
+            *self.offered_by_all.entry(key.clone()).or_default() += added;
+        }
+        self.counted_offered = self.own_offered.clone();
+        self.account_shares.clear();
+        let shares: Vec<(Model, f64)> = self
+            .computed
+            .iter()
+            .flat_map(Levels::shares)
+            .filter(|(_, share)| *share < 1.0)
+            .map(|(model, share)| (model.clone(), share))
+            .collect();
+        for (model, share) in shares {
+            let of_model = |key: &(Model, Account)| key.0 == model;
+            let offered = self.offered_by_all.iter().filter(|(key, _)| of_model(key));
+            let rates: Vec<f64> = offered.clone().map(|(_, rate)| *rate).collect();
+            let level = fair_level(&rates, share);
+            let thinned = offered.filter(|(_, rate)| **rate > level);
+            let thinned = thinned.map(|(key, rate)| (key.clone(), level / rate));
+            self.account_shares.extend(thinned);
+        }
+    }
+
+    /// Returns what this node reports to the planner.
+    pub(crate) fn report(&self, now: Moment) -> Extension {
+        let is_thinned = self.received.as_ref().is_some_and(|received| {
+            now.since(received.at) < MAX_SHARE_AGE
+                && received.shares.values().any(|share| *share < 1.0)
+        });
+        let mut offered: Vec<(Model, Account, u64)> = Vec::new();
+        if is_thinned {
+            let own = self.own_offered.iter();
+            offered.extend(own.map(|((model, account), n)| (model.clone(), account.clone(), *n)));
+            // With more accounts than fit, the largest matter most.
+            offered.sort_by_key(|(_, _, count)| std::cmp::Reverse(*count));
+            offered.truncate(MAX_ACCOUNTS);
+        }
+        Extension {
+            outcomes: self.outcomes(),
+            offered,
+            ..Extension::default()
+        }
+    }
+
+    /// Returns what this node sends to all nodes as the planner.
+    pub(crate) fn announcement(&self) -> Extension {
+        let thousandths = |share: f64| (share * SHARE_UNIT) as u16;
+        let accounts = self.account_shares.iter().take(MAX_ACCOUNTS);
+        Extension {
+            shares: self.shares(),
+            account_shares: accounts
+                .map(|((model, account), share)| {
+                    (model.clone(), account.clone(), thousandths(*share))
+                })
+                .collect(),
+            ..Extension::default()
+        }
     }
 
     /// Returns the outcomes at this node, for a report.
-    pub(crate) fn outcomes(&self) -> Vec<(Model, Outcomes)> {
+    fn outcomes(&self) -> Vec<(Model, Outcomes)> {
         let own = self.own.iter().take(MAX_MODELS);
         own.map(|(model, outcomes)| (model.clone(), *outcomes))
             .collect()
     }
 
     /// Returns the shares that this node sends as the planner.
-    pub(crate) fn shares(&self) -> Vec<(Model, u16)> {
+    fn shares(&self) -> Vec<(Model, u16)> {
         let shares = self.computed.iter().flat_map(Levels::shares);
         let shares = shares.take(MAX_MODELS);
         shares
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -2,7 +2,7 @@
 
 use crate::state::{Shared, Tables};
 use clock::Moment;
-use name::{Instance, Model, Node, Service};
+use name::{Account, Instance, Model, Node, Service};
 use place::{
     Contention, Decision, Objective, Placement, Query, Target, Urgency, choose_target, cold_share,
 };
@@ -15,6 +15,7 @@
 pub(crate) struct SlotRequest {
     pub(crate) service: Service,
     pub(crate) model: Option<Model>,
+    pub(crate) account: Option<Account>,
     pub(crate) prompt: u32,
     pub(crate) excluded: Vec<Instance>,
     /// The request's priority, and when its response should start.
@@ -378,7 +379,7 @@
 /// The retry delay for callers whose request was above the admitted share.
 ///
 /// Replicas are formed again, and bursts end, within a few seconds.
-const RETRY_ABOVE_LEVEL: Duration = Duration::from_millis(1_500);
+const RETRY_ABOVE_LEVEL: Duration = Duration::from_millis(2_500);
 
 /// Draws whether a request is within the share of its model that is admitted.
 ///
@@ -389,7 +390,8 @@
     };
     let is_late = now >= request.urgency.due;
     let rank = tables.rank(&request.service, request.urgency.priority);
-    tables.levels.admits(model, rank, is_late, now)
+    let account = request.account.as_ref();
+    tables.levels.admits(model, account, rank, is_late, now)
 }
 
 /// Returns when a response should start, for requests for a model that no server has begun.
--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -256,3 +256,25 @@
     let ahead: f64 = mix[..rank].iter().sum();
     ((share * total - ahead) / own).clamp(0.0, 1.0)
 }
+
+/// Returns the rate up to which each account is admitted, so that all together get `share`
+/// of what they offer: the max-min fair level.
+///
+/// Accounts that offer less than the level are admitted whole, and what they leave goes to
+/// the others. Returns infinity if all of it is admitted.
+pub fn fair_level(offered: &[f64], share: f64) -> f64 {
+    if share >= 1.0 {
+        return f64::INFINITY;
+    }
+    let mut sorted = offered.to_vec();
+    sorted.sort_by(f64::total_cmp);
+    let mut left = sorted.iter().sum::<f64>() * share;
+    for (index, offered) in sorted.iter().enumerate() {
+        let level = left / (sorted.len() - index) as f64;
+        if *offered >= level {
+            return level;
+        }
+        left -= offered;
+    }
+    f64::INFINITY
+}
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -26,7 +26,9 @@
 pub use cost::CostModel;
 pub use delay::Delays;
 pub use fleet::{Fleet, Target};
-pub use level::{LevelChange, Levels, MAX_SHARE_AGE, Occupancy, Outcomes, admission_probability};
+pub use level::{
+    LevelChange, Levels, MAX_SHARE_AGE, Occupancy, Outcomes, admission_probability, fair_level,
+};
 pub use limit::{Limits, NAMED_SPAN, Named, Share, cold_share};
 pub use load::{LoadTracker, TargetLoad, Work};
 pub use queue::{Queue, Urgency, estimated_wait};
--- a/crates/place/tests/placing/level.rs
+++ b/crates/place/tests/placing/level.rs
@@ -2,7 +2,7 @@
 
 use crate::{SLOTS, at_ms, choice::choose_with_stale_view};
 use name::Model;
-use place::{Delays, Levels, Occupancy, Outcomes, admission_probability};
+use place::{Delays, Levels, Occupancy, Outcomes, admission_probability, fair_level};
 use std::{collections::VecDeque, time::Duration};
 
 /// The slots of the simulated replicas together.
@@ -168,6 +168,54 @@
     }
 }
 
+/// Guards against refusing small accounts as often as the one that sends most.
+#[test]
+fn only_accounts_above_the_fair_level_are_thinned() {
+    struct Case {
+        what: &'static str,
+        offered: &'static [f64],
+        share: f64,
+        level: f64,
+    }
+    let cases = [
+        Case {
+            what: "enough room",
+            offered: &[10.0, 90.0],
+            share: 1.0,
+            level: f64::INFINITY,
+        },
+        Case {
+            what: "one account sends many times what others do",
+            offered: &[10.0, 10.0, 10.0, 170.0],
+            share: 0.5,
+            level: 70.0,
+        },
+        Case {
+            what: "equal accounts",
+            offered: &[10.0, 10.0],
+            share: 0.6,
+            level: 6.0,
+        },
+        Case {
+            what: "a long tail",
+            offered: &[1.0, 2.0, 3.0, 4.0, 30.0, 60.0],
+            share: 0.3,
+            level: 10.0,
+        },
+    ];
+    for case in cases {
+        let level = fair_level(case.offered, case.share);
+        assert_eq!(level, case.level, "{}", case.what);
+        let admitted: f64 = case.offered.iter().map(|offered| offered.min(level)).sum();
+        let total: f64 = case.offered.iter().sum();
+        assert!(
+            (admitted - case.share * total).abs() < 1e-9,
+            "{}",
+            case.what
+        );
+    }
+}
+
 /// Guards against herding: with views of the same age, all nodes sent what they had to the
 /// replica that was the emptiest, and requests queued there.
 #[test]
