Give models whose replicas answer late more of the engines

Load: on a site with demand that swings by half, the model with long prompts was late (205 of 1,177 route briefings in time) while the other one's replicas idled: engines were divided by the models' work only.

Change: the planner counts a model's work as more in proportion to how far its target of requests in progress fell below the first one.

--- a/crates/edge/src/level.rs
+++ b/crates/edge/src/level.rs
@@ -311,6 +311,15 @@
         }
     }
 
+    /// Returns by how much more replicas each model needs than its work alone tells, if this
+    /// node is the planner.
+    pub(crate) fn replica_factors(&self) -> HashMap<Model, f64> {
+        let factors = self.computed.iter().flat_map(Levels::replica_factors);
+        factors
+            .map(|(model, factor)| (model.clone(), factor))
+            .collect()
+    }
+
     /// Returns what this node reports to the planner.
     pub(crate) fn report(&self, now: Moment) -> Extension {
         let is_thinned = self.received.as_ref().is_some_and(|received| {
--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -264,6 +264,11 @@
         for (model, replicas) in tables.demand.replicas(now) {
             *demand.entry(model).or_default() += replicas;
         }
+        for (model, factor) in tables.levels.replica_factors() {
+            if let Some(replicas) = demand.get_mut(&model) {
+                *replicas *= factor;
+            }
+        }
         let fleet = &tables.fleet;
         let listed = fleet.servers().map(|s| (s, true));
         let servers: Vec<KnownServer> = listed
--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -197,6 +197,14 @@
         changes
     }
 
+    /// Returns by how much more replicas a model needs than if its target were the first
+    /// one: replicas of which fewer slots may be used answer less in time.
+    pub fn replica_factors(&self) -> impl Iterator<Item = (&Model, f64)> {
+        self.models
+            .iter()
+            .map(|(model, state)| (model, FIRST_TARGET / state.target))
+    }
+
     /// Returns the admitted share of each model.
     pub fn shares(&self) -> impl Iterator<Item = (&Model, f64)> {
         self.models
--- a/crates/place/tests/placing/level.rs
+++ b/crates/place/tests/placing/level.rs
@@ -127,6 +127,49 @@
     }
 }
 
+/// Guards against sharing engines among models by their work alone: a model whose replicas
+/// answer late with many requests needs more of them.
+#[test]
+fn model_that_is_late_needs_more_replicas() {
+    struct Case {
+        what: &'static str,
+        late: u64,
+        is_more: bool,
+    }
+    let cases = [
+        Case {
+            what: "in time",
+            late: 2,
+            is_more: false,
+        },
+        Case {
+            what: "half is late",
+            late: 50,
+            is_more: true,
+        },
+    ];
+    for case in cases {
+        let model: Model = "m".parse().expect("a name");
+        let mut levels = Levels::default();
+        levels.record(&model, Outcomes::default(), at_ms(0));
+        let occupancy = Occupancy {
+            running: 80,
+            slots: 100,
+        };
+        for step in 1..=10 {
+            let outcomes = Outcomes {
+                on_time: 100 - case.late,
+                late: case.late,
+                refused: 0,
+            };
+            levels.record(&model, outcomes, at_ms(step * 700));
+            levels.step(|_| Some(occupancy), at_ms(step * 700));
+        }
+        let (_, factor) = levels.replica_factors().next().expect("a model");
+        assert_eq!(factor > 1.1, case.is_more, "{}: {factor}", case.what);
+    }
+}
+
 #[test]
 fn urgent_ranks_use_the_share_first() {
     struct Case {
