--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -1,7 +1,7 @@
 //! Attempts to run a request on backend servers until one of them answers.
 
 use crate::{
-    admit::{FirstOutput, Job, RETRY_ELSEWHERE},
+    admit::{Job, RETRY_ELSEWHERE},
     evidence::{Progress, format_digest, withheld_error},
     slot::{NoSlot, Slot, SlotRequest},
     state::Shared,
@@ -10,11 +10,11 @@
 use hyper::body::Incoming;
 use name::{Instance, Node};
 use net::{Connection, Framing};
-use place::{Outcomes, Urgency};
+use place::Urgency;
 use quarantine::Refusal;
 use rand::Rng;
 use site::call::{RequestContext, ResponseHead};
-use slog::{info, warn};
+use slog::info;
 use std::{sync::Arc, time::Duration};
 use tokio::time::{Instant, sleep, sleep_until, timeout_at};
 use verdict::{Error, Kind, Verdict};
@@ -56,10 +56,6 @@
 /// The maximum time to the first token, as a multiple of the prediction.
 const FIRST_TOKEN_TIMEOUT_FACTOR: u32 = 4;
 
-/// The time to the first token, as a multiple of the prediction, above which a server has
-/// stalled rather than been full.
-const STALL_FACTOR: u32 = 3;
-
 /// The retry delay for callers if no target serves the model.
 const RETRY_WITHOUT_TARGET: Duration = Duration::from_millis(1_000);
 
@@ -67,11 +63,6 @@
 /// retry credit.
 const RETRY_WITHOUT_CREDIT: Duration = Duration::from_millis(300);
 
-/// The longest time for which a server's request to get no requests is followed.
-///
-/// An absurd value must not withdraw a server for good.
-const MAX_DECLINE: Duration = Duration::from_secs(30);
-
 /// Returns a time with random jitter of 25 %.
 ///
 /// Callers that were refused together should not retry together.
@@ -156,16 +147,6 @@
     }
 }
 
-/// What a server sent of a response body until it ended.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct BodyEnd {
-    pub(crate) framing: Framing,
-    /// The number of bytes received, over all servers.
-    pub(crate) bytes: u64,
-    /// The number of bytes received after the last complete event of a stream.
-    pub(crate) partial_event_bytes: usize,
-}
-
 /// A server's response, with its body unread.
 #[derive(Debug)]
 pub(crate) struct Answer {
@@ -294,26 +275,6 @@
     }
 }
 
-impl Shared {
-    /// Sends no further requests to an incarnation of a server that announced that it is
-    /// leaving, in the answer to the request `id`.
-    pub(crate) fn record_leaving(self: &Arc<Self>, server: &Instance, incarnation: u64, id: &str) {
-        let is_new = {
-            let mut tables = self.tables();
-            let is_new = tables.fleet.set_leaving(server, incarnation);
-            if is_new {
-                self.update_targets(&mut tables);
-            }
-            is_new
-        };
-        if is_new {
-            self.metrics.count("announcements", "leaving");
-            info!(self.log, "backend server announced that it is leaving"; "server" => %server,
-                "incarnation" => incarnation, "id" => id);
-        }
-    }
-}
-
 /// Adds a new request to the demand and to the retry budget.
 fn record_demand(shared: &Shared, job: &Job, attempts: &Attempts) {
     if attempts.sent > 0 {
@@ -511,71 +472,6 @@
         self.check(answer, attempts)
     }
 
-    /// Acts on what a server announces about itself in a response.
-    ///
-    /// A misdirected request was answered by another server than the expected one.
-    fn follow_announcements(&self, shared: &Arc<Shared>, answer: &Answer) {
-        if answer.status == StatusCode::MISDIRECTED_REQUEST {
-            return;
-        }
-        if answer.status == StatusCode::SERVICE_UNAVAILABLE {
-            self.follow_decline(shared, answer);
-        }
-        self.follow_limit(shared, answer);
-        if !answer.head.is_leaving {
-            return;
-        }
-        let target = &answer.slot.choice.target;
-        shared.record_leaving(&target.server, target.incarnation, &self.call.attempt_id);
-    }
-
-    /// Sends a server no more than this node's share of the rate that it names.
-    ///
-    /// Only an answer of a server that ran the request lifts a limit by naming none:
-    /// rejections need not name it.
-    fn follow_limit(&self, shared: &Arc<Shared>, answer: &Answer) {
-        let target = &answer.slot.choice.target;
-        let per_s = match &answer.head.rate_limit {
-            Some(Ok(per_s)) => Some(*per_s),
-            Some(Err(value)) => {
-                shared
-                    .metrics
-                    .count("announcements", "limit not understood");
-                warn!(shared.log, "backend server named a limit that is no rate"; "server" => %target.server,
-                    "value" => %value, "id" => &*self.call.attempt_id);
-                return;
-            }
-            None if answer.head.is_signed => None,
-            None => return,
-        };
-        shared.record_limit(&target.server, target.incarnation, per_s);
-    }
-
-    /// Sends no request to a server for as long as it asked for in a response.
-    fn follow_decline(&self, shared: &Arc<Shared>, answer: &Answer) {
-        let server = &answer.slot.choice.target.server;
-        let time = match &answer.head.retry_after {
-            None => return,
-            Some(Ok(time)) => (*time).min(MAX_DECLINE),
-            Some(Err(value)) => {
-                warn!(shared.log, "backend server declined requests without a valid time";
-                    "server" => %server, "value" => %value, "id" => &*self.call.attempt_id);
-                return;
-            }
-        };
-        let now = shared.now();
-        shared.tables().load.record_decline(server, now + time, now);
-        shared.metrics.count("announcements", "declined");
-        info!(shared.log, "backend server declined requests"; "server" => %server,
-            "time_ms" => time.as_millis() as u64, "id" => &*self.call.attempt_id);
-        // Requests that wait for a slot are not woken by the end of the time.
-        let waiting = Arc::clone(shared);
-        tokio::spawn(async move {
-            sleep(time).await;
-            waiting.assign_slots(&mut waiting.tables());
-        });
-    }
-
     /// Waits for a response head until it is unlikely to come.
     async fn await_head<T>(
         &self,
@@ -664,81 +560,6 @@
         }
         Ok(answer)
     }
-
-    /// Records the time to the first piece of a response, and its prediction.
-    pub(crate) fn record_first_token(&self, shared: &Shared, slot: &Slot) {
-        let now = shared.now();
-        let choice = &slot.choice;
-        shared
-            .metrics
-            .record_time("first", &self.route.name, now.since(self.arrived));
-        self.first.get_or_init(|| FirstOutput {
-            waited: slot.acquired_at.since(self.arrived),
-            took: now.since(slot.acquired_at),
-            predicted: choice.time_to_first_token,
-            in_progress: choice.in_progress,
-        });
-        if slot.node.is_some() {
-            return;
-        }
-        let took = now.since(slot.acquired_at);
-        let predicted = choice.time_to_first_token;
-        {
-            let mut tables = shared.tables();
-            let server = &choice.target.server;
-            tables.load.record_latency(server, took, predicted, now);
-            if let Some(model) = &self.call.model {
-                tables.delays.record(model, took, predicted);
-            }
-        }
-        // What was late before it was placed, or waited at a server that stalled, says
-        // nothing about how full replicas are.
-        let is_stall = took > predicted * STALL_FACTOR;
-        if choice.is_in_time && now <= self.rank.due {
-            self.record_outcome(shared, |outcomes| &mut outcomes.on_time);
-        } else if choice.is_in_time && !is_stall {
-            self.record_outcome(shared, |outcomes| &mut outcomes.late);
-        }
-    }
-
-    /// Counts an outcome of a request for a model.
-    fn record_outcome(&self, shared: &Shared, count: impl Fn(&mut Outcomes) -> &mut u64) {
-        if let Some(model) = &self.call.model {
-            let mut outcomes = Outcomes::default();
-            *count(&mut outcomes) += 1;
-            shared.tables().levels.record(model, outcomes);
-        }
-    }
-
-    /// Logs the end of a request.
-    pub(crate) fn log_end(
-        &self,
-        shared: &Shared,
-        attempts: &Attempts,
-        status: u16,
-        outcome: &str,
-        server: Option<&Instance>,
-        body_end: Option<BodyEnd>,
-    ) {
-        let took = shared.now().since(self.arrived);
-        shared.metrics.count("requests", outcome);
-        shared
-            .metrics
-            .record_time("request", &self.route.name, took);
-        info!(shared.log, "request ended"; "id" => &*self.call.attempt_id, "outcome" => outcome,
-            "status" => status, "route" => &*self.route.name,
-            "account" => self.account.as_ref().map(|a| a.as_str().to_owned()),
-            "service" => %self.service, "server" => server.map(|s| s.as_str().to_owned()),
-            "framing" => body_end.map(|end| end.framing.as_str()), "body_bytes" => body_end.map(|end| end.bytes),
-            "partial_event_bytes" => body_end.map(|end| end.partial_event_bytes),
-            "waited_ms" => self.first.get().map(|first| first.waited.as_millis() as u64),
-            "first_ms" => self.first.get().map(|first| first.took.as_millis() as u64),
-            "predicted_ms" => self.first.get().map(|first| first.predicted.as_millis() as u64),
-            "in_progress" => self.first.get().map(|first| first.in_progress),
-            "prompt_tokens" => self.call.prompt_tokens,
-            "sent" => attempts.sent, "runs" => attempts.executions, "took_ms" => took.as_millis() as u64,
-            "config_version" => self.config_version, "view_age_ms" => self.view_age.as_millis() as u64);
-    }
 }
 
 #[cfg(test)]
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -2,6 +2,7 @@
 
 use crate::{
     era,
+    feed_reader::FeedReader,
     peers::ReceivedSequences,
     state::{Shared, Tables},
 };
@@ -9,13 +10,13 @@
 use name::Instance;
 use site::{
     config,
-    feed::{self, Batch, Cursor, InvalidRecord},
+    feed::{self, Batch, Cursor},
     server::Change,
     settings::Bounds,
 };
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use std::{collections::HashSet, sync::Arc, time::Duration};
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 /// How long a read of the operators' feed waits for a change, as a fraction of the
 /// maximum delay until a configuration takes effect.
@@ -73,124 +74,6 @@
 /// How often a node checks whether it has become the planner or its view is too old.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
-/// The delay after a failed read.
-const RETRY_DELAY: Duration = Duration::from_millis(200);
-
-/// How long removals are deferred after the store becomes reachable again.
-///
-/// Entries that expire during an outage are written again within this time, if the
-/// server is alive and reaches the store.
-const REMOVAL_GRACE: Duration = Duration::from_millis(2_000);
-
-/// The time without a successful read from which entries may have expired since servers
-/// could not renew them.
-///
-/// Servers renew an entry about once a second, and it expires after three renewals were
-/// missed. A connection that is reset costs one read, which is repeated at once.
-const MIN_OUTAGE: Duration = Duration::from_millis(1_000);
-
-/// The time between two reads of the other nodes' records.
-///
-/// Starting nodes send heartbeats to all others. Later reads only find nodes that
-/// were isolated for so long that the others removed them.
-const NODE_RECORD_READ_INTERVAL: Duration = Duration::from_secs(60);
-
-/// The longest random delay before a node writes its record again in a new era.
-const MAX_REWRITE_DELAY: Duration = Duration::from_secs(2);
-
-/// The maximum number of distinct faults that are stored, so that each is logged
-/// once.
-const MAX_FAULTS: usize = 1_000;
-
-/// Faults that were logged, so that a malformed record is logged once.
-#[derive(Debug, Default)]
-struct FaultLog {
-    logged: HashSet<(String, String)>,
-}
-
-impl FaultLog {
-    /// Logs the faults that were not logged before.
-    fn log(&mut self, shared: &Shared, feed: &'static str, faults: &[InvalidRecord]) {
-        for fault in faults {
-            shared.metrics.count("records_malformed", feed);
-            let key = (fault.key.clone(), fault.reason.clone());
-            if self.logged.len() < MAX_FAULTS && self.logged.insert(key) {
-                warn!(shared.log, "malformed record"; "feed" => feed,
-                    "key" => &fault.key, "reason" => &fault.reason);
-            }
-        }
-    }
-}
-
-/// The state of reading one feed.
-///
-/// It logs when the store becomes unreachable, and when it is reachable again.
-#[derive(Debug)]
-struct FeedReader {
-    name: &'static str,
-    /// When the first of the reads began that have failed since the last successful one.
-    lost_since: Option<Moment>,
-    faults: FaultLog,
-}
-
-impl FeedReader {
-    /// Returns the state of a feed that was not read yet.
-    fn new(name: &'static str) -> Self {
-        Self {
-            name,
-            lost_since: None,
-            faults: FaultLog::default(),
-        }
-    }
-
-    /// Handles the result of a read that began at `started`, and delays after a failed one.
-    async fn handle_read<T>(
-        &mut self,
-        shared: &Shared,
-        started: Moment,
-        answer: Result<Batch<T>, site::feed::Error>,
-    ) -> Option<Batch<T>> {
-        match answer {
-            Ok(batch) => {
-                if let Some(since) = self.lost_since.take() {
-                    let is_outage = shared.tables().record_recovery(since, shared.now());
-                    info!(shared.log, "store reachable again"; "feed" => self.name,
-                        "lost_ms" => shared.now().since(since).as_millis() as u64,
-                        "defers_removals" => is_outage);
-                }
-                self.faults.log(shared, self.name, &batch.invalid_records);
-                Some(batch)
-            }
-            Err(error) => {
-                shared.metrics.count("store_failures", self.name);
-                if self.lost_since.is_none() {
-                    self.lost_since = Some(started);
-                    warn!(shared.log, "store unreachable"; "feed" => self.name, "error" => %error);
-                }
-                sleep(RETRY_DELAY).await;
-                None
-            }
-        }
-    }
-}
-
-impl Tables {
-    /// Records that the store is reachable again after reads failed since `lost_since`.
-    ///
-    /// Returns whether that was an outage in which entries may have expired. It was none
-    /// if it was short, or if a planner read the servers' feed meanwhile: then only this
-    /// node had lost the store.
-    fn record_recovery(&mut self, lost_since: Moment, now: Moment) -> bool {
-        let confirmed = self.servers_confirmed;
-        let unconfirmed_since = confirmed.map_or(lost_since, |at| at.max(lost_since));
-        let is_outage = now.since(unconfirmed_since) >= MIN_OUTAGE;
-        if is_outage {
-            self.defer_removals_until = Some(now + REMOVAL_GRACE);
-        }
-        is_outage
-    }
-}
-
 /// Polls the tables until `answer` returns a value; the first poll is immediate.
 async fn poll_until_some<T>(shared: &Shared, answer: impl Fn(&Tables, Moment) -> Option<T>) -> T {
     loop {
@@ -637,53 +520,5 @@
     }
 }
 
-/// Writes this node's record, and reads the other nodes' records periodically
-/// for as long as the node runs.
-///
-/// The record is written before the first read, so that of two nodes that start
-/// together at least one finds the other. In a new era of the store, both are repeated
-/// after a random delay, since all nodes see it at about the same time.
-pub(crate) async fn node_records(shared: Arc<Shared>, record: site::node::NodeRecord) {
-    let own = record.node.clone();
-    let mut eras = shared.era_changes.subscribe();
-    publish_node_record(&shared, record.clone()).await;
-    let mut faults = FaultLog::default();
-    loop {
-        match (shared.platform.read_nodes)(Cursor::Start, Duration::ZERO).await {
-            Ok(batch) => {
-                faults.log(&shared, "cards", &batch.invalid_records);
-                let now = shared.now();
-                let mut tables = shared.tables();
-                for record in batch.records.into_iter().filter(|c| c.node != own) {
-                    tables.peers.add_record(record, now);
-                }
-            }
-            Err(error) => {
-                warn!(shared.log, "reading node records failed"; "error" => %error);
-                sleep(RETRY_DELAY).await;
-                continue;
-            }
-        }
-        // The sender lives as long as the node.
-        if timeout(NODE_RECORD_READ_INTERVAL, eras.changed())
-            .await
-            .is_ok()
-        {
-            sleep(MAX_REWRITE_DELAY.mul_f64(rand::random())).await;
-            shared.metrics.count("eras", "node records rewritten");
-            publish_node_record(&shared, record.clone()).await;
-        }
-    }
-}
-
-/// Writes this node's record to the store, retrying until it succeeds.
-async fn publish_node_record(shared: &Shared, record: site::node::NodeRecord) {
-    while let Err(error) = (shared.platform.write_node_record)(record.clone()).await {
-        warn!(shared.log, "writing node record failed"; "error" => %error);
-        sleep(RETRY_DELAY).await;
-    }
-    info!(shared.log, "node record written"; "node" => %record.node);
-}
-
 #[cfg(test)]
 mod tests;
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -1,10 +1,11 @@
 //! Application of feed reads to the tables.
 
 use super::{
-    MIN_OUTAGE, REMOVAL_GRACE, ReadSchedule, ReceivedSequences, apply_deferred_removals,
-    apply_operators, apply_relayed_change, apply_servers,
+    ReadSchedule, ReceivedSequences, apply_deferred_removals, apply_operators,
+    apply_relayed_change, apply_servers,
 };
 use crate::{
+    feed_reader::{MIN_OUTAGE, REMOVAL_GRACE},
     feed_relay::{self, Backlog},
     state::Shared,
 };
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -2,7 +2,8 @@
 //!
 //! An [`Edge`] runs all tasks of a node, over a [`site::Platform`]:
 //!
-//! - `follow` reads the operators' and servers' feeds into the [`state`] tables,
+//! - `follow` reads the operators' and servers' feeds into the [`state`] tables, through
+//!   `feed_reader`; `node_records` reads and writes the nodes' own records,
 //! - `heartbeat` sends this node's load and state to the other nodes and receives
 //!   theirs; `peers` holds what was received,
 //! - `feed_relay` sends the planner's feed reads to the other nodes, which then need
@@ -16,6 +17,8 @@
 //! - `level` holds how full the replicas of each model may be, by all nodes' outcomes,
 //! - `listener` accepts connections, `serve` passes a request through `admit` and
 //!   `attempt` (which takes a `slot`), `stream` forwards the events of a response,
+//! - `announcement` acts on what servers say about themselves in responses, and `outcome`
+//!   records what became of a request,
 //! - `directory` lists the nodes that callers should use.
 //!
 //! One lock, [`state::Shared::tables`], guards all tables. It is never held across
@@ -23,6 +26,7 @@
 
 mod admin;
 mod admit;
+mod announcement;
 mod attempt;
 mod directory;
 mod end_check;
@@ -30,6 +34,7 @@
 mod events;
 mod evidence;
 mod exchange;
+mod feed_reader;
 mod feed_relay;
 mod follow;
 mod forward;
@@ -39,6 +44,8 @@
 mod listener;
 mod memory;
 mod metrics;
+mod node_records;
+mod outcome;
 mod peers;
 mod plan;
 mod probe;
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     admit::{Job, NO_CONFIG, RETRY_ELSEWHERE, admit},
-    attempt::{Answer, Attempts, BodyEnd, attempt, jitter},
+    attempt::{Answer, Attempts, attempt, jitter},
     evidence::{Progress, format_digest},
     forward::{self, SERVER, server_mark},
     memory::{Blocks, MAX_RESPONSE_BYTES, Reservation, WholeBody},
+    outcome::BodyEnd,
     state::Shared,
     stream::{Body, full_body, relay},
 };
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -3,7 +3,7 @@
 use crate::{
     directory, exchange, follow, heartbeat, isolation,
     listener::{Role, listen},
-    plan, quarantine_store,
+    node_records, plan, quarantine_store,
     state::Shared,
 };
 use clock::Clock;
@@ -87,7 +87,7 @@
         let node = record.node.clone();
         tasks.spawn(follow::operators(Arc::clone(&shared)));
         tasks.spawn(follow::servers(Arc::clone(&shared)));
-        tasks.spawn(follow::node_records(Arc::clone(&shared), record.clone()));
+        tasks.spawn(node_records::run(Arc::clone(&shared), record.clone()));
         tasks.spawn(heartbeat::run_receiver(
             Arc::clone(&shared),
             Arc::clone(&socket),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -2,10 +2,11 @@
 
 use crate::{
     admit::Job,
-    attempt::{Answer, Attempts, BodyEnd, attempt},
+    attempt::{Answer, Attempts, attempt},
     events::EventSplitter,
     evidence::{Progress, format_digest},
     memory::{MAX_EVENT_BYTES, Reservation},
+    outcome::BodyEnd,
     state::Shared,
 };
 use bytes::Bytes;
