Admit a request once, and count extensions of heartbeats that cannot be decoded

A request that a server refused drew for admission again before its next attempt, so that accepted work could be refused. Sums of reported counts saturate, since a report may hold any numbers. An extension that is not understood is counted and logged.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -327,7 +327,7 @@
             prompt: self.call.prompt_tokens,
             excluded: attempts.excluded.clone(),
             urgency: rank,
-            is_resumed: attempts.executions > 0,
+            is_admitted: attempts.sent > 0,
             trial: self.trial_digest(shared),
         };
         let max_wait = left.mul_f64(fraction);
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -277,6 +277,8 @@
     pub(crate) ack: Option<Ack>,
     /// The extension; `None` from earlier versions of the program.
     pub(crate) extension: Option<Extension>,
+    /// Whether bytes follow that are no extension.
+    pub(crate) has_malformed_extension: bool,
 }
 
 /// Decodes a datagram.
@@ -301,6 +303,7 @@
     Ok(Received {
         heartbeat,
         ack,
+        has_malformed_extension: extension.is_none() && !rest.is_empty(),
         extension,
     })
 }
@@ -339,7 +342,13 @@
         }
         match decode(&buffer[..length]) {
             Ok(received) if received.heartbeat.record.node == own => {}
-            Ok(received) => apply_heartbeat(&shared, received),
+            Ok(received) => {
+                if received.has_malformed_extension {
+                    shared.metrics.count("beats_malformed", "extension");
+                    warn!(shared.log, "malformed extension of heartbeat"; "from" => %from);
+                }
+                apply_heartbeat(&shared, received);
+            }
             Err(error) => {
                 shared.metrics.count("beats_malformed", "peer");
                 warn!(shared.log, "malformed heartbeat"; "from" => %from, "error" => %error);
@@ -370,6 +379,7 @@
         heartbeat,
         ack,
         extension,
+        ..
     } = received;
     let now = shared.now();
     let mut tables = shared.tables();
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -234,6 +234,11 @@
     longer.extend(postcard::to_stdvec(&Ack::default()).expect("bytes"));
     let ack = decode(&longer).expect("a datagram").ack;
     assert_eq!(ack, Some(Ack::default()));
+    // The heartbeat before an extension that is not understood counts.
+    longer.push(0xff);
+    let received = decode(&longer).expect("a datagram");
+    assert!(received.extension.is_none() && received.has_malformed_extension);
+    assert_eq!(received.heartbeat.sequence, 7);
     for end in 0..whole.len() {
         assert!(decode(&whole[..end]).is_err(), "{end} bytes");
     }
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -20,8 +20,8 @@
     pub(crate) excluded: Vec<Instance>,
     /// The request's priority, and when its response should start.
     pub(crate) urgency: Urgency,
-    /// Whether a server has begun to run it, so that its room was counted already.
-    pub(crate) is_resumed: bool,
+    /// Whether the request was admitted before, and is now sent to another server.
+    pub(crate) is_admitted: bool,
     /// The digest of a request that may crash servers, which goes to one server only.
     pub(crate) trial: Option<u64>,
 }
@@ -385,7 +385,7 @@
 ///
 /// Requests whose objective has passed already come after all others.
 fn is_admitted(tables: &mut Tables, request: &SlotRequest, now: Moment) -> bool {
-    let Some(model) = request.model.as_ref().filter(|_| !request.is_resumed) else {
+    let Some(model) = request.model.as_ref().filter(|_| !request.is_admitted) else {
         return true;
     };
     let is_late = now >= request.urgency.due;
@@ -396,7 +396,7 @@
 
 /// Returns when a response should start, for requests for a model that no server has begun.
 fn objective(tables: &Tables, request: &SlotRequest, now: Moment) -> Objective {
-    let Some(model) = request.model.as_ref().filter(|_| !request.is_resumed) else {
+    let Some(model) = request.model.as_ref().filter(|_| !request.is_admitted) else {
         return Objective::default();
     };
     let time_left = now.until(request.urgency.due).saturating_sub(CALLER_TIME);
--- a/crates/place/src/level.rs
+++ b/crates/place/src/level.rs
@@ -91,9 +91,10 @@
 
     /// Adds the outcomes at another node.
     pub fn add(&mut self, other: Self) {
-        self.on_time += other.on_time;
-        self.late += other.late;
-        self.refused += other.refused;
+        // Reports of other nodes may hold any numbers.
+        self.on_time = self.on_time.saturating_add(other.on_time);
+        self.late = self.late.saturating_add(other.late);
+        self.refused = self.refused.saturating_add(other.refused);
     }
 }
 
@@ -242,7 +243,7 @@
 
 /// Returns the target after an interval with these outcomes.
 fn next_target(target: f64, outcomes: Outcomes) -> f64 {
-    let samples = outcomes.on_time + outcomes.late;
+    let samples = outcomes.on_time.saturating_add(outcomes.late);
     let late_share = outcomes.late as f64 / samples.max(1) as f64;
     if samples >= MIN_SAMPLES && late_share > ACCEPTED_LATE_SHARE {
         let excess = (late_share - ACCEPTED_LATE_SHARE) / (1.0 - ACCEPTED_LATE_SHARE);
