Let small chunks of a request's body share blocks

Found in the read-through: a body without a known length got a block for each chunk, so a caller with chunks of one byte used many times the memory that the budget counts. small_chunks_share_blocks fails before (20,000 blocks).

--- a/crates/edge/src/memory.rs
+++ b/crates/edge/src/memory.rs
@@ -42,6 +42,11 @@
 /// the heap: with them, a node used twice as much memory as its bodies.
 const BLOCK_BYTES: usize = 64 << 10;
 
+/// The least length of a block of a body without a known length, in bytes.
+///
+/// A caller may send chunks of one byte, each of which would otherwise get a block.
+const MIN_BLOCK_BYTES: usize = 4 << 10;
+
 /// The budget without a known limit of the machine, in bytes.
 const DEFAULT_CAPACITY: usize = 32 << 20;
 
@@ -217,8 +222,12 @@
         while !data.is_empty() {
             let is_full = |block: &BytesMut| block.len() == block.capacity();
             if self.blocks.last().is_none_or(is_full) {
-                let left = expected.saturating_sub(self.length).max(data.len());
-                let capacity = left.min(BLOCK_BYTES);
+                let left = expected.saturating_sub(self.length);
+                let capacity = if left >= data.len() {
+                    left.min(BLOCK_BYTES)
+                } else {
+                    data.len().clamp(MIN_BLOCK_BYTES, BLOCK_BYTES)
+                };
                 let reserved = self.reservation.bytes + capacity;
                 if !self.reservation.grow_body(reserved).await {
                     return false;
--- a/crates/edge/src/memory/tests.rs
+++ b/crates/edge/src/memory/tests.rs
@@ -114,6 +114,20 @@
     }
 }
 
+/// Guards against a block for each chunk of a body without a known length: a caller with
+/// chunks of one byte used many times the memory that was counted.
+#[tokio::test]
+async fn small_chunks_share_blocks() {
+    let memory = Memory::new(None);
+    let mut blocks = Blocks::new(&memory);
+    for n in 0..20_000 {
+        assert!(blocks.push(&[n as u8], 0).await);
+    }
+    assert!(blocks.blocks.len() <= 5, "{} blocks", blocks.blocks.len());
+    let (whole, _) = blocks.into_bytes();
+    assert_eq!(whole.len(), 20_000);
+}
+
 /// Guards against giving the memory of a response back while a slow caller still reads it.
 #[tokio::test]
 async fn memory_of_a_response_is_held_until_it_is_read() {
