--- a/crates/edge/src/level.rs
+++ b/crates/edge/src/level.rs
@@ -19,6 +19,12 @@
 /// The unit of shares between nodes.
 const SHARE_UNIT: f64 = 1_000.0;
 
+/// The longest delay of load reports with which shares are computed.
+///
+/// Within it the loop of share and load is damped; with 200 nodes and more reports are
+/// older, and all requests are admitted.
+const MAX_REPORT_DELAY: Duration = Duration::from_millis(400);
+
 /// The maximum number of models in a report or in the shares that are sent.
 const MAX_MODELS: usize = 64;
 
@@ -376,8 +382,9 @@
 impl Tables {
     /// Updates the levels that this node computes as the planner.
     pub(crate) fn step_levels(&mut self, is_planning: bool, now: Moment) -> Vec<LevelChange> {
+        let is_computing = is_planning && self.peers.load_delay(now) <= MAX_REPORT_DELAY;
         let mut models: HashMap<Model, Occupancy> = HashMap::new();
-        if is_planning {
+        if is_computing {
             for target in self.targets.iter() {
                 let Some(model) = &target.model else {
                     continue;
@@ -395,7 +402,7 @@
             }
         }
         let occupancy = |model: &Model| models.get(model).copied();
-        self.levels.step(is_planning, occupancy, now)
+        self.levels.step(is_computing, occupancy, now)
     }
 }
 
