Predict for the chosen replica only, and lock once for a first token

Found in the read-through; no change of behaviour. The choice of a replica predicted the first token at every candidate though only the chosen one's is used. A first token took the lock on the tables twice. Two decays by half-life were written again beside the one of demand.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -347,11 +347,11 @@
                     "no server serves this",
                 ),
                 NoSlot::Full(after) => {
-                    self.record_outcome(shared, |outcomes| &mut outcomes.refused);
+                    self.record_refusal(shared);
                     (Kind::Overloaded, after, "all servers are full")
                 }
                 NoSlot::AboveLevel(after) => {
-                    self.record_outcome(shared, |outcomes| &mut outcomes.refused);
+                    self.record_refusal(shared);
                     (Kind::Overloaded, after, "above the admission level")
                 }
                 NoSlot::Declined(after) => {
--- a/crates/edge/src/level.rs
+++ b/crates/edge/src/level.rs
@@ -5,7 +5,7 @@
 //! shares from all nodes' counts and loads, and sends them with its heartbeats. A node
 //! without a recent share admits all requests.
 
-use crate::state::{Shared, Tables};
+use crate::state::{Shared, Tables, decay_factor};
 use clock::Moment;
 use name::{Account, Model, Node};
 use place::{
@@ -121,8 +121,7 @@
 impl Mix {
     /// Adds a request.
     fn add(&mut self, rank: usize, now: Moment) {
-        let half_lives = now.since(self.at).as_secs_f64() / MIX_HALF_LIFE.as_secs_f64();
-        let factor = 0.5_f64.powf(half_lives);
+        let factor = decay_factor(now.since(self.at), MIX_HALF_LIFE);
         for count in &mut self.counts {
             *count *= factor;
         }
@@ -287,8 +286,7 @@
     fn step_accounts(&mut self, now: Moment) {
         let elapsed = self.stepped_at.map_or(Duration::ZERO, |at| now.since(at));
         self.stepped_at = Some(now);
-        let half_lives = elapsed.as_secs_f64() / OFFERED_HALF_LIFE.as_secs_f64();
-        let factor = 0.5_f64.powf(half_lives);
+        let factor = decay_factor(elapsed, OFFERED_HALF_LIFE);
         for offered in self.offered_by_all.values_mut() {
             *offered *= factor;
         }
--- a/crates/edge/src/outcome.rs
+++ b/crates/edge/src/outcome.rs
@@ -45,33 +45,34 @@
         }
         let took = now.since(slot.acquired_at);
         let predicted = choice.time_to_first_token;
-        {
-            let mut tables = shared.tables();
-            let server = &choice.target.server;
-            tables.load.record_latency(server, took, predicted, now);
-            if let Some(model) = &self.call.model {
-                tables.delays.record(model, took, predicted);
-            }
-        }
+        let mut tables = shared.tables();
+        let server = &choice.target.server;
+        tables.load.record_latency(server, took, predicted, now);
+        let Some(model) = &self.call.model else {
+            return;
+        };
+        tables.delays.record(model, took, predicted);
         // What was late before it was placed, or waited at a server that stalled, says
         // nothing about how full replicas are.
         let is_stall = took > predicted * STALL_FACTOR;
-        if choice.is_in_time && now <= self.rank.due {
-            self.record_outcome(shared, |outcomes| &mut outcomes.on_time);
-        } else if choice.is_in_time && !is_stall {
-            self.record_outcome(shared, |outcomes| &mut outcomes.late);
+        let is_on_time = now <= self.rank.due;
+        if choice.is_in_time && (is_on_time || !is_stall) {
+            let outcomes = Outcomes {
+                on_time: u64::from(is_on_time),
+                late: u64::from(!is_on_time),
+                refused: 0,
+            };
+            tables.levels.record(model, outcomes);
         }
     }
 
-    /// Counts an outcome of a request for a model.
-    pub(crate) fn record_outcome(
-        &self,
-        shared: &Shared,
-        count: impl Fn(&mut Outcomes) -> &mut u64,
-    ) {
+    /// Counts a request for a model that was refused for want of room.
+    pub(crate) fn record_refusal(&self, shared: &Shared) {
         if let Some(model) = &self.call.model {
-            let mut outcomes = Outcomes::default();
-            *count(&mut outcomes) += 1;
+            let outcomes = Outcomes {
+                refused: 1,
+                ..Outcomes::default()
+            };
             shared.tables().levels.record(model, outcomes);
         }
     }
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -332,6 +332,10 @@
 
 /// Returns an amount after its decay from `at` to `now`.
 fn decayed(amount: f64, at: Moment, now: Moment) -> f64 {
-    let half_lives = now.since(at).as_secs_f64() / DEMAND_HALF_LIFE.as_secs_f64();
-    amount * 0.5_f64.powf(half_lives)
+    amount * decay_factor(now.since(at), DEMAND_HALF_LIFE)
+}
+
+/// Returns the part of an amount that is left after a time.
+pub(crate) fn decay_factor(elapsed: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(elapsed.as_secs_f64() / half_life.as_secs_f64())
 }
--- a/crates/place/src/choice.rs
+++ b/crates/place/src/choice.rs
@@ -191,65 +191,42 @@
     } else {
         responsive
     };
-    let predicted: Vec<Candidate<'_>> = pool
-        .iter()
-        .map(|target| {
-            let (first_token_s, penalty) = predict_first_token(query, target, cost, load, now);
-            Candidate {
-                target,
-                first_token_s,
-                penalty,
-            }
-        })
-        .collect();
+    let predict = |target: &Target| predict_first_token(query, target, cost, load, now);
     let chosen = if query.model.is_some() {
         let arrivals = query.contention.expected_arrivals(&serving, load, now);
-        let loads = predicted.iter().map(|c| c.effective_load(query, load, now));
+        let loads = pool.iter().map(|t| effective_load(query, t, load, now));
         let loads: Vec<f64> = loads.collect();
-        pick_below_level(&loads, arrivals, rng).map(|index| &predicted[index])
+        pick_below_level(&loads, arrivals, rng).map(|index| (pool[index], predict(pool[index]).0))
     } else {
-        let sample = predicted.choose_multiple(rng, SAMPLE_SIZE);
-        sample.min_by(|a, b| a.penalized_s().total_cmp(&b.penalized_s()))
+        let sample = pool.choose_multiple(rng, SAMPLE_SIZE);
+        let predicted = sample.map(|target| (*target, predict(target)));
+        let best = predicted.min_by(|(_, a), (_, b)| (a.0 * a.1).total_cmp(&(b.0 * b.1)));
+        best.map(|(target, (first_token_s, _))| (target, first_token_s))
     };
-    chosen.map_or(Decision::Full, |chosen| {
-        let time_to_first_token = Duration::from_secs_f64(chosen.first_token_s);
+    chosen.map_or(Decision::Full, |(target, first_token_s)| {
+        let time_to_first_token = Duration::from_secs_f64(first_token_s);
         Decision::Place(Box::new(Placement {
-            target: chosen.target.clone(),
+            target: target.clone(),
             time_to_first_token,
             modelled_time: time_to_first_token.saturating_sub(query.objective.delay),
-            is_in_time: query.objective.is_in_time(chosen.first_token_s),
-            in_progress: load.work(&chosen.target.server, now).requests,
+            is_in_time: query.objective.is_in_time(first_token_s),
+            in_progress: load.work(&target.server, now).requests,
             candidates: pool.len(),
         }))
     })
 }
 
-/// A target with its prediction.
-#[derive(Debug)]
-struct Candidate<'a> {
-    target: &'a Target,
-    first_token_s: f64,
-    /// The target's slowdown against predictions.
-    penalty: f64,
-}
-
-impl Candidate<'_> {
-    /// Returns the predicted time to the first token with the target's slowdown.
-    fn penalized_s(&self) -> f64 {
-        self.first_token_s * self.penalty
-    }
-
-    /// Returns the requests at the target, with its slowdown and its distance counted as
-    /// further requests.
-    fn effective_load(&self, query: &Query<'_>, load: &LoadTracker, now: Moment) -> f64 {
-        let requests = f64::from(load.work(&self.target.server, now).requests);
-        let distance = if self.target.domain == *query.domain {
-            0.0
-        } else {
-            CROSS_DOMAIN_LOAD
-        };
-        (requests + SLOW_TARGET_LOAD) * self.penalty.max(1.0) - SLOW_TARGET_LOAD + distance
-    }
+/// Returns the requests at a replica, with its slowdown and its distance counted as further
+/// requests.
+fn effective_load(query: &Query<'_>, target: &Target, load: &LoadTracker, now: Moment) -> f64 {
+    let requests = f64::from(load.work(&target.server, now).requests);
+    let distance = if target.domain == *query.domain {
+        0.0
+    } else {
+        CROSS_DOMAIN_LOAD
+    };
+    let slowdown = load.penalty(&target.server, now).max(1.0);
+    (requests + SLOW_TARGET_LOAD) * slowdown - SLOW_TARGET_LOAD + distance
 }
 
 /// Picks an index at random, so that all nodes together level the loads.
