Log which record and which view of the servers a request's target came from

From the logs of a node that never got a server's record could not be told from one that deferred it, took it back, or had chosen the server before. Lines on entries now have the record's number, its position in the feed and whether it was read or relayed; the line of a request has the view behind the choice and the time until it was sent.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -3,7 +3,7 @@
 use crate::{
     admit::{Job, RETRY_ELSEWHERE},
     evidence::{Progress, format_digest, withheld_error},
-    slot::{NoSlot, Slot, SlotRequest},
+    slot::{NoSlot, ServersView, Slot, SlotRequest},
     state::Shared,
 };
 use http::{HeaderMap, StatusCode};
@@ -90,6 +90,19 @@
     pub(crate) excluded_nodes: Vec<Node>,
     /// The retry delay of the last node that refused the request.
     pub(crate) refused_for: Option<Duration>,
+    /// The last sending of the request to a server.
+    pub(crate) last_sent: Option<Sending>,
+}
+
+/// On what basis a request was sent to a server.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Sending {
+    /// The incarnation of the server.
+    pub(crate) incarnation: u64,
+    /// The view of the servers from which it was chosen.
+    pub(crate) view: ServersView,
+    /// The time between the choice and the sending.
+    pub(crate) since_choice: Duration,
 }
 
 impl Attempts {
@@ -423,6 +436,13 @@
         }
         attempts.sent += 1;
         attempts.executions += 1;
+        if slot.node.is_none() {
+            attempts.last_sent = Some(Sending {
+                incarnation: target.incarnation,
+                view: slot.view,
+                since_choice: shared.now().since(slot.acquired_at),
+            });
+        }
         let sending = connection.send(request);
         let answer = match self.await_head(shared, sending, &slot, attempts).await {
             Ok(Ok(answer)) => answer,
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -96,14 +96,16 @@
     Direct,
 }
 
-/// Returns the source of this node's view.
-fn feed_source(tables: &Tables, now: Moment) -> FeedSource {
-    if tables.peers.own_token.is_some() {
-        FeedSource::Planner
-    } else if tables.peers.has_recent_update(now) {
-        FeedSource::Relayed
-    } else {
-        FeedSource::Direct
+impl FeedSource {
+    /// Returns the source of this node's view.
+    fn of(tables: &Tables, now: Moment) -> Self {
+        if tables.peers.own_token.is_some() {
+            Self::Planner
+        } else if tables.peers.has_recent_update(now) {
+            Self::Relayed
+        } else {
+            Self::Direct
+        }
     }
 }
 
@@ -137,7 +139,7 @@
 
     /// Waits until a read is due, and returns how long that read waits for a change.
     async fn next_wait(&self, shared: &Shared, last_read: Option<Moment>) -> Duration {
-        poll_until_some(shared, |tables, now| match feed_source(tables, now) {
+        poll_until_some(shared, |tables, now| match FeedSource::of(tables, now) {
             FeedSource::Planner => Some(PLANNER_OPERATORS_WAIT),
             FeedSource::Direct => Some(self.wait),
             FeedSource::Relayed => self
@@ -285,7 +287,7 @@
     let leaving = shared.settings.bounds.max_leaving_delay;
     let is_due = |tables: &Tables, now: Moment| {
         let waited = now.since(begin);
-        match feed_source(tables, now) {
+        match FeedSource::of(tables, now) {
             _ if tables.servers_offset.is_none() => true,
             FeedSource::Planner => waited >= PLANNER_SERVERS_INTERVAL,
             FeedSource::Direct => waited >= leaving.mul_f64(SERVERS_READ_FRACTION),
@@ -404,7 +406,8 @@
     let offset = tables.servers_offset.unwrap_or(0);
     let due = std::mem::take(&mut tables.deferred_removals);
     for id in &due {
-        info!(shared.log, "backend server entry removed"; "server" => %id, "was_held_back" => true);
+        info!(shared.log, "backend server entry removed"; "server" => %id, "was_held_back" => true,
+            "position" => offset, "source" => READ);
         queue_for_relay(tables, &Change::Removed(id.clone()), offset);
         tables.apply_server(Change::Removed(id.clone()), now);
     }
@@ -428,20 +431,26 @@
         return false;
     }
     let is_significant = is_significant(tables, &change);
+    let origin = Origin {
+        position: offset,
+        source: READ,
+    };
     match &change {
         Change::Removed(id) if is_deferring_removals(tables, now) => {
-            info!(shared.log, "removal deferred after store outage"; "server" => %id);
+            let left = tables.defer_removals_until.map(|until| now.until(until));
+            info!(shared.log, "removal deferred after store outage"; "server" => %id,
+                "position" => offset, "for_ms" => left.map(|left| left.as_millis() as u64));
             tables.deferred_removals.insert(id.clone());
             return false;
         }
         Change::Removed(id) => {
             if is_significant {
-                info!(shared.log, "backend server entry removed"; "server" => %id);
+                origin.log_removal(&shared.log, id);
             }
         }
         Change::Updated(server) => {
             tables.deferred_removals.remove(&server.id);
-            log_change(&shared.log, tables.fleet.server(&server.id), server);
+            origin.log_change(&shared.log, tables.fleet.server(&server.id), server);
         }
     }
     if is_significant {
@@ -486,11 +495,13 @@
         return false;
     }
     let known = tables.fleet.server(&id);
+    let origin = Origin {
+        position: offset,
+        source: RELAYED,
+    };
     match &change {
-        Change::Updated(server) => log_change(log, known, server),
-        Change::Removed(_) if known.is_some() => {
-            info!(log, "backend server entry removed"; "server" => %id, "told_by" => "planner");
-        }
+        Change::Updated(server) => origin.log_change(log, known, server),
+        Change::Removed(_) if known.is_some() => origin.log_removal(log, &id),
         Change::Removed(_) => {}
     }
     let is_significant = is_significant(tables, &change);
@@ -500,23 +511,50 @@
     is_significant
 }
 
-/// Logs a change of a server's entry, if it matters to requests.
-fn log_change(log: &Logger, known: Option<&site::Server>, server: &site::Server) {
-    let Some(known) = known else {
-        info!(log, "backend server entry added"; "server" => %server.id, "service" => %server.service,
-            "domain" => %server.domain, "address" => %server.address, "born" => server.incarnation);
-        return;
-    };
-    if known.is_leaving != server.is_leaving {
-        info!(log, "backend server leaving state changed"; "server" => %server.id,
-            "is_leaving" => server.is_leaving);
+/// The source of changes that this node read from the store.
+const READ: &str = "read";
+
+/// The source of changes that the planner relayed.
+const RELAYED: &str = "relayed";
+
+/// Where a change of a server's entry came from.
+#[derive(Debug, Clone, Copy)]
+struct Origin {
+    /// The end of the read that returned it.
+    position: u64,
+    /// Whether this node read it or the planner relayed it: [`READ`] or [`RELAYED`].
+    source: &'static str,
+}
+
+impl Origin {
+    /// Logs the removal of a server's entry.
+    fn log_removal(&self, log: &Logger, id: &Instance) {
+        info!(log, "backend server entry removed"; "server" => %id,
+            "position" => self.position, "source" => self.source);
     }
-    if known.engine.membership != server.engine.membership {
-        let member = server.engine.membership.as_ref();
-        info!(log, "replica membership changed"; "server" => %server.id,
-            "replica" => member.map(|m| m.replica.as_str().to_owned()),
-            "generation" => member.map(|m| m.generation),
-            "phase" => member.map(|m| format!("{:?}", m.phase)));
+
+    /// Logs a change of a server's entry, if it matters to requests.
+    fn log_change(&self, log: &Logger, known: Option<&site::Server>, server: &site::Server) {
+        let Some(known) = known else {
+            info!(log, "backend server entry added"; "server" => %server.id, "service" => %server.service,
+                "domain" => %server.domain, "address" => %server.address, "born" => server.incarnation,
+                "is_leaving" => server.is_leaving, "sequence" => server.sequence,
+                "position" => self.position, "source" => self.source);
+            return;
+        };
+        if known.is_leaving != server.is_leaving || known.incarnation != server.incarnation {
+            info!(log, "backend server leaving state changed"; "server" => %server.id,
+                "is_leaving" => server.is_leaving, "born" => server.incarnation, "sequence" => server.sequence,
+                "known_sequence" => known.sequence, "position" => self.position, "source" => self.source);
+        }
+        if known.engine.membership != server.engine.membership {
+            let member = server.engine.membership.as_ref();
+            info!(log, "replica membership changed"; "server" => %server.id,
+                "replica" => member.map(|m| m.replica.as_str().to_owned()),
+                "generation" => member.map(|m| m.generation),
+                "phase" => member.map(|m| format!("{:?}", m.phase)), "sequence" => server.sequence,
+                "position" => self.position, "source" => self.source);
+        }
     }
 }
 
--- a/crates/edge/src/outcome.rs
+++ b/crates/edge/src/outcome.rs
@@ -104,6 +104,10 @@
             "in_progress" => self.first.get().map(|first| first.in_progress),
             "prompt_tokens" => self.call.prompt_tokens,
             "sent" => attempts.sent, "runs" => attempts.executions, "took_ms" => took.as_millis() as u64,
-            "config_version" => self.config_version, "view_age_ms" => self.view_age.as_millis() as u64);
+            "config_version" => self.config_version, "view_age_ms" => self.view_age.as_millis() as u64,
+            "incarnation" => attempts.last_sent.map(|sent| sent.incarnation),
+            "servers_position" => attempts.last_sent.and_then(|sent| sent.view.position),
+            "servers_age_ms" => attempts.last_sent.and_then(|sent| sent.view.age).map(|age| age.as_millis() as u64),
+            "since_choice_ms" => attempts.last_sent.map(|sent| sent.since_choice.as_millis() as u64));
     }
 }
--- a/crates/edge/src/probe.rs
+++ b/crates/edge/src/probe.rs
@@ -151,7 +151,7 @@
                 report: None,
                 entry: (now, server.clone()),
             });
-            if probe.entry.1 != *server {
+            if !probe.entry.1.is_same_state(server) {
                 probe.entry = (now, server.clone());
             }
             let is_suspect = suspects.contains(id);
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -33,6 +33,25 @@
     sender: Option<oneshot::Sender<Slot>>,
 }
 
+/// How recent a node's view of the servers is.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct ServersView {
+    /// The position up to which the servers' feed is applied.
+    pub(crate) position: Option<u64>,
+    /// The time since the start of the read that last confirmed the view.
+    pub(crate) age: Option<Duration>,
+}
+
+impl Tables {
+    /// Returns how recent the view of the servers is.
+    pub(crate) fn servers_view(&self, now: Moment) -> ServersView {
+        ServersView {
+            position: self.servers_offset,
+            age: self.servers_confirmed.map(|at| now.since(at)),
+        }
+    }
+}
+
 /// Capacity for one request at a target, released on drop.
 #[derive(Debug)]
 pub(crate) struct Slot {
@@ -40,6 +59,8 @@
     pub(crate) choice: Placement,
     /// When the slot was acquired.
     pub(crate) acquired_at: Moment,
+    /// The view of the servers from which the target was chosen.
+    pub(crate) view: ServersView,
     prompt: u32,
     has_first_token: bool,
     is_released: bool,
@@ -77,6 +98,7 @@
                 candidates: 1,
             },
             acquired_at: shared.now(),
+            view: ServersView::default(),
             prompt: 0,
             has_first_token: true,
             is_released: true,
@@ -325,6 +347,7 @@
                     shared: Arc::clone(self),
                     choice: *choice,
                     acquired_at: now,
+                    view: tables.servers_view(now),
                     prompt: request.prompt,
                     has_first_token: false,
                     is_released: false,
--- a/crates/site/src/fixture.rs
+++ b/crates/site/src/fixture.rs
@@ -30,6 +30,7 @@
         address: ([127, 0, 0, 1], 1).into(),
         domain: "d".parse().expect("a name"),
         incarnation: 1,
+        sequence: None,
         slots: 26,
         is_leaving: false,
         cold_time_left: Duration::ZERO,
--- a/crates/site/src/server.rs
+++ b/crates/site/src/server.rs
@@ -17,6 +17,11 @@
     /// The start time of the process in wall-clock milliseconds, which identifies the
     /// incarnation.
     pub incarnation: u64,
+    /// The number of the entry among those of the incarnation; `None` if it is not known.
+    ///
+    /// Not part of the encoding, which earlier versions of the program decode by position.
+    #[serde(skip)]
+    pub sequence: Option<u64>,
     /// The maximum number of concurrent requests.
     pub slots: u32,
     /// Whether the server is about to stop.
@@ -110,6 +115,15 @@
 }
 
 impl Server {
+    /// Returns whether another entry describes the same state, whatever their numbers.
+    pub fn is_same_state(&self, other: &Self) -> bool {
+        let numbered = Self {
+            sequence: self.sequence,
+            ..other.clone()
+        };
+        *self == numbered
+    }
+
     /// Returns whether another entry is equivalent for requests.
     ///
     /// Each renewal updates the remaining cold time. Staged models, and the phase of
@@ -117,6 +131,7 @@
     pub fn is_equivalent_for_callers(&self, other: &Self) -> bool {
         let normalized = |server: &Self| {
             let mut normalized = server.clone();
+            normalized.sequence = None;
             normalized.cold_time_left = normalized.cold_time_left.min(Duration::from_nanos(1));
             normalized.engine.staged_models.clear();
             if let Some(member) = &mut normalized.engine.membership
