Play servers that leave in the soak, with failing tests of late renewals

Scenes play one sequence of faults at chosen times with three processes.

The soak missed all of this.

--- a/src/commands/soak.rs
+++ b/src/commands/soak.rs
@@ -52,6 +52,7 @@
                 seed,
                 time,
                 nodes: self.processes.max(1),
+                scene: None,
             };
             // Dropping the run ends its processes.
             let report = runtime.block_on(async {
--- /dev/null
+++ b/tests/all/leaving.rs
@@ -0,0 +1,56 @@
+//! Servers that leave while something keeps nodes from noticing.
+
+use soak::{Plan, Scene, run};
+use std::{env, path::PathBuf, time::Duration};
+use tokio::task::JoinSet;
+
+/// The variable that names another build of the program, to show that a scene fails there.
+const PROGRAM: &str = "ARBUTUSFORD_PROGRAM";
+
+/// Plays scenes at the same time, each with nodes of its own, and checks that no promise was
+/// broken.
+async fn assert_nothing_broken(scenes: &[Scene]) {
+    let program = env::var_os(PROGRAM)
+        .map_or_else(|| env!("CARGO_BIN_EXE_arbutusford").into(), PathBuf::from);
+    let mut runs = JoinSet::new();
+    for (seed, scene) in (1..).zip(scenes.iter().copied()) {
+        let plan = Plan {
+            seed,
+            time: Duration::ZERO,
+            nodes: 3,
+            scene: Some(scene),
+        };
+        let program = program.clone();
+        runs.spawn(async move { (scene, run(&plan, &program).await) });
+    }
+    let mut broken = Vec::new();
+    while let Some(ended) = runs.join_next().await {
+        let (scene, report) = ended.unwrap();
+        let lines = report.unwrap().violations;
+        let first = lines.first().cloned();
+        broken.extend(first.map(|line| format!("{scene:?}: {} such as {line}", lines.len())));
+    }
+    broken.sort();
+    assert_eq!(broken, Vec::<String>::new());
+}
+
+/// Guards against a removal that the planner defers and no other node sees, and against
+/// entries of an older copy of the store that replace newer ones.
+#[tokio::test(flavor = "multi_thread")]
+async fn leaving_servers_get_nothing_after_a_reset_or_a_return_of_the_store() {
+    assert_nothing_broken(&[Scene::RemovalAfterReset, Scene::LeavingAfterReturn]).await;
+}
+
+/// Guards against an older entry that replaces a newer one because it is read later.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 46"]
+async fn leaving_servers_get_nothing_after_late_renewals() {
+    assert_nothing_broken(&[Scene::LateRenewals, Scene::LateRenewalsAtNewPlanner]).await;
+}
+
+/// Guards against taking a late renewal of a server whose entry was removed for its return.
+#[tokio::test(flavor = "multi_thread")]
+#[ignore = "known red, issue 46"]
+async fn removed_servers_get_nothing_after_late_renewals() {
+    assert_nothing_broken(&[Scene::LateRenewalAfterRemoval]).await;
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -12,6 +12,7 @@
 mod drafts;
 mod fixture;
 mod keyed;
+mod leaving;
 mod matrix;
 mod routing;
 mod security;
--- a/tests/all/soak.rs
+++ b/tests/all/soak.rs
@@ -31,6 +31,7 @@
                 seed: case.seed,
                 time: Duration::from_secs(6),
                 nodes: 5,
+                scene: None,
             };
             let program = Path::new(env!("CARGO_BIN_EXE_arbutusford"));
             (case.what, run(&plan, program).await)
