Check that a server is still a target before the first byte goes there

A server that left, or a domain that was taken out, in that time got the request; the bound on leaving servers was late by as much. Such a request now goes back to the choice; nothing was sent, so it needs no credit. Retries, resumed streams and requests that other nodes pass on take the same way.

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -189,6 +189,8 @@
     Withheld,
     /// The request's secret was revoked meanwhile, or the configuration is too old to tell.
     Unauthorized,
+    /// The server was withdrawn before the request was sent.
+    Withdrawn,
     /// The request's deadline passed.
     DeadlineExceeded,
 }
@@ -274,6 +276,11 @@
                     .error(attempts, Kind::Unavailable, "the secret was not confirmed")
                     .with_retry_after(RETRY_ELSEWHERE));
             }
+            AttemptError::Withdrawn => {
+                shared.metrics.count("attempts", "withdrawn");
+                info!(shared.log, "server withdrawn before the request was sent";
+                    "id" => &*job.call.attempt_id, "server" => %server);
+            }
             AttemptError::DeadlineExceeded => {
                 shared.metrics.count("attempts", "late");
                 return Err(job.error(attempts, Kind::Deadline, "the deadline passed"));
@@ -434,6 +441,9 @@
         if !self.has_valid_secret(shared) {
             return Err(AttemptError::Unauthorized);
         }
+        if !slot.is_current() {
+            return Err(AttemptError::Withdrawn);
+        }
         attempts.sent += 1;
         attempts.executions += 1;
         if slot.node.is_none() {
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -584,4 +584,4 @@
 }
 
 #[cfg(test)]
-mod tests;
+pub(crate) mod tests;
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -85,13 +85,13 @@
 const SETTLE_TIME: Duration = Duration::from_secs(2);
 
 /// A node whose clock is set by the test.
-struct Node {
-    shared: Arc<Shared>,
+pub(crate) struct Node {
+    pub(crate) shared: Arc<Shared>,
     millis: Arc<AtomicU64>,
 }
 
 impl Node {
-    fn new() -> Self {
+    pub(crate) fn new() -> Self {
         let millis = Arc::new(AtomicU64::new(1_000));
         let now = Arc::clone(&millis);
         let clock = Clock::new(
@@ -105,6 +105,12 @@
         }
     }
 
+    /// Applies a change that the next read returns.
+    pub(crate) fn apply(&self, change: Change) {
+        let next = self.shared.tables().servers_offset.unwrap_or(0) + 1;
+        self.apply_read(vec![change], next, next == 1);
+    }
+
     fn advance(&self, time: Duration) {
         let millis = u64::try_from(time.as_millis()).expect("a short time");
         self.millis.fetch_add(millis, Ordering::Relaxed);
--- a/crates/edge/src/slot.rs
+++ b/crates/edge/src/slot.rs
@@ -133,6 +133,20 @@
         self.node.is_none() && self.shared.tables().fleet.has_failed(&self.choice.target)
     }
 
+    /// Returns whether new requests may be sent to the target still.
+    ///
+    /// Connecting takes up to some hundred milliseconds, in which the server may leave, or
+    /// its domain may be taken out of service.
+    pub(crate) fn is_current(&self) -> bool {
+        let target = &self.choice.target;
+        let is_same = |listed: &Target| {
+            listed.server == target.server
+                && listed.incarnation == target.incarnation
+                && listed.replica == target.replica
+        };
+        self.node.is_some() || self.shared.tables().targets.iter().any(is_same)
+    }
+
     /// Records that the first token has come, so that the prompt is processed.
     pub(crate) fn record_first_token(&mut self) {
         if !self.has_first_token {
@@ -484,3 +498,6 @@
 fn serves(target: &place::Target, request: &SlotRequest) -> bool {
     target.service == request.service && target.model == request.model
 }
+
+#[cfg(test)]
+mod tests;
