Check the listing of a plain service's server before the first byte, in entry too

The check before the first byte asked whether a server is taken out, not whether the platform lists it as leaving, as that of replicas does. By reading; the proof's matrix covers the bound itself (IgnoreLeaving), not this moment.

--- a/crates/entry/src/serve/attempt.rs
+++ b/crates/entry/src/serve/attempt.rs
@@ -15,7 +15,7 @@
 use clock::Moment;
 use name::Attempt;
 use quarantine::Part;
-use replica::{Cause, dispatch_check};
+use replica::{Cause, ListingState, dispatch_check};
 use route::answer::Step;
 use slog::debug;
 use std::{sync::Arc, time::Duration};
@@ -179,7 +179,12 @@
             let engines = node.engines();
             dispatch_check(&state, &engines, replica, offer.generation, now).is_ok()
         }
-        None => !state.is_taken_out(&offer.instance, &offer.domain),
+        None => {
+            let services = node.services();
+            let listing = services.get(&offer.instance).map(|status| status.listing);
+            listing != Some(ListingState::Leaving)
+                && !state.is_taken_out(&offer.instance, &offer.domain)
+        }
     }
 }
 
