Do not take rejected reads of the store for an outage

After a second of these a node deferred removals for two more, so that a server whose entry was removed got requests past the bound though nothing was disturbed. On large deployments reads are rejected in calm times.

A rejected read is repeated as before, is logged and counted apart, and ends no contact: servers renew their entries meanwhile. The test fails without it: the removal was still deferred.

--- a/crates/edge/src/feed_reader.rs
+++ b/crates/edge/src/feed_reader.rs
@@ -87,6 +87,13 @@
                 self.faults.log(shared, self.name, &batch.invalid_records);
                 Some(batch)
             }
+            // The store is up, so that entries are renewed there: this is no outage.
+            Err(error) if error.is_rejected => {
+                shared.metrics.count("store_rejections", self.name);
+                info!(shared.log, "store rejected a read"; "feed" => self.name, "error" => %error);
+                sleep(RETRY_DELAY).await;
+                None
+            }
             Err(error) => {
                 shared.metrics.count("store_failures", self.name);
                 if self.lost_since.is_none() {
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -5,7 +5,7 @@
     apply_relayed_change, apply_servers,
 };
 use crate::{
-    feed_reader::{MIN_OUTAGE, REMOVAL_GRACE},
+    feed_reader::{FeedReader, MIN_OUTAGE, REMOVAL_GRACE},
     feed_relay::{self, Backlog},
     state::Shared,
 };
@@ -234,6 +234,41 @@
     assert!(!node.has_server("a"));
 }
 
+/// Guards against deferring removals because the store rejected reads for their number.
+#[tokio::test]
+async fn rejected_reads_are_no_outage() {
+    for is_rejected in [true, false] {
+        let node = Node::new();
+        node.apply_read(vec![entry("a")], 10, true);
+        let mut reader = FeedReader::new("servers");
+        for _ in 0..6 {
+            let error = feed::Error {
+                reason: "status".into(),
+                is_without_effect: true,
+                is_rejected,
+            };
+            let started = node.shared.now();
+            let answer: Result<Batch<Change>, _> = Err(error);
+            reader.handle_read(&node.shared, started, answer).await;
+            node.advance(Duration::from_millis(200));
+        }
+        let answer = Ok(batch(vec![Change::Removed(id("a"))], 11, false));
+        let now = node.shared.now();
+        let read = reader.handle_read(&node.shared, now, answer).await;
+        apply_servers(
+            &node.shared,
+            read.expect("a read"),
+            now,
+            &ReceivedSequences::default(),
+        );
+        assert_eq!(
+            node.has_server("a"),
+            !is_rejected,
+            "rejected: {is_rejected}"
+        );
+    }
+}
+
 #[test]
 fn removal_without_outage_applies_at_once() {
     let node = Node::new();
--- a/crates/edge/src/probe/tests.rs
+++ b/crates/edge/src/probe/tests.rs
@@ -37,6 +37,7 @@
     Err(Error {
         reason: "no answer".into(),
         is_without_effect: true,
+        is_rejected: false,
     })
 }
 
--- a/crates/site/src/feed.rs
+++ b/crates/site/src/feed.rs
@@ -72,6 +72,8 @@
     pub reason: String,
     /// Whether the call certainly had no effect.
     pub is_without_effect: bool,
+    /// Whether the store rejected the call because there were too many.
+    pub is_rejected: bool,
 }
 
 impl fmt::Display for Error {
