Relay no deferred removal at offset zero

Others ignored the removal, and took the update for one of an earlier era, so that all of them read the feed. It now applies the removal without relaying it; others have read as far as it had, or read because its updates begin there. The test fails without it with an update up to 0 with one change.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -403,16 +403,21 @@
     if tables.deferred_removals.is_empty() || is_deferring_removals(tables, now) {
         return false;
     }
-    // The entries are known to be absent up to the end of the last read.
-    let offset = tables.servers_offset.unwrap_or(0);
+    // The entries are known to be absent up to the end of the last read. A new planner that
+    // has not read yet relays nothing: others have read as far as it, or read anew.
+    let offset = tables.servers_offset;
     let due = std::mem::take(&mut tables.deferred_removals);
     for id in &due {
         info!(shared.log, "backend server entry removed"; "server" => %id, "was_held_back" => true,
             "position" => offset, "source" => READ);
-        queue_for_relay(tables, &Change::Removed(id.clone()), offset);
+        if let Some(offset) = offset {
+            queue_for_relay(tables, &Change::Removed(id.clone()), offset);
+        }
         tables.apply_server(Change::Removed(id.clone()), now);
     }
-    tables.peers.backlog.set_end(offset);
+    if let Some(offset) = offset {
+        tables.peers.backlog.set_end(offset);
+    }
     !due.is_empty()
 }
 
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -269,6 +269,30 @@
     }
 }
 
+/// Guards against an update that makes all nodes read the feed: a new planner applies a
+/// removal that it deferred before it has read anything.
+#[test]
+fn new_planner_without_a_view_relays_no_deferred_removal() {
+    let node = Node::new();
+    node.apply_read(vec![entry("a")], 10, true);
+    node.recover_from_outage();
+    node.apply_read(vec![Change::Removed(id("a"))], 11, false);
+    let mut tables = node.shared.tables();
+    tables.operators_offset = Some(1);
+    tables.peers.own_token = Some(1);
+    tables.peers.backlog = Backlog::starting_at(11);
+    tables.servers_offset = None;
+    drop(tables);
+    node.advance(REMOVAL_GRACE);
+    let now = node.shared.now();
+    let mut tables = node.shared.tables();
+    assert!(apply_deferred_removals(&node.shared, &mut tables, now));
+    let update = feed_relay::next_update(&mut tables, false).expect("an update");
+    assert_eq!((update.to, update.changes.len()), (11, 0));
+    drop(tables);
+    assert!(!node.has_server("a"));
+}
+
 #[test]
 fn removal_without_outage_applies_at_once() {
     let node = Node::new();
