Tell nodes that start which servers had no entry

Callers saw: a node that started between the removal of a server's entry and the late renewal sent requests there, as it took the server for a new one.

Cause: what was removed is known only to nodes that saw it. Nodes now exchange, with the leaving servers, which servers have no entry or have not confirmed that they are back; one that lists such a server asks it once. A fact about an earlier incarnation than the listed one is ignored.

The cases of the fleet's table are certain.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,7 +1,7 @@
 //! The exchange between nodes of what they learn from servers' answers.
 //!
 //! Three things are exchanged: the crash histories of parts of requests, the limits that
-//! servers name, and which servers are leaving. What all nodes must act on at once is sent to all at once; what
+//! servers name, and which servers are leaving or had no entry. What all nodes must act on at once is sent to all at once; what
 //! several nodes learn at about the same time is sent after a random delay that grows
 //! with the number of nodes, and not at all if another node sent it first. Each node
 //! also sends all that it knows to a few others at intervals, and to nodes that have just
@@ -39,8 +39,8 @@
 /// The maximum number of limits in a datagram, some 16 kB.
 const MAX_LIMITS: usize = 512;
 
-/// The maximum number of leaving servers in a datagram, some 12 kB.
-const MAX_LEAVING: usize = 512;
+/// The maximum number of servers of each kind in a datagram, some 10 kB.
+const MAX_SERVERS: usize = 512;
 
 /// The longest random delay per other node.
 const DELAY_PER_NODE: Duration = Duration::from_millis(2);
@@ -67,20 +67,29 @@
     limits: Vec<LimitRecord>,
 }
 
-/// A server that is leaving.
+/// A fact about an incarnation of a server.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-struct LeavingRecord {
+struct ServerRecord {
     server: Instance,
     incarnation: u64,
     /// The milliseconds since a node learned of it first.
     age_ms: u64,
 }
 
-/// A message, and what follows it, where earlier versions of the program read nothing.
-#[derive(Debug, Clone, Default)]
-struct Datagram {
-    message: Message,
-    leaving: Vec<LeavingRecord>,
+/// What follows a message, where earlier versions of the program read nothing.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+struct Departures {
+    /// The servers that are leaving.
+    leaving: Vec<ServerRecord>,
+    /// The servers without an entry, or that have not confirmed that they are back.
+    absent: Vec<ServerRecord>,
+}
+
+impl Departures {
+    /// Returns whether there is nothing to send.
+    fn is_empty(&self) -> bool {
+        self.leaving.is_empty() && self.absent.is_empty()
+    }
 }
 
 /// What is to be sent to other nodes.
@@ -167,22 +176,34 @@
         }
     }
 
-    /// Returns records of the leaving servers that are selected.
-    fn leaving_records(
-        &self,
-        is_selected: impl Fn(&Instance) -> bool,
-        now: Moment,
-    ) -> Vec<LeavingRecord> {
-        let leaving = self.fleet.leaving().filter(|(id, _, _)| is_selected(id));
-        let records = leaving.map(|(id, incarnation, since)| LeavingRecord {
-            server: id.clone(),
-            incarnation,
-            age_ms: u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX),
-        });
-        records.take(MAX_LEAVING).collect()
+    /// Returns the leaving servers of a list, with the age of what is known.
+    fn leaving_records(&self, servers: &[Instance], now: Moment) -> Vec<ServerRecord> {
+        let leaving = self.fleet.leaving();
+        server_records(leaving.filter(|(id, _, _)| servers.contains(id)), now)
+    }
+
+    /// Returns all that is known about servers that leave or have left.
+    fn departures(&self, now: Moment) -> Departures {
+        Departures {
+            leaving: server_records(self.fleet.leaving(), now),
+            absent: server_records(self.fleet.absent(), now),
+        }
     }
 }
 
+/// Returns records of facts that nodes learned at the given moments.
+fn server_records<'a>(
+    facts: impl Iterator<Item = (&'a Instance, u64, Moment)>,
+    now: Moment,
+) -> Vec<ServerRecord> {
+    let records = facts.map(|(id, incarnation, since)| ServerRecord {
+        server: id.clone(),
+        incarnation,
+        age_ms: u64::try_from(now.since(since).as_millis()).unwrap_or(u64::MAX),
+    });
+    records.take(MAX_SERVERS).collect()
+}
+
 impl Shared {
     /// Records the limit that a server named in an answer, or that it named none.
     pub(crate) fn record_limit(&self, server: &Instance, incarnation: u64, per_s: Option<f64>) {
@@ -249,22 +270,32 @@
         self.exchange_due.notify_one();
     }
 
-    /// Applies which servers another node knows to be leaving.
-    fn apply_leaving(self: &Arc<Self>, records: &[LeavingRecord], source: &str) {
+    /// Applies what another node knows about servers that leave or have left.
+    fn apply_departures(self: &Arc<Self>, departures: &Departures, source: &str) {
         let now = self.now();
         let mut tables = self.tables();
         let mut is_changed = false;
-        for record in records {
-            let since = now - Duration::from_millis(record.age_ms);
-            tables.outbox.leaving.remove(&record.server);
-            let is_new = tables
-                .fleet
-                .set_leaving(&record.server, record.incarnation, since);
-            if is_new {
-                info!(self.log, "backend server is leaving"; "server" => %record.server,
-                    "incarnation" => record.incarnation, "source" => source, "age_ms" => record.age_ms);
+        for (records, is_leaving) in [(&departures.leaving, true), (&departures.absent, false)] {
+            for record in records.iter().take(MAX_SERVERS) {
+                let (id, incarnation) = (&record.server, record.incarnation);
+                let since = now - Duration::from_millis(record.age_ms);
+                let is_new = if is_leaving {
+                    tables.outbox.leaving.remove(id);
+                    tables.fleet.set_leaving(id, incarnation, since)
+                } else {
+                    tables.fleet.record_absence(id, incarnation, since)
+                };
+                if is_new {
+                    let fact = if is_leaving {
+                        "leaving"
+                    } else {
+                        "had no entry"
+                    };
+                    info!(self.log, "backend server withdrawn by another node"; "server" => %id,
+                        "incarnation" => incarnation, "fact" => fact, "source" => source, "age_ms" => record.age_ms);
+                }
+                is_changed |= is_new;
             }
-            is_changed |= is_new;
         }
         if is_changed {
             self.update_targets(&mut tables);
@@ -302,10 +333,11 @@
             let mut tables = shared.tables();
             let parts = take_due(&mut tables.outbox.parts, MAX_RECORDS, now);
             let servers = take_due(&mut tables.outbox.limits, MAX_LIMITS, now);
-            let leaving = take_due(&mut tables.outbox.leaving, MAX_LEAVING, now);
-            let due = Datagram {
-                message: tables.message(parts, servers, now),
-                leaving: tables.leaving_records(|id| leaving.contains(id), now),
+            let leaving = take_due(&mut tables.outbox.leaving, MAX_SERVERS, now);
+            let due = tables.message(parts, servers, now);
+            let due_departures = Departures {
+                leaving: tables.leaving_records(&leaving, now),
+                absent: Vec::new(),
             };
             let mut recipients = std::mem::take(&mut tables.outbox.newcomers);
             let addresses = tables.peers.addresses();
@@ -315,11 +347,14 @@
             }
             let parts = tables.quarantine.parts().into_iter().take(MAX_RECORDS);
             let servers = tables.limits.servers().into_iter().take(MAX_LIMITS);
-            let everything = Datagram {
-                message: tables.message(parts, servers, now),
-                leaving: tables.leaving_records(|_| true, now),
-            };
-            (due, everything, addresses, recipients)
+            let everything = tables.message(parts, servers, now);
+            let due = (due, due_departures);
+            (
+                due,
+                (everything, tables.departures(now)),
+                addresses,
+                recipients,
+            )
         };
         if let Some(bytes) = encode(&shared, &due) {
             send(&socket, &bytes, &addresses).await;
@@ -345,13 +380,12 @@
 }
 
 /// Encodes a datagram; `None` if it is empty.
-fn encode(shared: &Shared, datagram: &Datagram) -> Option<Vec<u8>> {
-    let Datagram { message, leaving } = datagram;
-    if message.histories.is_empty() && message.limits.is_empty() && leaving.is_empty() {
+fn encode(shared: &Shared, (message, departures): &(Message, Departures)) -> Option<Vec<u8>> {
+    if message.histories.is_empty() && message.limits.is_empty() && departures.is_empty() {
         return None;
     }
     let bytes = postcard::to_extend(message, vec![FORMAT]);
-    match bytes.and_then(|bytes| postcard::to_extend(leaving, bytes)) {
+    match bytes.and_then(|bytes| postcard::to_extend(departures, bytes)) {
         Ok(bytes) => Some(bytes),
         Err(error) => {
             warn!(shared.log, "exchange encoding failed"; "error" => %error);
@@ -360,19 +394,19 @@
     }
 }
 
-/// Decodes a datagram; earlier versions of the program send no leaving servers.
-fn decode(bytes: &[u8]) -> Result<Datagram, postcard::Error> {
+/// Decodes a datagram; earlier versions of the program send no departures.
+fn decode(bytes: &[u8]) -> Result<(Message, Departures), postcard::Error> {
     let (message, rest) = postcard::take_from_bytes(bytes)?;
-    let leaving = match rest {
-        [] => Vec::new(),
+    let departures = match rest {
+        [] => Departures::default(),
         rest => postcard::from_bytes(rest)?,
     };
-    Ok(Datagram { message, leaving })
+    Ok((message, departures))
 }
 
 /// Applies a datagram of another node.
 pub(crate) fn receive(shared: &Arc<Shared>, bytes: &[u8], from: SocketAddr) {
-    let Datagram { message, leaving } = match decode(bytes) {
+    let (message, departures) = match decode(bytes) {
         Ok(datagram) => datagram,
         Err(error) => {
             shared.metrics.count("beats_malformed", "exchange");
@@ -387,9 +421,8 @@
     }
     let limits = &message.limits[..message.limits.len().min(MAX_LIMITS)];
     shared.apply_limits(limits, &source);
-    let leaving = &leaving[..leaving.len().min(MAX_LEAVING)];
-    if !leaving.is_empty() {
-        shared.apply_leaving(leaving, &source);
+    if !departures.is_empty() {
+        shared.apply_departures(&departures, &source);
     }
 }
 
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -102,6 +102,16 @@
     is_closed: bool,
 }
 
+/// A server whose entry is back after a removal.
+#[derive(Debug, Clone, Copy)]
+struct Returned {
+    incarnation: u64,
+    /// When a node learned first that it had no entry.
+    removed_at: Moment,
+    /// Whether the server confirmed that it is back.
+    is_confirmed: bool,
+}
+
 /// All backend servers known to a node.
 ///
 /// A record may be executed by the store seconds after it was sent, or read twice. So
@@ -121,9 +131,8 @@
     leaving: HashMap<Instance, Leaving>,
     /// Servers without an entry, with the last version of it.
     departed: HashMap<Instance, Departed>,
-    /// Servers whose entries are back after a removal and that have not confirmed it, with
-    /// their incarnations.
-    returned: HashMap<Instance, u64>,
+    /// Servers whose entries are back after a removal.
+    returned: HashMap<Instance, Returned>,
     taken_out: HashSet<Domain>,
 }
 
@@ -215,25 +224,83 @@
     fn record_return(&mut self, server: &Server) {
         let departed = self.departed.remove(&server.id);
         let incarnation = server.incarnation;
-        if departed.is_some_and(|departed| departed.last.incarnation == incarnation) {
-            self.returned.insert(server.id.clone(), incarnation);
-        } else if self.returned.get(&server.id) != Some(&incarnation) {
+        let departed = departed.filter(|departed| departed.last.incarnation == incarnation);
+        if let Some(departed) = departed {
+            self.doubt(&server.id, incarnation, departed.at);
+        } else if !self.is_returned(&server.id, incarnation) {
             self.returned.remove(&server.id);
         }
     }
 
+    /// Returns whether the entry of an incarnation is back after a removal.
+    fn is_returned(&self, id: &Instance, incarnation: u64) -> bool {
+        let returned = self.returned.get(id);
+        returned.is_some_and(|returned| returned.incarnation == incarnation)
+    }
+
+    /// Has an incarnation of a server confirm that it is back.
+    fn doubt(&mut self, id: &Instance, incarnation: u64, removed_at: Moment) {
+        let returned = Returned {
+            incarnation,
+            removed_at,
+            is_confirmed: false,
+        };
+        self.returned.insert(id.clone(), returned);
+    }
+
     /// Returns whether an incarnation of a server has yet to confirm that it is back.
     pub fn is_unconfirmed(&self, id: &Instance, incarnation: u64) -> bool {
-        self.returned.get(id) == Some(&incarnation)
+        let returned = self.returned.get(id);
+        returned.is_some_and(|r| r.incarnation == incarnation && !r.is_confirmed)
     }
 
     /// Records that an incarnation of a server confirmed that it is back.
     pub fn confirm(&mut self, id: &Instance, incarnation: u64) {
-        if self.is_unconfirmed(id, incarnation) {
-            self.returned.remove(id);
+        let returned = self.returned.get_mut(id);
+        if let Some(returned) = returned.filter(|r| r.incarnation == incarnation) {
+            returned.is_confirmed = true;
         }
     }
 
+    /// Records that an incarnation of a server had no entry at another node, which learned
+    /// it at `removed_at`; returns whether the server has to confirm that it is back.
+    ///
+    /// A node that has just started does not know which entries were removed before.
+    pub fn record_absence(&mut self, id: &Instance, incarnation: u64, removed_at: Moment) -> bool {
+        if let Some(server) = self.servers.get(id) {
+            let is_new = server.incarnation == incarnation
+                && !server.is_leaving
+                && !self.is_returned(id, incarnation);
+            if is_new {
+                self.doubt(id, incarnation, removed_at);
+            }
+            return is_new;
+        }
+        let known = self.departed.get(id);
+        let is_known = known.is_some_and(|known| known.last.incarnation >= incarnation);
+        if !is_known && self.departed.len() < MAX_DEPARTED {
+            let departed = Departed {
+                last: Version {
+                    incarnation,
+                    sequence: None,
+                },
+                at: removed_at,
+                is_closed: true,
+            };
+            self.departed.insert(id.clone(), departed);
+        }
+        false
+    }
+
+    /// Returns the servers whose entries were removed and that have not confirmed that they
+    /// are back, with their incarnations and when a node learned it first.
+    pub fn absent(&self) -> impl Iterator<Item = (&Instance, u64, Moment)> {
+        let departed = self.departed.iter();
+        let departed = departed.map(|(id, d)| (id, d.last.incarnation, d.at));
+        let returned = self.returned.iter().filter(|(_, r)| !r.is_confirmed);
+        departed.chain(returned.map(|(id, r)| (id, r.incarnation, r.removed_at)))
+    }
+
     /// Begins an era of the store, in which servers write their last records again.
     pub fn begin_era(&mut self) {
         for departed in self.departed.values_mut() {
@@ -303,8 +370,10 @@
     pub fn set_leaving(&mut self, id: &Instance, incarnation: u64, since: Moment) -> bool {
         let known = self.leaving.get(id);
         let is_known = known.is_some_and(|known| known.incarnation >= incarnation);
-        let has_room = self.leaving.len() < MAX_DEPARTED || self.servers.contains_key(id);
-        if is_known || !has_room {
+        let listed = self.servers.get(id);
+        let is_replaced = listed.is_some_and(|server| server.incarnation > incarnation);
+        let has_room = self.leaving.len() < MAX_DEPARTED || listed.is_some();
+        if is_known || is_replaced || !has_room {
             return false;
         }
         let leaving = Leaving { incarnation, since };
--- a/crates/place/tests/placing/fleet.rs
+++ b/crates/place/tests/placing/fleet.rs
@@ -159,6 +159,39 @@
             },
             targets: 0,
         },
+        Case {
+            name: "the head had no entry at another node",
+            change: |f| {
+                f.record_absence(&id("a"), 1, NOW);
+            },
+            targets: 0,
+        },
+        Case {
+            name: "the head confirmed that it is back, and had no entry at another node",
+            change: |f| {
+                f.record_absence(&id("a"), 1, NOW);
+                f.confirm(&id("a"), 1);
+                f.record_absence(&id("a"), 1, NOW);
+            },
+            targets: 1,
+        },
+        Case {
+            name: "an earlier incarnation of the head had no entry at another node",
+            change: |f| {
+                f.record_absence(&id("a"), 0, NOW);
+            },
+            targets: 1,
+        },
+        Case {
+            name: "the head had no entry at another node before it was listed here",
+            change: |f| {
+                f.apply(Change::Removed(id("a")), NOW);
+                f.expire(NOW + Duration::from_secs(61));
+                f.record_absence(&id("a"), 1, NOW);
+                f.apply(Change::Updated(Box::new(member("a", 0, Phase::Open))), NOW);
+            },
+            targets: 0,
+        },
         Case {
             name: "a member's entry was removed and added, which it has not confirmed",
             change: |f| {
