Compare numbers of entries within a known incarnation only

Found in the read-through: entries that name no incarnation count as one, so that the lower number of a server that had started again under its name would have been taken for an older record, and the server never used again. Test case first failed. Also: no targets are computed for servers that have confirmed that they are back, and a restart is logged as such, not as a change of its leaving.

--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -572,7 +572,11 @@
                 "position" => self.position, "source" => self.source);
             return;
         };
-        if known.is_leaving != server.is_leaving || known.incarnation != server.incarnation {
+        if known.incarnation != server.incarnation {
+            info!(log, "backend server started again"; "server" => %server.id, "born" => server.incarnation,
+                "known_born" => known.incarnation, "is_leaving" => server.is_leaving, "sequence" => server.sequence,
+                "position" => self.position, "source" => self.source);
+        } else if known.is_leaving != server.is_leaving {
             info!(log, "backend server leaving state changed"; "server" => %server.id,
                 "is_leaving" => server.is_leaving, "born" => server.incarnation, "sequence" => server.sequence,
                 "known_sequence" => known.sequence, "position" => self.position, "source" => self.source);
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -74,11 +74,14 @@
     }
 
     /// Returns whether a record was written before this one.
+    ///
+    /// Without an incarnation, a lower number may be that of a server that started again.
     fn is_after(self, other: Self) -> bool {
+        let is_same = self.incarnation == other.incarnation;
+        let is_ordered = is_same && self.incarnation != UNKNOWN_INCARNATION;
         let is_numbered_before =
-            || matches!((other.sequence, self.sequence), (Some(a), Some(b)) if a < b);
-        other.incarnation < self.incarnation
-            || (other.incarnation == self.incarnation && is_numbered_before())
+            matches!((other.sequence, self.sequence), (Some(a), Some(b)) if a < b);
+        other.incarnation < self.incarnation || (is_ordered && is_numbered_before)
     }
 }
 
@@ -448,7 +451,7 @@
     /// Returns the targets that would accept new requests if their servers confirmed that
     /// they are back.
     pub fn unconfirmed_targets(&self, config: &Config) -> Vec<Target> {
-        if self.returned.is_empty() {
+        if self.returned.values().all(|returned| returned.is_confirmed) {
             return Vec::new();
         }
         self.candidates(config, |server| {
--- a/crates/place/tests/placing/fleet.rs
+++ b/crates/place/tests/placing/fleet.rs
@@ -415,6 +415,11 @@
             records: &[Some((6, Some(1), false)), LEAVING],
             last: Some((6, Some(1), false)),
         },
+        Case {
+            name: "a server without incarnations starts again",
+            records: &[Some((0, Some(8), false)), Some((0, Some(1), false))],
+            last: Some((0, Some(1), false)),
+        },
         Case {
             name: "a server without incarnations that left is back",
             records: &[Some((0, Some(8), true)), None, Some((0, Some(1), false))],
