Keep a quarantined request withheld though another one explains its crashes too

Callers saw: plain servers crashed on though two requests had been found to crash them.

Cause: crashes are attributed to the request that explains the most, and no longer count for others. Two requests that crash the same three servers were in progress at the same ends; as soon as one had one end more, the other was free, ran, and took over:

A request that is quarantined now stays so by its own crashes until an answer or a refutation clears them. Parts of prompts are judged as before: sound requests share them, and are freed when another part explains the crashes. Before the first quarantine nothing changes, so a request that was only in progress beside is free as before.

Evidence: the new case of the table fails without it.

--- a/crates/quarantine/src/table.rs
+++ b/crates/quarantine/src/table.rs
@@ -340,7 +340,12 @@
         let mut changes = Vec::new();
         for (part, treatment) in &mut self.treatments {
             let was_sound = self.sound.contains(*part);
-            let crashes = crashes.get(part).copied().unwrap_or(0);
+            let mut crashes = crashes.get(part).copied().unwrap_or(0);
+            // Two requests that crash the same servers would free each other in turn.
+            if part.is_request() && treatment.level == Level::Quarantined {
+                let own = treatment.history.separate_crashes(*part, &HashSet::new());
+                crashes = crashes.max(own);
+            }
             let level = pace::level(crashes, was_sound);
             let interval = trial_interval(crashes, was_sound);
             let last = treatment.history.last_open().copied();
--- a/crates/quarantine/tests/table.rs
+++ b/crates/quarantine/tests/table.rs
@@ -183,6 +183,31 @@
             quarantined: "",
             free: "",
         },
+        Case {
+            condition: "two requests crash the same servers, the second one more of them",
+            answers: vec![
+                (0, Ended("request-a", 1)),
+                (300, Ended("request-a", 2)),
+                (600, Ended("request-a", 3)),
+                (0, Ended("request-b", 1)),
+                (300, Ended("request-b", 2)),
+                (600, Ended("request-b", 3)),
+                (900, Ended("request-b", 4)),
+            ],
+            quarantined: "request-a request-b",
+            free: "",
+        },
+        Case {
+            condition: "a quarantined request completes",
+            answers: vec![
+                (0, Ended("request-a", 1)),
+                (300, Ended("request-a", 2)),
+                (600, Ended("request-a", 3)),
+                (900, Sound("request-a")),
+            ],
+            quarantined: "",
+            free: "request-a",
+        },
         Case {
             condition: "a part that was sound until it changed",
             answers: vec![
