Let an empty extension before relayed numbers withdraw no shares

Found in the read-through: since the numbers of relayed entries follow the extension of a heartbeat, an empty extension is sent before them where none was sent before, and a node took it for shares that the planner had withdrawn. After a change of planner all nodes would have admitted all requests at once, in place of keeping the last shares for up to 3 s. The test fails without it.

--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,7 +1,8 @@
 //! The exchange between nodes of what they learn from servers' answers.
 //!
 //! Three things are exchanged: the crash histories of parts of requests, the limits that
-//! servers name, and which servers are leaving or had no entry. What all nodes must act on at once is sent to all at once; what
+//! servers name, and which servers are leaving or had no entry.
+//! What all nodes must act on at once is sent to all at once; what
 //! several nodes learn at about the same time is sent after a random delay that grows
 //! with the number of nodes, and not at all if another node sent it first. Each node
 //! also sends all that it knows to a few others at intervals, and to nodes that have just
--- a/crates/edge/src/heartbeat.rs
+++ b/crates/edge/src/heartbeat.rs
@@ -318,7 +318,8 @@
     Ok(Received {
         heartbeat,
         ack,
-        extension,
+        // An empty one only precedes the numbers, and withdraws no shares.
+        extension: extension.filter(|extension: &Extension| !extension.is_empty()),
         has_malformed_extension,
     })
 }
--- a/crates/edge/src/peers/tests.rs
+++ b/crates/edge/src/peers/tests.rs
@@ -281,5 +281,8 @@
     let read: Extension = postcard::from_bytes(&extension).expect("as earlier versions decode it");
     assert_eq!(read, Extension::default());
     parts.push(numbers);
-    assert_eq!(number(&encoded(&parts)), Some(41));
+    let present = encoded(&parts);
+    assert_eq!(number(&present), Some(41));
+    let received = decode(&present).expect("a datagram");
+    assert!(received.extension.is_none() && !received.has_malformed_extension);
 }
