--- a/crates/edge/src/exchange.rs
+++ b/crates/edge/src/exchange.rs
@@ -1,12 +1,11 @@
 //! The exchange between nodes of what they learn from servers' answers.
 //!
 //! Three things are exchanged: the crash histories of parts of requests, the limits that
-//! servers name, and which servers are leaving or had no entry.
-//! What all nodes must act on at once is sent to all at once; what
-//! several nodes learn at about the same time is sent after a random delay that grows
-//! with the number of nodes, and not at all if another node sent it first. Each node
-//! also sends all that it knows to a few others at intervals, and to nodes that have just
-//! started, so that lost datagrams and restarts only delay it.
+//! servers name, and which servers are leaving or had no entry. What all nodes must act on
+//! at once is sent to all at once; what several nodes learn at about the same time is sent
+//! after a random delay that grows with the number of nodes, and not at all if another node
+//! sent it first. Each node also sends all that it knows to a few others at intervals, and
+//! to nodes that have just started, so that lost datagrams and restarts only delay it.
 
 use crate::state::{Shared, Tables};
 use clock::Moment;
@@ -183,12 +182,15 @@
         server_records(leaving.filter(|(id, _, _)| servers.contains(id)), now)
     }
 
-    /// Returns all that is known about servers that leave or have left.
-    fn departures(&self, now: Moment) -> Departures {
-        Departures {
+    /// Returns all that this node knows.
+    fn everything(&self, now: Moment) -> (Message, Departures) {
+        let parts = self.quarantine.parts().into_iter().take(MAX_RECORDS);
+        let servers = self.limits.servers().into_iter().take(MAX_LIMITS);
+        let departures = Departures {
             leaving: server_records(self.fleet.leaving(), now),
             absent: server_records(self.fleet.absent(), now),
-        }
+        };
+        (self.message(parts, servers, now), departures)
     }
 }
 
@@ -346,25 +348,15 @@
                 next_exchange = now + EXCHANGE_INTERVAL;
                 recipients.extend(addresses.choose_multiple(&mut rand::rng(), EXCHANGE_NODES));
             }
-            let parts = tables.quarantine.parts().into_iter().take(MAX_RECORDS);
-            let servers = tables.limits.servers().into_iter().take(MAX_LIMITS);
-            let everything = tables.message(parts, servers, now);
-            let due = (due, due_departures);
-            (
-                due,
-                (everything, tables.departures(now)),
-                addresses,
-                recipients,
-            )
+            let everything = (!recipients.is_empty()).then(|| tables.everything(now));
+            ((due, due_departures), everything, addresses, recipients)
         };
         if let Some(bytes) = encode(&shared, &due) {
             send(&socket, &bytes, &addresses).await;
             shared.metrics.count("exchange", "sent to all");
             sleep(MIN_SEND_INTERVAL).await;
         }
-        if !recipients.is_empty()
-            && let Some(bytes) = encode(&shared, &everything)
-        {
+        if let Some(bytes) = everything.and_then(|everything| encode(&shared, &everything)) {
             send(&socket, &bytes, &recipients).await;
         }
     }
--- a/crates/edge/src/follow.rs
+++ b/crates/edge/src/follow.rs
@@ -8,7 +8,7 @@
 };
 use clock::Moment;
 use name::Instance;
-use place::Version;
+use place::Outdated;
 use site::{
     config,
     feed::{self, Batch, Cursor},
@@ -97,16 +97,14 @@
     Direct,
 }
 
-impl FeedSource {
-    /// Returns the source of this node's view.
-    fn of(tables: &Tables, now: Moment) -> Self {
-        if tables.peers.own_token.is_some() {
-            Self::Planner
-        } else if tables.peers.has_recent_update(now) {
-            Self::Relayed
-        } else {
-            Self::Direct
-        }
+/// Returns the source of this node's view.
+fn feed_source(tables: &Tables, now: Moment) -> FeedSource {
+    if tables.peers.own_token.is_some() {
+        FeedSource::Planner
+    } else if tables.peers.has_recent_update(now) {
+        FeedSource::Relayed
+    } else {
+        FeedSource::Direct
     }
 }
 
@@ -140,7 +138,7 @@
 
     /// Waits until a read is due, and returns how long that read waits for a change.
     async fn next_wait(&self, shared: &Shared, last_read: Option<Moment>) -> Duration {
-        poll_until_some(shared, |tables, now| match FeedSource::of(tables, now) {
+        poll_until_some(shared, |tables, now| match feed_source(tables, now) {
             FeedSource::Planner => Some(PLANNER_OPERATORS_WAIT),
             FeedSource::Direct => Some(self.wait),
             FeedSource::Relayed => self
@@ -288,7 +286,7 @@
     let leaving = shared.settings.bounds.max_leaving_delay;
     let is_due = |tables: &Tables, now: Moment| {
         let waited = now.since(begin);
-        match FeedSource::of(tables, now) {
+        match feed_source(tables, now) {
             _ if tables.servers_offset.is_none() => true,
             FeedSource::Planner => waited >= PLANNER_SERVERS_INTERVAL,
             FeedSource::Direct => waited >= leaving.mul_f64(SERVERS_READ_FRACTION),
@@ -440,12 +438,8 @@
         position: offset,
         source: READ,
     };
-    let change = match tables.fleet.check(change.clone()) {
-        Ok(change) => change,
-        Err(known) => {
-            origin.log_older(&shared.log, &change, known);
-            return false;
-        }
+    let Some(change) = origin.accept(&shared.log, tables, change) else {
+        return false;
     };
     let is_significant = is_significant(tables, &change);
     match &change {
@@ -511,12 +505,8 @@
         position: offset,
         source: RELAYED,
     };
-    let change = match tables.fleet.check(change.clone()) {
-        Ok(change) => change,
-        Err(known) => {
-            origin.log_older(log, &change, known);
-            return false;
-        }
+    let Some(change) = origin.accept(log, tables, change) else {
+        return false;
     };
     let known = tables.fleet.server(&id);
     match &change {
@@ -547,14 +537,18 @@
 }
 
 impl Origin {
-    /// Logs that a record is not applied, since a newer one is known.
-    fn log_older(&self, log: &Logger, change: &Change, known: Version) {
-        if let Change::Updated(server) = change {
-            info!(log, "older entry of backend server ignored"; "server" => %server.id,
-                "born" => server.incarnation, "sequence" => server.sequence, "is_leaving" => server.is_leaving,
-                "known_born" => known.incarnation, "known_sequence" => known.sequence,
-                "position" => self.position, "source" => self.source);
-        }
+    /// Returns a change as it is to be applied; logs it and returns `None` if a newer record
+    /// is known.
+    fn accept(&self, log: &Logger, tables: &Tables, change: Change) -> Option<Change> {
+        let Outdated { server, known } = match tables.fleet.check(change) {
+            Ok(change) => return Some(change),
+            Err(outdated) => outdated,
+        };
+        info!(log, "older entry of backend server ignored"; "server" => %server.id,
+            "born" => server.incarnation, "sequence" => server.sequence, "is_leaving" => server.is_leaving,
+            "known_born" => known.incarnation, "known_sequence" => known.sequence,
+            "position" => self.position, "source" => self.source);
+        None
     }
 
     /// Logs the removal of a server's entry.
--- a/crates/place/src/fleet.rs
+++ b/crates/place/src/fleet.rs
@@ -85,6 +85,15 @@
     }
 }
 
+/// An entry that is not applied, since a newer record of its server is known.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Outdated {
+    /// The entry.
+    pub server: Box<Server>,
+    /// The newer record.
+    pub known: Version,
+}
+
 /// An incarnation of a server that is leaving.
 #[derive(Debug, Clone, Copy)]
 struct Leaving {
@@ -155,8 +164,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the known version if the change is an older record.
-    pub fn check(&self, change: Change) -> Result<Change, Version> {
+    /// Returns the entry and the known version if the change is an older record.
+    pub fn check(&self, change: Change) -> Result<Change, Outdated> {
         let Change::Updated(mut server) = change else {
             return Ok(change);
         };
@@ -164,7 +173,7 @@
         if let Some(known) = self.servers.get(&server.id) {
             let known = Version::of(known);
             if known.is_after(version) {
-                return Err(known);
+                return Err(Outdated { server, known });
             }
             if known.incarnation == version.incarnation {
                 server.sequence = version.sequence.or(known.sequence);
@@ -172,7 +181,8 @@
         } else if let Some(departed) = self.departed.get(&server.id) {
             let is_last = departed.last == version && version.sequence.is_some();
             if departed.last.is_after(version) || (departed.is_closed && is_last) {
-                return Err(departed.last);
+                let known = departed.last;
+                return Err(Outdated { server, known });
             }
         }
         let leaving = self.leaving.get(&server.id);
--- a/crates/place/src/lib.rs
+++ b/crates/place/src/lib.rs
@@ -25,7 +25,7 @@
 pub use choice::{Contention, Decision, Objective, Placement, Query, choose_target};
 pub use cost::CostModel;
 pub use delay::Delays;
-pub use fleet::{Fleet, Target, Version};
+pub use fleet::{Fleet, Outdated, Target, Version};
 pub use level::{
     LevelChange, Levels, MAX_SHARE_AGE, Occupancy, Outcomes, admission_probability, fair_level,
 };
--- a/crates/site/src/server.rs
+++ b/crates/site/src/server.rs
@@ -134,11 +134,12 @@
 impl Server {
     /// Returns whether another entry describes the same state, whatever their numbers.
     pub fn is_same_state(&self, other: &Self) -> bool {
-        let numbered = Self {
+        let numbered = || Self {
             sequence: self.sequence,
             ..other.clone()
         };
-        *self == numbered
+        // The planner compares each engine's entry in each step; most are equal.
+        self == other || *self == numbered()
     }
 
     /// Returns whether another entry is equivalent for requests.
