--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -2,7 +2,7 @@
 
 use clock::Moment;
 use form::{Demand, Engine, Event, Inputs, Planner};
-use name::{Instance, Model};
+use name::{Instance, Model, Replica};
 use site::{
     Server, config,
     fixture::{self, model_spec},
@@ -10,13 +10,16 @@
     server::{self, Membership, Phase},
 };
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     time::Duration,
 };
 
 /// The age of reports: the effect of an order is reported after this time.
 pub(crate) const REPORT_LAG: Duration = Duration::from_millis(250);
 
+/// The time from an order to open until the head serves.
+pub(crate) const FORM_TIME: Duration = Duration::from_millis(300);
+
 /// The interval of planner steps.
 pub(crate) const STEP: Duration = Duration::from_millis(100);
 
@@ -35,14 +38,20 @@
     /// The highest generation that each engine has joined.
     pub(crate) generations: HashMap<Instance, u64>,
     pub(crate) joining: HashMap<Instance, Moment>,
+    /// When the heads that have accepted an order to open will serve; until then they
+    /// report that they are ready.
+    pub(crate) opening: HashMap<Instance, Moment>,
     /// The joins that load from the weight store, and when they end.
     pub(crate) loading: HashMap<Instance, Moment>,
     pub(crate) staging: HashMap<Instance, (Model, Moment)>,
     pub(crate) now: Moment,
     pub(crate) demand: Demand,
     pub(crate) events: Vec<Event>,
-    /// The joins of engines whose present replica had an open head.
+    /// The joins of engines whose present replica had an open head, and the heads that
+    /// were opened after a member of their replica had joined another one.
     pub(crate) violations: Vec<String>,
+    /// The replicas that engines have left for other ones, with those engines.
+    pub(crate) left: HashSet<(Replica, u64, Instance)>,
     pub(crate) max_concurrent_loads: usize,
     /// When each load from the weight store began.
     pub(crate) load_starts: Vec<Moment>,
@@ -62,21 +71,7 @@
                 },
                 ..fixture::server(id.as_str())
             };
-            engines.insert(
-                id,
-                Engine {
-                    server,
-                    is_alive: true,
-                    has_entry: true,
-                    is_in_service: true,
-                    is_busy: false,
-                    sequence: Some(0),
-                    slowdown: 1.0,
-                    report_requested_at: Moment::START,
-                    is_confirmed: true,
-                    staging: None,
-                },
-            );
+            engines.insert(id, running(server));
         }
         Self {
             spec: fixture::engine_spec(vec![
@@ -88,12 +83,14 @@
             tokens: HashMap::new(),
             generations: HashMap::new(),
             joining: HashMap::new(),
+            opening: HashMap::new(),
             loading: HashMap::new(),
             staging: HashMap::new(),
             now: Moment::from_millis(10_000),
             demand: Demand::default(),
             events: Vec::new(),
             violations: Vec::new(),
+            left: HashSet::new(),
             max_concurrent_loads: 0,
             load_starts: Vec::new(),
         }
@@ -155,6 +152,15 @@
             }
         }
         self.joining.retain(|_, at| now < *at);
+        for (id, at) in &self.opening {
+            if now >= *at {
+                set(
+                    self.engines.get_mut(id).expect("a known engine"),
+                    Phase::Open,
+                );
+            }
+        }
+        self.opening.retain(|_, at| now < *at);
         for (id, (staged, at)) in &self.staging {
             if now >= *at {
                 let engine = self.engines.get_mut(id).expect("a known engine");
@@ -221,11 +227,13 @@
                     return Outcome::Mismatch;
                 };
                 let is_open = member.phase == Phase::Open;
+                let is_opening = self.opening.contains_key(id);
                 match command {
-                    Command::Open { .. } if is_open => return Outcome::AlreadyDone,
+                    Command::Open { .. } if is_open || is_opening => return Outcome::AlreadyDone,
                     Command::Open { .. } if member.phase != Phase::Ready || member.rank != 0 => {
                         return Outcome::Mismatch;
                     }
+                    // It is no order to an opening head, which serves after it.
                     Command::Close { .. } if !is_open => return Outcome::AlreadyDone,
                     _ => {}
                 }
@@ -258,6 +266,12 @@
                 } else {
                     time
                 };
+                if let Some(member) = engine.membership() {
+                    let left = (member.replica.clone(), member.generation, id.clone());
+                    self.left.insert(left);
+                }
+                self.left
+                    .remove(&(replica.clone(), *generation, id.clone()));
                 engine.server.engine.membership = Some(Membership {
                     replica: replica.clone(),
                     generation: *generation,
@@ -265,6 +279,7 @@
                     phase: Phase::Joining,
                 });
                 engine.server.engine.loaded_models = vec![model.clone()];
+                self.opening.remove(id);
                 self.joining.insert(id.clone(), self.now + time);
                 if is_load {
                     engine.server.engine.staged_models = vec![model.clone()];
@@ -272,9 +287,23 @@
                     self.record_loads();
                 }
             }
-            Command::Open { .. } => set(engine, Phase::Open),
+            Command::Open {
+                replica,
+                generation,
+            } => {
+                let is_left =
+                    |(other, g, _): &(Replica, u64, Instance)| other == replica && g == generation;
+                if let Some((_, _, member)) = self.left.iter().find(|left| is_left(left)) {
+                    let text = format!("{id} opens {replica} at {:?} without {member}", self.now);
+                    self.violations.push(text);
+                }
+                self.opening.insert(id.clone(), self.now + FORM_TIME);
+            }
             Command::Close { .. } => set(engine, Phase::Ready),
-            Command::Leave { .. } => engine.server.engine.membership = None,
+            Command::Leave { .. } => {
+                engine.server.engine.membership = None;
+                self.opening.remove(id);
+            }
             Command::Stage { model } => {
                 let load = self.spec.model(model).expect("a known model").load_time;
                 let load = if is_traffic { load } else { load / 10 };
@@ -287,7 +316,7 @@
     }
 
     /// Records a violation if an engine joins while its present replica's head is
-    /// open.
+    /// open, or has accepted an order to open.
     pub(crate) fn check_join(&mut self, id: &Instance) {
         let Some(member) = self.engines[id].membership() else {
             return;
@@ -296,10 +325,12 @@
             let other = e.membership();
             other.is_some_and(|m| m.replica == member.replica && m.rank == 0)
                 && e.is_alive
-                && other.is_some_and(|m| m.phase == Phase::Open)
+                && (other.is_some_and(|m| m.phase == Phase::Open)
+                    || self.opening.contains_key(e.id()))
         };
         if self.engines.values().any(|e| is_open_head(&e)) {
-            self.violations.push(format!("{id} at {:?}", self.now));
+            let text = format!("{id} joins at {:?} while its head serves", self.now);
+            self.violations.push(text);
         }
     }
 
@@ -338,6 +369,7 @@
         self.engines.remove(id);
         self.orders_in_flight.retain(|(_, other, _)| other != id);
         self.joining.remove(id);
+        self.opening.remove(id);
         self.loading.remove(id);
         self.staging.remove(id);
     }
@@ -354,6 +386,22 @@
     }
 }
 
+/// Returns an engine that responds and has accepted no order.
+fn running(server: Server) -> Engine {
+    Engine {
+        server,
+        is_alive: true,
+        has_entry: true,
+        is_in_service: true,
+        is_busy: false,
+        sequence: Some(0),
+        slowdown: 1.0,
+        report_requested_at: Moment::START,
+        is_confirmed: true,
+        staging: None,
+    }
+}
+
 pub(crate) fn set(engine: &mut Engine, phase: Phase) {
     if let Some(member) = &mut engine.server.engine.membership {
         member.phase = phase;
--- /dev/null
+++ b/crates/form/tests/planner/late.rs
@@ -0,0 +1,164 @@
+//! Sequences in which orders get no response and are carried out late.
+
+use crate::{
+    cluster::{Cluster, STEP, model},
+    link::{Delivery, Link},
+};
+use form::{OutgoingOrder, Planner};
+use site::fixture::model_spec;
+use std::time::Duration;
+
+/// The time for which a planner forms replicas before a sequence begins.
+const FORMATION_TIME: Duration = Duration::from_secs(8);
+
+/// The time after a sequence within which late orders are carried out.
+const REST: Duration = Duration::from_secs(13);
+
+/// The longest time until a planner sends an order that a sequence waits for.
+const ORDER_TIMEOUT: Duration = Duration::from_secs(8);
+
+/// One step of a sequence.
+#[derive(Debug, Clone, Copy)]
+enum Step {
+    /// The demand for both models changes.
+    Demand(f64, f64),
+    /// The planner runs until it has sent a number of orders of a kind, which are
+    /// delivered in this way.
+    Deliver(&'static str, usize, Delivery),
+    /// The planner runs for some milliseconds.
+    Run(u64),
+    /// Another planner follows.
+    Succeed,
+}
+
+/// A cluster with a planner, and how its orders are delivered.
+struct Sequence {
+    cluster: Cluster,
+    planner: Planner,
+    link: Link,
+    /// The kind and number of the orders that are delivered otherwise, and how.
+    faulty: Option<(&'static str, usize, Delivery)>,
+}
+
+impl Sequence {
+    fn new(engines: usize, demand: (f64, f64)) -> Self {
+        let mut cluster = Cluster::new(1, engines);
+        cluster.spec.models = vec![model_spec("large", 2, 0.67), model_spec("small", 2, 0.33)];
+        cluster.set_demand(demand.0, demand.1);
+        let mut sequence = Self {
+            cluster,
+            planner: Planner::new(1),
+            link: Link::default(),
+            faulty: None,
+        };
+        sequence.stage_all();
+        sequence.run(FORMATION_TIME);
+        sequence
+    }
+
+    /// Stages all models on all hosts.
+    fn stage_all(&mut self) {
+        for engine in self.cluster.engines.values_mut() {
+            engine.server.engine.staged_models = ["large", "small"].map(model).to_vec();
+        }
+    }
+
+    /// Returns the violations with the name of the case.
+    fn violations(&self, name: &str) -> Vec<String> {
+        let violations = self.cluster.violations.iter();
+        violations.map(|text| format!("{name}: {text}")).collect()
+    }
+
+    fn run(&mut self, time: Duration) {
+        let end = self.cluster.now + time;
+        while self.cluster.now < end {
+            self.step();
+        }
+    }
+
+    fn step(&mut self) {
+        self.cluster.now = self.cluster.now + STEP;
+        self.link.advance(&mut self.cluster);
+        let faulty = &mut self.faulty;
+        let deliver = |sent: &OutgoingOrder| match faulty {
+            Some((command, left, delivery))
+                if *left > 0 && sent.order.command.as_str() == *command =>
+            {
+                *left -= 1;
+                *delivery
+            }
+            _ => Delivery::Answered,
+        };
+        self.link
+            .plan(&mut self.cluster, &mut self.planner, deliver);
+    }
+
+    fn apply(&mut self, name: &str, step: Step) {
+        match step {
+            Step::Demand(large, small) => self.cluster.set_demand(large, small),
+            Step::Deliver(command, count, delivery) => {
+                self.faulty = Some((command, count, delivery));
+                let end = self.cluster.now + ORDER_TIMEOUT;
+                while self.faulty.is_some_and(|(_, left, _)| left > 0) {
+                    assert!(self.cluster.now < end, "{name}: no {command} is ordered");
+                    self.step();
+                }
+            }
+            Step::Run(millis) => self.run(Duration::from_millis(millis)),
+            Step::Succeed => self.planner = Planner::new(self.planner.token() + 1),
+        }
+    }
+}
+
+/// Guards against a new planner that opens a replica while a join that the planner before
+/// it ordered may still take a member away: the streams of that replica stood still for
+/// seconds and were cut off.
+#[test]
+fn inherited_replica_opens_only_after_its_members_refuse_late_joins() {
+    struct Case {
+        name: &'static str,
+        late_ms: u64,
+        /// The time from the joins to the next planner.
+        succeeded_after_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the planner ends at once",
+            late_ms: 2_500,
+            succeeded_after_ms: 0,
+        },
+        Case {
+            name: "the planner ends before it sends the joins again",
+            late_ms: 2_500,
+            succeeded_after_ms: 300,
+        },
+        Case {
+            name: "the joins are carried out much later",
+            late_ms: 6_000,
+            succeeded_after_ms: 0,
+        },
+        Case {
+            name: "the joins are carried out as late as the pages allow",
+            late_ms: 12_000,
+            succeeded_after_ms: 0,
+        },
+    ];
+    let mut violations = Vec::new();
+    for case in cases {
+        let mut sequence = Sequence::new(7, (3.0, 0.1));
+        let late = Delivery::Late(Duration::from_millis(case.late_ms));
+        let steps = [
+            Step::Demand(0.3, 4.0),
+            Step::Deliver("join", 2, late),
+            Step::Run(case.succeeded_after_ms),
+            Step::Succeed,
+            Step::Demand(3.0, 0.1),
+        ];
+        for step in steps {
+            sequence.apply(case.name, step);
+        }
+        sequence.run(REST);
+        violations.extend(sequence.violations(case.name));
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
--- a/crates/form/tests/planner/main.rs
+++ b/crates/form/tests/planner/main.rs
@@ -2,6 +2,8 @@
 
 mod cluster;
 mod handover;
+mod late;
+mod link;
 mod losses;
 mod succession;
 
--- a/crates/form/tests/planner/succession.rs
+++ b/crates/form/tests/planner/succession.rs
@@ -1,20 +1,17 @@
 //! Simulation of planners that follow each other while their orders are lost, late or
 //! carried out twice, and members restart.
 
-use crate::cluster::{Cluster, REPORT_LAG, STEP};
+use crate::{
+    cluster::{Cluster, STEP},
+    link::{Delivery, Link},
+};
 use clock::Moment;
-use form::{Engine, Inputs, Planner};
+use form::Planner;
 use name::Instance;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use site::{
-    fixture::model_spec,
-    order::{Order, Outcome},
-};
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use site::fixture::model_spec;
+use std::time::Duration;
 
 /// The environment variable that sets the number of seeds.
 const SEEDS_VARIABLE: &str = "SUCCESSION_SEEDS";
@@ -28,20 +25,6 @@
 /// The time until a late order is carried out.
 const LATE_SECONDS: std::ops::Range<f64> = 2.0..12.0;
 
-/// What became of an order on its way.
-enum Delivery {
-    /// It is carried out at once, and answered.
-    Answered,
-    /// It is carried out at once, but its response is lost.
-    ResponseLost,
-    /// It is carried out late, without a response.
-    Late(Duration),
-    /// It is lost.
-    Lost,
-    /// It is carried out at once and once more later, without a response.
-    Twice(Duration),
-}
-
 /// A planner, and until when it plans.
 struct Term {
     planner: Planner,
@@ -52,9 +35,7 @@
 struct Simulation {
     cluster: Cluster,
     rng: ChaCha8Rng,
-    late: Vec<(Moment, Instance, Order)>,
-    /// The states of the engines, from which reports are taken.
-    history: VecDeque<(Moment, HashMap<Instance, Engine>)>,
+    link: Link,
     terms: Vec<Term>,
 }
 
@@ -82,8 +63,7 @@
         Self {
             cluster,
             rng,
-            late: Vec::new(),
-            history: VecDeque::new(),
+            link: Link::default(),
             terms,
         }
     }
@@ -103,14 +83,8 @@
         while self.cluster.now < end {
             self.cluster.now = self.cluster.now + STEP;
             self.disturb();
-            self.cluster.apply_due();
-            self.apply_late();
+            self.link.advance(&mut self.cluster);
             let now = self.cluster.now;
-            let state = self.cluster.engines.clone().into_iter().collect();
-            self.history.push_back((now, state));
-            while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
-                self.history.pop_front();
-            }
             for (term, begin) in begins.iter().enumerate() {
                 let is_last = term + 1 == count;
                 if now >= *begin && (is_last || now < self.terms[term].end + overlap) {
@@ -140,62 +114,22 @@
         cluster.tokens.remove(id);
         cluster.generations.remove(id);
         cluster.joining.remove(id);
+        cluster.opening.remove(id);
         cluster.staging.remove(id);
         let engine = cluster.engines.get_mut(id).expect("an engine");
         engine.sequence = Some(0);
         engine.server.incarnation += 1;
         engine.server.engine.membership = None;
         engine.server.engine.loaded_models.clear();
-        // Orders name the instance, which a restarted process no longer is.
-        self.late.retain(|(_, other, _)| other != id);
-    }
-
-    fn apply_late(&mut self) {
-        let now = self.cluster.now;
-        let (due, late) = std::mem::take(&mut self.late)
-            .into_iter()
-            .partition(|(at, _, _)| now >= *at);
-        self.late = late;
-        for (_, id, order) in due {
-            self.cluster.apply_order(&id, &order);
-        }
+        self.link.forget(id);
     }
 
     /// Runs a step of a planner, and delivers its orders.
     fn plan(&mut self, term: usize) {
-        let (reported_at, engines) = self.history.front().expect("a state").clone();
-        let engines = engines.into_iter().map(|(id, mut engine)| {
-            engine.report_requested_at = reported_at;
-            (id, engine)
-        });
-        let inputs = Inputs {
-            engine_spec: &self.cluster.spec.clone(),
-            demand: &self.cluster.demand.clone(),
-            has_traffic: true,
-            load_window: Duration::from_secs(5),
-        };
-        let now = self.cluster.now;
         let planner = &mut self.terms[term].planner;
-        let step = planner.step(engines.collect(), &inputs, now);
-        for sent in step.orders {
-            let delivery = draw_delivery(&mut self.rng);
-            let is_now = !matches!(delivery, Delivery::Late(_) | Delivery::Lost);
-            let outcome = if is_now {
-                self.cluster.apply_order(&sent.engine, &sent.order)
-            } else {
-                Outcome::Unknown
-            };
-            if let Delivery::Late(delay) | Delivery::Twice(delay) = delivery {
-                self.late
-                    .push((now + delay, sent.engine.clone(), sent.order));
-            }
-            let outcome = match delivery {
-                Delivery::Answered => outcome,
-                _ => Outcome::Unknown,
-            };
-            let planner = &mut self.terms[term].planner;
-            planner.record_outcome(&sent.engine, outcome, now);
-        }
+        let rng = &mut self.rng;
+        self.link
+            .plan(&mut self.cluster, planner, |_| draw_delivery(rng));
     }
 }
 
