Release members of a replica only after their head can no longer open by a late order

Cause: an order to open that got no response was taken for one without effect 700 ms later. When the head was leaving meanwhile, the other members counted as free, and the head opened seconds later, since no order had changed its sequence number.

Evidence: the sequence as a table of steps, without a network.

Change: the planner remembers each head that it ordered to open until that head reports another membership, or an order accepted after the opening. Until then the head counts as one that may serve, for formations too, and members are released only after it has left the replica: leaving changes the sequence number, which the late order expects. No time excludes the late order any more. Closing would not do: to a head that is not open it is no order. A head that was ordered to open within the last 700 ms is still waited for, since closing an open replica takes fewer orders than members that leave it one by one.

Tried first: the sequence number of the last order to open alone. With reports of 250 ms and an opening of 300 ms that order is sent twice, and a replica that had been closed again would have waited for its head to leave; the outcome of the second order tells that the head had accepted the first.

--- a/crates/form/src/formation.rs
+++ b/crates/form/src/formation.rs
@@ -47,7 +47,7 @@
 /// not reported yet.
 pub(crate) fn heads(
     engines: &HashMap<Instance, Engine>,
-    is_unfenced: impl Fn(&Instance) -> bool,
+    may_open: impl Fn(&Engine) -> bool,
 ) -> Heads<'_> {
     let alive = engines.values().filter(|e| e.is_alive);
     let heads = alive.filter_map(|e| e.membership().filter(|m| m.rank == 0).map(|m| (e, m)));
@@ -55,7 +55,7 @@
         .map(|(engine, member)| {
             let is_serving = match member.phase {
                 Phase::Open | Phase::Closing => true,
-                Phase::Joining | Phase::Ready => is_unfenced(engine.id()),
+                Phase::Joining | Phase::Ready => may_open(engine),
                 Phase::Broken => false,
             };
             ((&member.replica, member.generation), is_serving)
--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -133,8 +133,8 @@
                 commands.push((head.clone(), replica.close_command(true)));
             }
             (Some(Phase::Closing), _) => {}
-            (Some(_), Some(head)) if self.may_have_opened(head, replica, engines) => {}
-            (Some(Phase::Joining), Some(head)) if self.is_unfenced(&engines[head]) => {
+            (Some(_), Some(head)) if self.may_have_opened(head, engines) => {}
+            (Some(Phase::Joining), Some(head)) if self.may_open(&engines[head]) => {
                 // It obeys by leaving, and refuses a late order to open.
                 commands.push((head.clone(), replica.leave_command()));
             }
@@ -150,6 +150,12 @@
                 };
                 commands.push((head.clone(), command));
             }
+            (Some(Phase::Ready), Some(head)) if self.may_open(&engines[head]) => {
+                // An order to open that got no response may be carried out as long as the
+                // head has accepted no other one, and closing is none to a head that is
+                // not open.
+                commands.push((head.clone(), replica.leave_command()));
+            }
             (Some(_), _) => {
                 // A join replaces the membership in a replica that does not serve.
                 self.free_members(replica, engines, free);
@@ -244,16 +250,15 @@
         self.reclaimed.contains(&replica.key())
     }
 
-    /// Returns whether a head may be open although it is not reported so: an order to
-    /// open may still be in flight, and reports are some hundred ms old.
-    fn may_have_opened(
-        &self,
-        head: &Instance,
-        replica: &ReportedReplica,
-        engines: &HashMap<Instance, Engine>,
-    ) -> bool {
-        let opened = self.open_sent_at.get(&replica.key());
-        opened.is_some_and(|at| engines[head].report_requested_at < *at + OPEN_EFFECT_TIMEOUT)
+    /// Returns whether a head was ordered to open so recently that reports may not show it
+    /// yet. A head that has opened is closed rather than ordered to leave.
+    fn may_have_opened(&self, head: &Instance, engines: &HashMap<Instance, Engine>) -> bool {
+        let member = engines[head].membership();
+        let open = self.opens.get(head);
+        let open = open.filter(|open| member.is_some_and(|member| open.is_for(member)));
+        open.is_some_and(|open| {
+            engines[head].report_requested_at < open.sent_at + OPEN_EFFECT_TIMEOUT
+        })
     }
 
     /// Closes a serving replica whose engines a scarcer model needs more.
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -11,7 +11,7 @@
 use name::{Fabric, Instance, Model, Replica};
 use site::{
     order::{Command, Order, Outcome},
-    server::Phase,
+    server::{Membership, Phase},
 };
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -23,6 +23,9 @@
 /// Reports are up to 200 ms old, and an order takes effect within that time.
 const ORDER_EFFECT_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// The time for which orders to an engine are remembered while its state is not known.
+const UNKNOWN_ENGINE_MEMORY: Duration = Duration::from_secs(60);
+
 /// The time after the planner's start during which it forms only replicas of the
 /// largest models, since engines are still starting.
 const STARTUP_WAIT: Duration = Duration::from_millis(3_000);
@@ -50,6 +53,40 @@
     }
 }
 
+/// An order to open a head, which may serve from then on.
+#[derive(Debug, Clone)]
+pub(crate) struct SentOpen {
+    replica: Replica,
+    generation: u64,
+    /// The lowest sequence number at which a ready head has been closed again.
+    closed_from: Option<u64>,
+    pub(crate) sent_at: Moment,
+}
+
+impl SentOpen {
+    /// Returns whether a membership is the one that the order names.
+    pub(crate) fn is_for(&self, member: &Membership) -> bool {
+        member.replica == self.replica && member.generation == self.generation
+    }
+
+    /// Returns whether the head may serve now or later because of the order.
+    ///
+    /// An order that got no response may be carried out while the engine has accepted no
+    /// other one, and a head that has accepted it reports for a while that it is ready.
+    /// Once it has accepted another one after that, it has been closed.
+    fn may_take_effect(&self, engine: &Engine) -> bool {
+        match engine.membership().filter(|member| self.is_for(member)) {
+            Some(member) => {
+                let is_before_open = matches!(member.phase, Phase::Joining | Phase::Ready);
+                let accepted = engine.sequence.zip(self.closed_from);
+                let is_closed = accepted.is_some_and(|(now, closed)| now >= closed);
+                !is_before_open || !is_closed
+            }
+            None => !engine.is_confirmed || engine.report_requested_at <= self.sent_at,
+        }
+    }
+}
+
 /// A planner with its state between steps.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -66,8 +103,8 @@
     pub(crate) highest_generation: u64,
     /// The replicas that were closed to free their engines for a scarcer model.
     pub(crate) reclaimed: HashSet<(Replica, u64)>,
-    /// When heads were last ordered to open.
-    pub(crate) open_sent_at: HashMap<(Replica, u64), Moment>,
+    /// The heads that were ordered to open and that may serve because of it.
+    pub(crate) opens: HashMap<Instance, SentOpen>,
     /// The replica that was last closed to replace members without an entry, and
     /// when.
     pub(crate) last_replaced: Option<((Replica, u64), Moment)>,
@@ -128,6 +165,10 @@
             let engine = engines.get(id);
             engine.is_some_and(|engine| expected.is_none() || engine.sequence == *expected)
         });
+        self.opens.retain(|id, open| match engines.get(id) {
+            Some(engine) => open.may_take_effect(engine),
+            None => now.since(open.sent_at) < UNKNOWN_ENGINE_MEMORY,
+        });
         self.pending_orders.retain(|id, pending| {
             engines.contains_key(id) && now.since(pending.sent_at) < ORDER_EFFECT_TIMEOUT
         });
@@ -146,7 +187,6 @@
             let mut keys = replicas.iter().map(|r| (&r.replica, r.generation));
             keys.any(|reported| reported == (&key.0, key.1))
         };
-        self.open_sent_at.retain(|key, _| is_reported(key));
         self.incomplete_since.retain(|key, _| is_reported(key));
         self.reclaimed.retain(is_reported);
         for replica in &replicas {
@@ -239,6 +279,13 @@
             let expected = (replica.clone(), pending.sequence);
             self.open_joins.insert(engine.clone(), expected);
         }
+        // The head had accepted an earlier order to open, and no other one since.
+        if let (Outcome::AlreadyDone, Some(pending)) = (outcome, pending)
+            && let (Command::Open { .. }, Some(open)) =
+                (&pending.command, self.opens.get_mut(engine))
+        {
+            open.closed_from = pending.sequence.map(|sequence| sequence + 1);
+        }
         if matches!(outcome, Outcome::WrongEngine | Outcome::Refused) {
             self.pending_orders.remove(engine);
         }
@@ -261,8 +308,7 @@
         now: Moment,
         commands: &mut Vec<(Instance, Command)>,
     ) {
-        let is_unfenced = |id: &Instance| self.is_unfenced(&engines[id]);
-        let heads = heads(engines, is_unfenced);
+        let heads = heads(engines, |head| self.may_open(head));
         let events = &mut self.events;
         self.formations.retain(|formation| {
             let next = formation.next_step(engines, &heads, now);
@@ -296,6 +342,16 @@
         !has_reported && !is_own
     }
 
+    /// Returns whether a head that does not serve may open by an order that is not reported
+    /// yet, of this planner or of an earlier one.
+    pub(crate) fn may_open(&self, head: &Engine) -> bool {
+        let open = self.opens.get(head.id());
+        let is_ordered = head
+            .membership()
+            .is_some_and(|member| open.is_some_and(|open| open.is_for(member)));
+        is_ordered || self.is_unfenced(head)
+    }
+
     /// Returns whether a late order may still take an engine out of a replica that it is a
     /// member of.
     pub(crate) fn may_be_taken(&self, engine: &Engine, replica: &Replica) -> bool {
@@ -360,8 +416,13 @@
                 generation,
             } = &command
             {
-                self.open_sent_at
-                    .insert((replica.clone(), *generation), now);
+                let open = SentOpen {
+                    replica: replica.clone(),
+                    generation: *generation,
+                    closed_from: sequence.map(|sequence| sequence + 2),
+                    sent_at: now,
+                };
+                self.opens.insert(id.clone(), open);
             }
             orders.push(OutgoingOrder {
                 engine: id,
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -364,6 +364,13 @@
             .count()
     }
 
+    /// Adds an empty engine to a fabric domain.
+    pub(crate) fn add(&mut self, id: &str, fabric: &str) {
+        let mut server = fixture::server(id);
+        server.engine.fabric = Some(fabric.parse().expect("a name"));
+        self.engines.insert(server.id.clone(), running(server));
+    }
+
     /// Removes an engine and its orders.
     pub(crate) fn remove(&mut self, id: &Instance) {
         self.engines.remove(id);
--- a/crates/form/tests/planner/late.rs
+++ b/crates/form/tests/planner/late.rs
@@ -5,6 +5,7 @@
     link::{Delivery, Link},
 };
 use form::{OutgoingOrder, Planner};
+use name::Instance;
 use site::fixture::model_spec;
 use std::time::Duration;
 
@@ -29,6 +30,10 @@
     Run(u64),
     /// Another planner follows.
     Succeed,
+    /// The head of the replica of the last order of [`Step::Deliver`] is leaving.
+    DrainHead,
+    /// An engine is added.
+    Add,
 }
 
 /// A cluster with a planner, and how its orders are delivered.
@@ -38,6 +43,8 @@
     link: Link,
     /// The kind and number of the orders that are delivered otherwise, and how.
     faulty: Option<(&'static str, usize, Delivery)>,
+    /// The engine of the last of those.
+    last_faulty: Option<Instance>,
 }
 
 impl Sequence {
@@ -50,6 +57,7 @@
             planner: Planner::new(1),
             link: Link::default(),
             faulty: None,
+            last_faulty: None,
         };
         sequence.stage_all();
         sequence.run(FORMATION_TIME);
@@ -63,6 +71,12 @@
         }
     }
 
+    /// Adds an engine.
+    fn add(&mut self, id: &str) {
+        self.cluster.add(id, "f0");
+        self.stage_all();
+    }
+
     /// Returns the violations with the name of the case.
     fn violations(&self, name: &str) -> Vec<String> {
         let violations = self.cluster.violations.iter();
@@ -80,11 +94,13 @@
         self.cluster.now = self.cluster.now + STEP;
         self.link.advance(&mut self.cluster);
         let faulty = &mut self.faulty;
+        let last_faulty = &mut self.last_faulty;
         let deliver = |sent: &OutgoingOrder| match faulty {
             Some((command, left, delivery))
                 if *left > 0 && sent.order.command.as_str() == *command =>
             {
                 *left -= 1;
+                *last_faulty = Some(sent.engine.clone());
                 *delivery
             }
             _ => Delivery::Answered,
@@ -106,6 +122,12 @@
             }
             Step::Run(millis) => self.run(Duration::from_millis(millis)),
             Step::Succeed => self.planner = Planner::new(self.planner.token() + 1),
+            Step::DrainHead => {
+                let engine = self.last_faulty.clone().expect("a faulty order");
+                let drained = self.cluster.engines.get_mut(&engine).expect("an engine");
+                drained.server.is_leaving = true;
+            }
+            Step::Add => self.add("e90"),
         }
     }
 }
@@ -162,3 +184,75 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against an order to open that got no response and is taken for one without
+/// effect after a time: the head served while a member of its replica joined another one.
+#[test]
+fn members_join_another_replica_only_after_their_head_cannot_open_late() {
+    struct Case {
+        name: &'static str,
+        /// How many orders to open are delivered otherwise, and how.
+        opens: (usize, Delivery),
+        /// The time from the last of them until its engine is leaving.
+        drained_after_ms: u64,
+        /// The times from then until another engine is free.
+        added_after_ms: &'static [u64],
+    }
+    let late = Delivery::Late(Duration::from_secs(3));
+    let cases = [
+        Case {
+            name: "another engine is free about when the order is carried out",
+            opens: (1, late),
+            drained_after_ms: 100,
+            added_after_ms: &[2_300, 2_400, 2_500, 2_600, 2_700, 2_800, 2_900],
+        },
+        Case {
+            name: "another engine is free long before",
+            opens: (1, late),
+            drained_after_ms: 100,
+            added_after_ms: &[0, 500, 1_000, 1_500],
+        },
+        Case {
+            name: "the head is leaving after several orders",
+            opens: (5, late),
+            drained_after_ms: 0,
+            added_after_ms: &[0, 300, 400, 500, 600, 700],
+        },
+        Case {
+            name: "the order is carried out as late as the pages allow",
+            opens: (1, Delivery::Late(Duration::from_secs(12))),
+            drained_after_ms: 100,
+            added_after_ms: &[500, 11_500, 11_600, 11_700],
+        },
+        Case {
+            name: "only the response is lost",
+            opens: (1, Delivery::ResponseLost),
+            drained_after_ms: 0,
+            added_after_ms: &[0, 100, 200, 300, 500],
+        },
+    ];
+    let mut violations = Vec::new();
+    for case in cases {
+        for added_after_ms in case.added_after_ms {
+            let mut sequence = Sequence::new(0, (1.0, 0.0));
+            for id in ["e10", "e20"] {
+                sequence.add(id);
+            }
+            let steps = [
+                Step::Deliver("open", case.opens.0, case.opens.1),
+                Step::Run(case.drained_after_ms),
+                Step::DrainHead,
+                Step::Run(*added_after_ms),
+                Step::Add,
+            ];
+            for step in steps {
+                sequence.apply(case.name, step);
+            }
+            sequence.run(REST);
+            let name = format!("{}, {added_after_ms} ms", case.name);
+            violations.extend(sequence.violations(&name));
+            assert_eq!(sequence.cluster.serving("large"), 1, "{name}: formed again");
+        }
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
