Order inherited heads to leave rather than to close before their members are released

Cause: a new planner releases the members of a replica whose head is ready once that head has answered an order to close, since it then refuses orders of earlier planners. But a head that has accepted the earlier planner's order to open, and serves some hundred milliseconds later, answers the order to close that it is closed already. It then opens.

With reports as old as the opening takes it cannot be seen, which is why the exploration, whose reports were all 250 ms old, does not reach it: it now draws their age.

Change: the head leaves, which changes its sequence number in any state. The order to close that was tried first, and the time after which it gave way to leaving, are gone.

--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -134,26 +134,10 @@
             }
             (Some(Phase::Closing), _) => {}
             (Some(_), Some(head)) if self.may_have_opened(head, engines) => {}
-            (Some(Phase::Joining), Some(head)) if self.may_open(&engines[head]) => {
-                // It obeys by leaving, and refuses a late order to open.
-                commands.push((head.clone(), replica.leave_command()));
-            }
-            (Some(Phase::Ready), Some(head)) if self.is_unfenced(&engines[head]) => {
-                // An order of an earlier planner to open the head may be in flight. Once
-                // the head has obeyed this planner, it refuses that order. If closing a
-                // replica that is not open does not count, leaving it does.
-                let is_close_enough = now.since(since) < 2 * INHERITED_INCOMPLETE_TIMEOUT;
-                let command = if is_close_enough {
-                    replica.close_command(false)
-                } else {
-                    replica.leave_command()
-                };
-                commands.push((head.clone(), command));
-            }
-            (Some(Phase::Ready), Some(head)) if self.may_open(&engines[head]) => {
+            (Some(Phase::Joining | Phase::Ready), Some(head)) if self.may_open(&engines[head]) => {
                 // An order to open that got no response may be carried out as long as the
-                // head has accepted no other one, and closing is none to a head that is
-                // not open.
+                // head has accepted no other one and no higher token. Closing is no order
+                // to a head that is not open, even if it has accepted to open.
                 commands.push((head.clone(), replica.leave_command()));
             }
             (Some(_), _) => {
--- a/crates/form/tests/planner/late.rs
+++ b/crates/form/tests/planner/late.rs
@@ -1,7 +1,7 @@
 //! Sequences in which orders get no response and are carried out late.
 
 use crate::{
-    cluster::{Cluster, STEP, model},
+    cluster::{Cluster, REPORT_LAG, STEP, model},
     link::{Delivery, Link},
 };
 use form::{OutgoingOrder, Planner};
@@ -26,12 +26,12 @@
 
 /// One step of a sequence.
 #[derive(Debug, Clone, Copy)]
-enum Step {
+enum Step<'a> {
     /// The demand for both models changes.
     Demand(f64, f64),
     /// The planner runs until it has sent some orders of a kind, which are delivered in
     /// these ways.
-    Deliver(&'static str, &'static [Delivery]),
+    Deliver(&'static str, &'a [Delivery]),
     /// The planner runs for some milliseconds.
     Run(u64),
     /// Another planner follows.
@@ -43,25 +43,25 @@
 }
 
 /// A cluster with a planner, and how its orders are delivered.
-struct Sequence {
+struct Sequence<'a> {
     cluster: Cluster,
     planner: Planner,
     link: Link,
     /// The kind of the orders that are delivered otherwise, and how the next ones are.
-    faulty: Option<(&'static str, &'static [Delivery])>,
+    faulty: Option<(&'static str, &'a [Delivery])>,
     /// The engine of the last of those.
     last_faulty: Option<Instance>,
 }
 
-impl Sequence {
-    fn new(engines: usize, demand: (f64, f64)) -> Self {
+impl<'a> Sequence<'a> {
+    fn new(engines: usize, demand: (f64, f64), report_lag: Duration) -> Self {
         let mut cluster = Cluster::new(1, engines);
         cluster.spec.models = vec![model_spec("large", 2, 0.67), model_spec("small", 2, 0.33)];
         cluster.set_demand(demand.0, demand.1);
         let mut sequence = Self {
             cluster,
             planner: Planner::new(1),
-            link: Link::default(),
+            link: Link::new(report_lag),
             faulty: None,
             last_faulty: None,
         };
@@ -114,7 +114,7 @@
             .plan(&mut self.cluster, &mut self.planner, deliver);
     }
 
-    fn apply(&mut self, name: &str, step: Step) {
+    fn apply(&mut self, name: &str, step: Step<'a>) {
         match step {
             Step::Demand(large, small) => self.cluster.set_demand(large, small),
             Step::Deliver(command, deliveries) => {
@@ -172,7 +172,7 @@
     ];
     let mut violations = Vec::new();
     for case in cases {
-        let mut sequence = Sequence::new(7, (3.0, 0.1));
+        let mut sequence = Sequence::new(7, (3.0, 0.1), REPORT_LAG);
         let steps = [
             Step::Demand(0.3, 4.0),
             Step::Deliver("join", case.joins),
@@ -237,7 +237,7 @@
     let mut violations = Vec::new();
     for case in cases {
         for added_after_ms in case.added_after_ms {
-            let mut sequence = Sequence::new(0, (1.0, 0.0));
+            let mut sequence = Sequence::new(0, (1.0, 0.0), REPORT_LAG);
             for id in ["e10", "e20"] {
                 sequence.add(id);
             }
@@ -296,7 +296,7 @@
     let mut violations = Vec::new();
     for case in cases {
         for succeeded_after_ms in case.succeeded_after_ms {
-            let mut sequence = Sequence::new(0, (1.0, 0.0));
+            let mut sequence = Sequence::new(0, (1.0, 0.0), REPORT_LAG);
             for id in case.engines {
                 sequence.add(id);
             }
@@ -316,3 +316,34 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against a new planner that takes an order to close for proof that a head can no
+/// longer open: a head that has accepted the order to open of the planner before answers
+/// that it is closed, and serves some hundred milliseconds later.
+#[test]
+fn members_of_an_opening_head_join_another_replica_only_after_it_has_left() {
+    let mut violations = Vec::new();
+    for report_lag in [Duration::ZERO, STEP, REPORT_LAG] {
+        for opened_after_ms in (100..=1_500).step_by(100) {
+            let mut sequence = Sequence::new(0, (1.0, 0.0), report_lag);
+            for id in ["e10", "e20"] {
+                sequence.add(id);
+            }
+            let name = format!("{report_lag:?}, {opened_after_ms} ms");
+            let deliveries = [Delivery::Late(Duration::from_millis(opened_after_ms))];
+            let steps = [
+                Step::Deliver("open", &deliveries),
+                Step::DrainHead,
+                Step::Add,
+                Step::Succeed,
+            ];
+            for step in steps {
+                sequence.apply(&name, step);
+            }
+            sequence.run(REST);
+            violations.extend(sequence.violations(&name));
+            assert_eq!(sequence.cluster.serving("large"), 1, "{name}");
+        }
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
--- a/crates/form/tests/planner/link.rs
+++ b/crates/form/tests/planner/link.rs
@@ -1,7 +1,7 @@
 //! The way between planners and engines: reports with an age, and orders that are lost,
 //! late or carried out twice.
 
-use crate::cluster::{Cluster, REPORT_LAG};
+use crate::cluster::Cluster;
 use clock::Moment;
 use form::{Engine, Inputs, OutgoingOrder, Planner};
 use name::Instance;
@@ -27,13 +27,23 @@
 }
 
 /// The orders on their way, and the states from which reports are taken.
-#[derive(Default)]
 pub(crate) struct Link {
+    /// The age of reports.
+    report_lag: Duration,
     late: Vec<(Moment, Instance, Order)>,
     history: VecDeque<(Moment, HashMap<Instance, Engine>)>,
 }
 
 impl Link {
+    /// Returns a link without orders on their way.
+    pub(crate) fn new(report_lag: Duration) -> Self {
+        Self {
+            report_lag,
+            late: Vec::new(),
+            history: VecDeque::new(),
+        }
+    }
+
     /// Carries out what is due, and records the engines' states.
     pub(crate) fn advance(&mut self, cluster: &mut Cluster) {
         cluster.apply_due();
@@ -49,7 +59,7 @@
         }
         let state = cluster.engines.clone().into_iter().collect();
         self.history.push_back((now, state));
-        while self.history.len() > 2 && self.history[1].0 + REPORT_LAG <= now {
+        while self.history.len() > 1 && self.history[1].0 + self.report_lag <= now {
             self.history.pop_front();
         }
     }
--- a/crates/form/tests/planner/succession.rs
+++ b/crates/form/tests/planner/succession.rs
@@ -43,6 +43,7 @@
     /// Returns a cluster whose replicas one planner has formed without faults.
     fn new(seed: u64) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let report_lag = STEP * rng.random_range(0..=3);
         let size = rng.random_range(6..=9);
         let mut cluster = Cluster::new(1, size);
         cluster.spec.models = vec![model_spec("large", 2, 0.67), model_spec("small", 2, 0.33)];
@@ -63,7 +64,7 @@
         Self {
             cluster,
             rng,
-            link: Link::default(),
+            link: Link::new(report_lag),
             terms,
         }
     }
