Remember orders from when they are sent until the engine has accepted another one

Cause: a join that got no response was remembered only when its outcome became known while it was the engine's pending order, that is within 450 ms. A planner whose node is slow or suspended handles the outcome later (the call ends after 400 ms), and forgot the join. It then opened a replica whose member the join took away seconds later. Also, only one join of an engine was remembered, and an order to leave never.

Evidence: a sequence as a table of steps, with the outcome handled 0, 400, 600 and 1,900 ms after the order. That a second join hides the first one is by reading only.

Change: all orders are recorded when they are sent, with the sequence number that they expect, until the engine reports another one; for an engine that is not known at the moment, for a minute. A replica whose member one of them may take away, to another replica or out of this one, is not opened.

--- a/crates/form/src/lib.rs
+++ b/crates/form/src/lib.rs
@@ -17,6 +17,7 @@
 mod maintain;
 mod planner;
 mod replica;
+mod sent;
 mod start;
 
 pub use demand::Demand;
--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -184,7 +184,8 @@
             commands.push((head.clone(), replica.open_command()));
             return true;
         }
-        let has_open_join = members.iter().any(|id| self.open_joins.contains_key(id));
+        let is_ordered_away = |id: &Instance| self.is_ordered_away(id, &replica.replica);
+        let has_late_order = members.iter().any(is_ordered_away);
         let unfenced = members.iter().filter(|id| self.is_unfenced(&engines[*id]));
         commands.extend(unfenced.map(|id| {
             let join = Command::Join {
@@ -195,7 +196,7 @@
             };
             (id.clone(), join)
         }));
-        !is_forming && !has_open_join && !members.iter().any(|id| self.is_disobedient(id, now))
+        !is_forming && !has_late_order && !members.iter().any(|id| self.is_disobedient(id, now))
     }
 
     /// Returns whether an engine has not obeyed this planner some time after its first order.
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -5,6 +5,7 @@
     demand::Scarcity,
     formation::{Formation, NextStep, heads},
     replica::{ReportedReplica, reported_replicas},
+    sent::SentOrders,
     start::MAX_RESERVE,
 };
 use clock::Moment;
@@ -117,10 +118,8 @@
     pub(crate) obeyed_at: HashMap<Instance, Moment>,
     /// When each engine was first sent an order of this planner.
     pub(crate) first_orders: HashMap<Instance, Moment>,
-    /// The joins of this planner that got no response, by engine, each with the sequence
-    /// number that it expects. One may still be carried out while the engine reports that
-    /// number.
-    pub(crate) open_joins: HashMap<Instance, (Replica, Option<u64>)>,
+    /// The orders that each engine may still carry out.
+    pub(crate) sent_orders: HashMap<Instance, SentOrders>,
     pub(crate) events: Vec<Event>,
     /// The replicas and the reserve of the last [`Event::ServingChanged`].
     pub(crate) last_serving: Option<(Vec<(Model, usize)>, usize)>,
@@ -161,9 +160,9 @@
         let startup_end = *self.started_at.get_or_insert(now) + STARTUP_WAIT;
         self.obeyed_at.retain(|id, _| engines.contains_key(id));
         self.first_orders.retain(|id, _| engines.contains_key(id));
-        self.open_joins.retain(|id, (_, expected)| {
-            let engine = engines.get(id);
-            engine.is_some_and(|engine| expected.is_none() || engine.sequence == *expected)
+        self.sent_orders.retain(|id, sent| match engines.get(id) {
+            Some(engine) => sent.may_take_effect(engine),
+            None => now.since(sent.sent_at) < UNKNOWN_ENGINE_MEMORY,
         });
         self.opens.retain(|id, open| match engines.get(id) {
             Some(engine) => open.may_take_effect(engine),
@@ -273,12 +272,6 @@
             self.obeyed_at.entry(engine.clone()).or_insert(now);
         }
         let pending = self.pending_orders.get(engine);
-        if let (Outcome::Unknown, Some(pending)) = (outcome, pending)
-            && let Command::Join { replica, .. } = &pending.command
-        {
-            let expected = (replica.clone(), pending.sequence);
-            self.open_joins.insert(engine.clone(), expected);
-        }
         // The head had accepted an earlier order to open, and no other one since.
         if let (Outcome::AlreadyDone, Some(pending)) = (outcome, pending)
             && let (Command::Open { .. }, Some(open)) =
@@ -355,8 +348,13 @@
     /// Returns whether a late order may still take an engine out of a replica that it is a
     /// member of.
     pub(crate) fn may_be_taken(&self, engine: &Engine, replica: &Replica) -> bool {
-        let late = self.open_joins.get(engine.id());
-        self.is_unfenced(engine) || late.is_some_and(|(other, _)| other != replica)
+        self.is_unfenced(engine) || self.is_ordered_away(engine.id(), replica)
+    }
+
+    /// Returns whether an order of this planner may still take an engine out of a replica.
+    pub(crate) fn is_ordered_away(&self, engine: &Instance, replica: &Replica) -> bool {
+        let sent = self.sent_orders.get(engine);
+        sent.is_some_and(|sent| sent.takes_from(replica))
     }
 
     /// Returns whether this planner has given a replica its name.
@@ -410,6 +408,9 @@
                 sent_at: now,
             };
             self.pending_orders.insert(id.clone(), pending);
+            let sent = self.sent_orders.entry(id.clone());
+            sent.or_insert_with(|| SentOrders::new(sequence, now))
+                .add(&command, sequence, now);
             self.first_orders.entry(id.clone()).or_insert(now);
             if let Command::Open {
                 replica,
--- a/crates/form/tests/planner/late.rs
+++ b/crates/form/tests/planner/late.rs
@@ -40,6 +40,8 @@
     DrainHead,
     /// An engine is added.
     Add,
+    /// An engine no longer responds, or responds again.
+    SetAlive(&'static str, bool),
 }
 
 /// A cluster with a planner, and how its orders are delivered.
@@ -133,6 +135,11 @@
                 drained.server.is_leaving = true;
             }
             Step::Add => self.add("e90"),
+            Step::SetAlive(id, is_alive) => {
+                let id = id.parse().expect("a name");
+                let engine = self.cluster.engines.get_mut(&id);
+                engine.expect("an engine").is_alive = is_alive;
+            }
         }
     }
 }
@@ -347,3 +354,71 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against a join that got no response and that the planner forgets before it knows
+/// so, since its node was slow or suspended: a replica opened, and the join took a member.
+#[test]
+fn replica_opens_only_after_its_members_refuse_a_join_without_a_known_outcome() {
+    struct Case {
+        name: &'static str,
+        join: Delivery,
+        outcome_lag_ms: u64,
+    }
+    let cases = [
+        Case {
+            name: "the outcome is known at once",
+            join: LATER,
+            outcome_lag_ms: 0,
+        },
+        Case {
+            name: "the outcome is known when the call ends",
+            join: LATER,
+            outcome_lag_ms: 400,
+        },
+        Case {
+            name: "the planner's node is slow",
+            join: LATER,
+            outcome_lag_ms: 600,
+        },
+        Case {
+            name: "the planner's node is suspended",
+            join: LATER,
+            outcome_lag_ms: 1_900,
+        },
+        Case {
+            name: "the join is carried out as late as the platform allows",
+            join: LAST,
+            outcome_lag_ms: 600,
+        },
+    ];
+    let mut violations = Vec::new();
+    for case in cases {
+        for alive_after_ms in [0, 500, 1_000, 2_000] {
+            let mut sequence = Sequence::new(0, (1.0, 0.0), REPORT_LAG);
+            sequence.link.outcome_lag = Duration::from_millis(case.outcome_lag_ms);
+            sequence.cluster.spec.models = vec![model_spec("large", 3, 1.0)];
+            for id in ["e10", "e20", "e30", "e40"] {
+                sequence.add(id);
+            }
+            let name = format!("{}, {alive_after_ms} ms", case.name);
+            let deliveries = [case.join, case.join, Delivery::Answered];
+            let steps = [
+                Step::Deliver("join", &[Delivery::Answered; 3]),
+                Step::SetAlive("e30", false),
+                Step::Deliver("join", &deliveries),
+                Step::SetAlive("e40", false),
+                Step::Run(alive_after_ms),
+                Step::SetAlive("e30", true),
+            ];
+            for step in steps {
+                sequence.apply(&name, step);
+            }
+            sequence.run(REST);
+            violations.extend(sequence.violations(&name));
+            if sequence.cluster.serving("large") != 1 {
+                violations.push(format!("{name}: no replica serves"));
+            }
+        }
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
--- a/crates/form/tests/planner/link.rs
+++ b/crates/form/tests/planner/link.rs
@@ -30,6 +30,9 @@
 pub(crate) struct Link {
     /// The age of reports.
     report_lag: Duration,
+    /// The time after which the planner's node handles the outcome of an order.
+    pub(crate) outcome_lag: Duration,
+    outcomes: Vec<(Moment, u64, Instance, Outcome)>,
     late: Vec<(Moment, Instance, Order)>,
     history: VecDeque<(Moment, HashMap<Instance, Engine>)>,
 }
@@ -39,6 +42,8 @@
     pub(crate) fn new(report_lag: Duration) -> Self {
         Self {
             report_lag,
+            outcome_lag: Duration::ZERO,
+            outcomes: Vec::new(),
             late: Vec::new(),
             history: VecDeque::new(),
         }
@@ -107,7 +112,21 @@
                 Delivery::Answered => outcome,
                 _ => Outcome::Unknown,
             };
-            planner.record_outcome(&sent.engine, outcome, now);
+            let known_at = now + self.outcome_lag;
+            self.outcomes
+                .push((known_at, planner.token(), sent.engine, outcome));
+        }
+        self.record_outcomes(planner, now);
+    }
+
+    /// Tells a planner the outcomes of its orders that its node has handled.
+    fn record_outcomes(&mut self, planner: &mut Planner, now: Moment) {
+        let (known, later) = std::mem::take(&mut self.outcomes)
+            .into_iter()
+            .partition(|(at, token, ..)| *token == planner.token() && now >= *at);
+        self.outcomes = later;
+        for (_, _, id, outcome) in known {
+            planner.record_outcome(&id, outcome, now);
         }
     }
 }
