Wait for a head that may be opening, and close it, rather than order it to leave

What callers would see: streams that are cut off some milliseconds after they began. Found by a check that also counts members and heads that leave by order while their head is open: eight of 65 moments in the tables.

Change: a head whose sequence number shows that it has accepted an order after the one to open is waited for until the opening must be reported, and closed then. An inherited head is ordered to close first again, as before; if it answers that it is closed already, it is waited for as long. Only heads that show no such sign leave. What is remembered of the orders to open moves to its own module beside the other orders.

Tests: the tables of late orders with that check, and one for members that were ordered to leave while their head did not respond, which fails if such orders are not remembered (two members left in the first of its four moments).

--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -12,10 +12,6 @@
 use site::{order::Command, server::Phase};
 use std::{collections::HashMap, time::Duration};
 
-/// The time after an order to open during which reports may not yet show its effect:
-/// the timeout of a call plus the age of a report.
-const OPEN_EFFECT_TIMEOUT: Duration = Duration::from_millis(700);
-
 /// The time for which a replica that an earlier planner started may stay incomplete, and
 /// for which a member of one may not obey the orders of this planner.
 const INHERITED_INCOMPLETE_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -121,6 +117,8 @@
         let is_overdue = !is_reclaimed
             && !replica.is_complete(inputs.engine_spec)
             && now.since(since) > FINISH_TIMEOUT;
+        let is_close_late = now.since(since) >= 2 * INHERITED_INCOMPLETE_TIMEOUT;
+        let open_time = inputs.engine_spec.open_time;
         match (replica.head_phase, head) {
             (Some(Phase::Open), Some(head)) => {
                 // Without a dead member, the replica finishes its requests.
@@ -133,11 +131,20 @@
                 commands.push((head.clone(), replica.close_command(true)));
             }
             (Some(Phase::Closing), _) => {}
-            (Some(_), Some(head)) if self.may_have_opened(head, engines) => {}
-            (Some(Phase::Joining | Phase::Ready), Some(head)) if self.may_open(&engines[head]) => {
-                // An order to open that got no response may be carried out as long as the
-                // head has accepted no other one and no higher token. Closing is no order
-                // to a head that is not open, even if it has accepted to open.
+            (Some(_), Some(head)) if self.may_be_opening(&engines[head], open_time) => {}
+            (Some(Phase::Ready), Some(head))
+                if self.is_unfenced(&engines[head]) && !is_close_late =>
+            {
+                // An order of an earlier planner to open the head may be in flight. Once
+                // the head has obeyed this planner, it refuses that order.
+                commands.push((head.clone(), replica.close_command(false)));
+            }
+            (Some(Phase::Joining | Phase::Ready), Some(head))
+                if self.may_open(&engines[head], open_time) =>
+            {
+                // An order of this planner to open may be carried out as long as the head
+                // has accepted no other one. Closing is no order to a head that is not
+                // open, and may not even count as obeying.
                 commands.push((head.clone(), replica.leave_command()));
             }
             (Some(_), _) => {
@@ -238,17 +245,6 @@
         self.reclaimed.contains(&replica.key())
     }
 
-    /// Returns whether a head was ordered to open so recently that reports may not show it
-    /// yet. A head that has opened is closed rather than ordered to leave.
-    fn may_have_opened(&self, head: &Instance, engines: &HashMap<Instance, Engine>) -> bool {
-        let member = engines[head].membership();
-        let open = self.opens.get(head);
-        let open = open.filter(|open| member.is_some_and(|member| open.is_for(member)));
-        open.is_some_and(|open| {
-            engines[head].report_requested_at < open.sent_at + OPEN_EFFECT_TIMEOUT
-        })
-    }
-
     /// Closes a serving replica whose engines a scarcer model needs more.
     pub(crate) fn reclaim_replica(
         &mut self,
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -5,14 +5,14 @@
     demand::Scarcity,
     formation::{Formation, NextStep, heads},
     replica::{ReportedReplica, reported_replicas},
-    sent::SentOrders,
+    sent::{SentOpen, SentOrders},
     start::MAX_RESERVE,
 };
 use clock::Moment;
 use name::{Fabric, Instance, Model, Replica};
 use site::{
     order::{Command, Order, Outcome},
-    server::{Membership, Phase},
+    server::Phase,
 };
 use std::{
     collections::{HashMap, HashSet, VecDeque},
@@ -24,6 +24,9 @@
 /// Reports are up to 200 ms old, and an order takes effect within that time.
 const ORDER_EFFECT_TIMEOUT: Duration = Duration::from_millis(450);
 
+/// The maximum age of a report when it arrives, and the time of the call.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(400);
+
 /// The time for which orders to an engine are remembered while its state is not known.
 const UNKNOWN_ENGINE_MEMORY: Duration = Duration::from_secs(60);
 
@@ -54,40 +57,6 @@
     }
 }
 
-/// An order to open a head, which may serve from then on.
-#[derive(Debug, Clone)]
-pub(crate) struct SentOpen {
-    replica: Replica,
-    generation: u64,
-    /// The lowest sequence number at which a ready head has been closed again.
-    closed_from: Option<u64>,
-    pub(crate) sent_at: Moment,
-}
-
-impl SentOpen {
-    /// Returns whether a membership is the one that the order names.
-    pub(crate) fn is_for(&self, member: &Membership) -> bool {
-        member.replica == self.replica && member.generation == self.generation
-    }
-
-    /// Returns whether the head may serve now or later because of the order.
-    ///
-    /// An order that got no response may be carried out while the engine has accepted no
-    /// other one, and a head that has accepted it reports for a while that it is ready.
-    /// Once it has accepted another one after that, it has been closed.
-    fn may_take_effect(&self, engine: &Engine) -> bool {
-        match engine.membership().filter(|member| self.is_for(member)) {
-            Some(member) => {
-                let is_before_open = matches!(member.phase, Phase::Joining | Phase::Ready);
-                let accepted = engine.sequence.zip(self.closed_from);
-                let is_closed = accepted.is_some_and(|(now, closed)| now >= closed);
-                !is_before_open || !is_closed
-            }
-            None => !engine.is_confirmed || engine.report_requested_at <= self.sent_at,
-        }
-    }
-}
-
 /// A planner with its state between steps.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -106,6 +75,9 @@
     pub(crate) reclaimed: HashSet<(Replica, u64)>,
     /// The heads that were ordered to open and that may serve because of it.
     pub(crate) opens: HashMap<Instance, SentOpen>,
+    /// When engines answered an order to close that they were closed already. An opening
+    /// head does so, too.
+    pub(crate) closed_already: HashMap<Instance, Moment>,
     /// The replica that was last closed to replace members without an entry, and
     /// when.
     pub(crate) last_replaced: Option<((Replica, u64), Moment)>,
@@ -164,8 +136,9 @@
             Some(engine) => sent.may_take_effect(engine),
             None => now.since(sent.sent_at) < UNKNOWN_ENGINE_MEMORY,
         });
+        self.closed_already.retain(|id, _| engines.contains_key(id));
         self.opens.retain(|id, open| match engines.get(id) {
-            Some(engine) => open.may_take_effect(engine),
+            Some(engine) => open.update(engine, now),
             None => now.since(open.sent_at) < UNKNOWN_ENGINE_MEMORY,
         });
         self.pending_orders.retain(|id, pending| {
@@ -175,7 +148,8 @@
         let generations = replicas.iter().map(|r| r.generation);
         self.highest_generation = self.highest_generation.max(generations.max().unwrap_or(0));
         let mut commands = Vec::new();
-        self.advance_formations(engines, now, &mut commands);
+        let open_time = inputs.engine_spec.open_time;
+        self.advance_formations(engines, open_time, now, &mut commands);
         let mut free = self.free_engines(engines);
         let mut scarcity = Scarcity::new(inputs.engine_spec, inputs.demand);
         for formation in &self.formations {
@@ -218,7 +192,7 @@
         if is_startup_over {
             self.stage_weights(engines, &scarcity, inputs, now, &mut commands);
         }
-        self.advance_formations(engines, now, &mut commands);
+        self.advance_formations(engines, open_time, now, &mut commands);
         Step {
             orders: self.issue_orders(engines, commands, now),
             events: std::mem::take(&mut self.events),
@@ -272,12 +246,18 @@
             self.obeyed_at.entry(engine.clone()).or_insert(now);
         }
         let pending = self.pending_orders.get(engine);
-        // The head had accepted an earlier order to open, and no other one since.
-        if let (Outcome::AlreadyDone, Some(pending)) = (outcome, pending)
-            && let (Command::Open { .. }, Some(open)) =
-                (&pending.command, self.opens.get_mut(engine))
-        {
-            open.closed_from = pending.sequence.map(|sequence| sequence + 1);
+        if let (Outcome::AlreadyDone, Some(pending)) = (outcome, pending) {
+            match &pending.command {
+                Command::Open { .. } => {
+                    if let Some(open) = self.opens.get_mut(engine) {
+                        open.record_accepted(pending.sequence);
+                    }
+                }
+                Command::Close { .. } => {
+                    self.closed_already.insert(engine.clone(), now);
+                }
+                _ => {}
+            }
         }
         if matches!(outcome, Outcome::WrongEngine | Outcome::Refused) {
             self.pending_orders.remove(engine);
@@ -298,10 +278,11 @@
     fn advance_formations(
         &mut self,
         engines: &HashMap<Instance, Engine>,
+        open_time: Duration,
         now: Moment,
         commands: &mut Vec<(Instance, Command)>,
     ) {
-        let heads = heads(engines, |head| self.may_open(head));
+        let heads = heads(engines, |head| self.may_open(head, open_time));
         let events = &mut self.events;
         self.formations.retain(|formation| {
             let next = formation.next_step(engines, &heads, now);
@@ -337,12 +318,28 @@
 
     /// Returns whether a head that does not serve may open by an order that is not reported
     /// yet, of this planner or of an earlier one.
-    pub(crate) fn may_open(&self, head: &Engine) -> bool {
+    pub(crate) fn may_open(&self, head: &Engine, open_time: Duration) -> bool {
+        self.open_for(head).is_some()
+            || self.is_unfenced(head)
+            || self.may_be_opening(head, open_time)
+    }
+
+    /// Returns the order to open the replica of which an engine is the head.
+    fn open_for(&self, head: &Engine) -> Option<&SentOpen> {
+        let member = head.membership()?;
         let open = self.opens.get(head.id());
-        let is_ordered = head
-            .membership()
-            .is_some_and(|member| open.is_some_and(|open| open.is_for(member)));
-        is_ordered || self.is_unfenced(head)
+        open.filter(|open| open.is_for(member))
+    }
+
+    /// Returns whether a head may have accepted an order to open that reports do not show
+    /// yet. Unless that was long ago, it is waited for and closed, since a head that leaves
+    /// cuts off what it has begun to serve.
+    pub(crate) fn may_be_opening(&self, head: &Engine, open_time: Duration) -> bool {
+        let is_recent = |at: Moment| head.report_requested_at <= at + open_time + MAX_REPORT_AGE;
+        let closed_already = self.closed_already.get(head.id());
+        let open = self.open_for(head);
+        closed_already.is_some_and(|at| is_recent(*at))
+            || open.is_some_and(|open| is_recent(open.last_possible_at()))
     }
 
     /// Returns whether a late order may still take an engine out of a replica that it is a
@@ -417,12 +414,8 @@
                 generation,
             } = &command
             {
-                let open = SentOpen {
-                    replica: replica.clone(),
-                    generation: *generation,
-                    closed_from: sequence.map(|sequence| sequence + 2),
-                    sent_at: now,
-                };
+                let open = self.opens.remove(&id);
+                let open = SentOpen::again(open, replica, *generation, sequence, now);
                 self.opens.insert(id.clone(), open);
             }
             orders.push(OutgoingOrder {
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -47,8 +47,8 @@
     pub(crate) now: Moment,
     pub(crate) demand: Demand,
     pub(crate) events: Vec<Event>,
-    /// The joins of engines whose present replica had an open head, and the heads that
-    /// were opened after a member of their replica had joined another one.
+    /// The engines that joined another replica or left theirs while its head was open, and
+    /// the heads that were opened after a member of their replica had joined another one.
     pub(crate) violations: Vec<String>,
     /// The replicas that engines have left for other ones, with those engines.
     pub(crate) left: HashSet<(Replica, u64, Instance)>,
@@ -205,7 +205,7 @@
                 if member.is_some_and(|m| m.replica == *replica && m.generation == *generation) {
                     return Outcome::AlreadyDone;
                 }
-                self.check_join(id);
+                self.check_departure(id, "joins another replica");
             }
             Command::Open {
                 replica,
@@ -235,6 +235,7 @@
                     }
                     // It is no order to an opening head, which serves after it.
                     Command::Close { .. } if !is_open => return Outcome::AlreadyDone,
+                    Command::Leave { .. } => self.check_departure(id, "leaves"),
                     _ => {}
                 }
             }
@@ -315,9 +316,9 @@
         Outcome::Started
     }
 
-    /// Records a violation if an engine joins while its present replica's head is
-    /// open, or has accepted an order to open.
-    pub(crate) fn check_join(&mut self, id: &Instance) {
+    /// Records a violation if an engine goes while its present replica's head is open, or
+    /// has accepted an order to open.
+    fn check_departure(&mut self, id: &Instance, what: &str) {
         let Some(member) = self.engines[id].membership() else {
             return;
         };
@@ -329,7 +330,7 @@
                     || self.opening.contains_key(e.id()))
         };
         if self.engines.values().any(|e| is_open_head(&e)) {
-            let text = format!("{id} joins at {:?} while its head serves", self.now);
+            let text = format!("{id} {what} at {:?} while its head serves", self.now);
             self.violations.push(text);
         }
     }
--- a/crates/form/tests/planner/late.rs
+++ b/crates/form/tests/planner/late.rs
@@ -422,3 +422,35 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against a planner that opens a replica after it ordered a member to leave, since
+/// the head did not respond: the order got no response and was carried out while the head
+/// was open.
+#[test]
+fn replica_opens_only_after_its_members_refuse_to_leave() {
+    let mut violations = Vec::new();
+    for alive_after_ms in [0, 500, 1_000, 2_000] {
+        let mut sequence = Sequence::new(0, (1.0, 0.0), REPORT_LAG);
+        sequence.cluster.spec.models = vec![model_spec("large", 3, 1.0)];
+        for id in ["e10", "e20", "e30"] {
+            sequence.add(id);
+        }
+        let name = format!("{alive_after_ms} ms");
+        let steps = [
+            Step::Deliver("join", &[Delivery::Answered; 3]),
+            Step::SetAlive("e10", false),
+            Step::Deliver("leave", &[LATER; 2]),
+            Step::Run(alive_after_ms),
+            Step::SetAlive("e10", true),
+        ];
+        for step in steps {
+            sequence.apply(&name, step);
+        }
+        sequence.run(REST);
+        violations.extend(sequence.violations(&name));
+        if sequence.cluster.serving("large") != 1 {
+            violations.push(format!("{name}: no replica serves"));
+        }
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
