Tell a planner of which order it learns the outcome

Cause: the outcome of an order was taken for that of the engine's last order. On a slow node it becomes known when the next one has been sent. The answer to an order to close, that the head is closed already, counted as the answer to the order to open, that it is open already, and the planner took the head for closed again one order too early.

Change: `record_outcome` takes the order. What an outcome says is applied to what that order named; only the first answer that a head is closed already starts the wait for its opening, since no order of an earlier planner is accepted after it.

--- a/crates/edge/src/plan.rs
+++ b/crates/edge/src/plan.rs
@@ -385,7 +385,7 @@
     if let Some(planning) = guard.as_mut().filter(|planning| planning.token == token)
         && let Some(planner) = planning.planners.get_mut(&service)
     {
-        planner.record_outcome(&send.engine, outcome, shared.now());
+        planner.record_outcome(&send.engine, &send.order, outcome, shared.now());
     }
     drop(guard);
     if outcome == Outcome::Fenced {
--- a/crates/edge/src/plan/tests/fleet.rs
+++ b/crates/edge/src/plan/tests/fleet.rs
@@ -228,7 +228,7 @@
                 && planning.token == order.token
                 && let Some(planner) = planning.planners.get_mut(&self.service)
             {
-                planner.record_outcome(&id, outcome, now);
+                planner.record_outcome(&id, &order, outcome, now);
             }
         }
     }
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -50,13 +50,6 @@
     sent_at: Moment,
 }
 
-impl PendingOrder {
-    /// Returns whether the order was to stage weights.
-    fn is_staging(&self) -> bool {
-        matches!(self.command, Command::Stage { .. })
-    }
-}
-
 /// A planner with its state between steps.
 #[derive(Debug, Default)]
 pub struct Planner {
@@ -75,8 +68,8 @@
     pub(crate) reclaimed: HashSet<(Replica, u64)>,
     /// The heads that were ordered to open and that may serve because of it.
     pub(crate) opens: HashMap<Instance, SentOpen>,
-    /// When engines answered an order to close that they were closed already. An opening
-    /// head does so, too.
+    /// When engines first answered an order to close that they were closed already. A head
+    /// that is opening by an earlier planner's order does so, too; it accepts no other one.
     pub(crate) closed_already: HashMap<Instance, Moment>,
     /// The replica that was last closed to replace members without an entry, and
     /// when.
@@ -232,34 +225,46 @@
     }
 
     /// Records the outcome of an order, known at `now`.
-    pub fn record_outcome(&mut self, engine: &Instance, outcome: Outcome, now: Moment) {
-        // An order that was not carried out may be sent again after the next report;
-        // one that may have been carried out is not repeated for a while.
-        let is_staging = self
-            .pending_orders
-            .get(engine)
-            .is_some_and(PendingOrder::is_staging);
-        if is_staging && !matches!(outcome, Outcome::Started | Outcome::Unknown) {
-            self.staging.remove(engine);
+    ///
+    /// It may become known after the engine was sent another order.
+    pub fn record_outcome(
+        &mut self,
+        engine: &Instance,
+        order: &Order,
+        outcome: Outcome,
+        now: Moment,
+    ) {
+        let sequence = order.expected_sequence;
+        match (&order.command, outcome) {
+            (Command::Stage { .. }, Outcome::Started | Outcome::Unknown) => {}
+            (Command::Stage { .. }, _) => {
+                self.staging.remove(engine);
+            }
+            (
+                Command::Open {
+                    replica,
+                    generation,
+                },
+                Outcome::AlreadyDone,
+            ) => {
+                if let Some(open) = self.opens.get_mut(engine) {
+                    open.record_already_open(replica, *generation, sequence);
+                }
+            }
+            (Command::Close { .. }, Outcome::AlreadyDone) => {
+                self.closed_already.entry(engine.clone()).or_insert(now);
+            }
+            _ => {}
         }
         if matches!(outcome, Outcome::Started | Outcome::AlreadyDone) {
             self.obeyed_at.entry(engine.clone()).or_insert(now);
         }
+        // An order that was not carried out may be sent again after the next report;
+        // one that may have been carried out is not repeated for a while.
         let pending = self.pending_orders.get(engine);
-        if let (Outcome::AlreadyDone, Some(pending)) = (outcome, pending) {
-            match &pending.command {
-                Command::Open { .. } => {
-                    if let Some(open) = self.opens.get_mut(engine) {
-                        open.record_accepted(pending.sequence);
-                    }
-                }
-                Command::Close { .. } => {
-                    self.closed_already.insert(engine.clone(), now);
-                }
-                _ => {}
-            }
-        }
-        if matches!(outcome, Outcome::WrongEngine | Outcome::Refused) {
+        let is_pending =
+            pending.is_some_and(|p| p.command == order.command && p.sequence == sequence);
+        if is_pending && matches!(outcome, Outcome::WrongEngine | Outcome::Refused) {
             self.pending_orders.remove(engine);
         }
     }
--- a/crates/form/src/sent.rs
+++ b/crates/form/src/sent.rs
@@ -104,10 +104,17 @@
         member.replica == self.replica && member.generation == self.generation
     }
 
-    /// Records that the head was open or opening already when it had accepted `sequence`
-    /// orders.
-    pub(crate) fn record_accepted(&mut self, sequence: Option<u64>) {
-        self.closed_from = sequence.map(|sequence| sequence + 1);
+    /// Records that the head answered the last order that it was open or opening already.
+    pub(crate) fn record_already_open(
+        &mut self,
+        replica: &Replica,
+        generation: u64,
+        sequence: Option<u64>,
+    ) {
+        let is_last = self.closed_from == sequence.map(|sequence| sequence + 2);
+        if self.replica == *replica && self.generation == generation && is_last {
+            self.closed_from = sequence.map(|sequence| sequence + 1);
+        }
     }
 
     /// Returns when the head can have accepted an order at the latest, as far as known.
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -106,9 +106,9 @@
         let end = self.now + time;
         while self.now < end {
             self.now = self.now + STEP;
-            for (engine, token, outcome) in self.apply_due() {
-                if token == planner.token() {
-                    planner.record_outcome(&engine, outcome, self.now);
+            for (engine, order, outcome) in self.apply_due() {
+                if order.token == planner.token() {
+                    planner.record_outcome(&engine, &order, outcome, self.now);
                 }
             }
             let inputs = Inputs {
@@ -130,15 +130,15 @@
 
     /// Carries out the due orders, and ends the due joins and stagings.
     ///
-    /// Returns the outcome of each order, with its engine and fencing token.
-    pub(crate) fn apply_due(&mut self) -> Vec<(Instance, u64, Outcome)> {
+    /// Returns each order with its engine and outcome.
+    pub(crate) fn apply_due(&mut self) -> Vec<(Instance, Order, Outcome)> {
         let now = self.now;
         let mut outcomes = Vec::new();
         let ordered = std::mem::take(&mut self.orders_in_flight);
         for (at, id, order) in ordered {
             if now >= at {
                 let outcome = self.apply_order(&id, &order);
-                outcomes.push((id, order.token, outcome));
+                outcomes.push((id, order, outcome));
             } else {
                 self.orders_in_flight.push((at, id, order));
             }
--- a/crates/form/tests/planner/late.rs
+++ b/crates/form/tests/planner/late.rs
@@ -38,6 +38,8 @@
     Succeed,
     /// The head of the replica of the last order of [`Step::Deliver`] is leaving.
     DrainHead,
+    /// An engine is leaving.
+    Drain(&'static str),
     /// An engine is added.
     Add,
     /// An engine no longer responds, or responds again.
@@ -134,6 +136,11 @@
                 let drained = self.cluster.engines.get_mut(&engine).expect("an engine");
                 drained.server.is_leaving = true;
             }
+            Step::Drain(id) => {
+                let id = id.parse().expect("a name");
+                let engine = self.cluster.engines.get_mut(&id);
+                engine.expect("an engine").server.is_leaving = true;
+            }
             Step::Add => self.add("e90"),
             Step::SetAlive(id, is_alive) => {
                 let id = id.parse().expect("a name");
@@ -454,3 +461,34 @@
     }
     assert_eq!(violations, Vec::<String>::new());
 }
+
+/// Guards against the outcome of an earlier order that is taken for the outcome of the last
+/// one, since the planner's node was slow: the answer that a head is closed already counted
+/// as the answer that it is open already.
+#[test]
+fn late_outcome_of_an_earlier_order_says_nothing_of_the_last_one() {
+    let mut violations = Vec::new();
+    for outcome_lag_ms in (0..=3_000).step_by(100) {
+        let mut sequence = Sequence::new(0, (1.0, 0.0), REPORT_LAG);
+        sequence.link.outcome_lag = Duration::from_millis(outcome_lag_ms);
+        for id in ["e10", "e20", "e30"] {
+            sequence.add(id);
+        }
+        let name = format!("{outcome_lag_ms} ms");
+        let steps = [
+            Step::Deliver("join", &[Delivery::Answered; 2]),
+            Step::Succeed,
+            Step::Run(1_500),
+            Step::Drain("e20"),
+            Step::Deliver("open", &[Delivery::Answered]),
+            Step::Drain("e30"),
+            Step::Add,
+        ];
+        for step in steps {
+            sequence.apply(&name, step);
+        }
+        sequence.run(REST);
+        violations.extend(sequence.violations(&name));
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
--- a/crates/form/tests/planner/link.rs
+++ b/crates/form/tests/planner/link.rs
@@ -32,7 +32,7 @@
     report_lag: Duration,
     /// The time after which the planner's node handles the outcome of an order.
     pub(crate) outcome_lag: Duration,
-    outcomes: Vec<(Moment, u64, Instance, Outcome)>,
+    outcomes: Vec<(Moment, OutgoingOrder, Outcome)>,
     late: Vec<(Moment, Instance, Order)>,
     history: VecDeque<(Moment, HashMap<Instance, Engine>)>,
 }
@@ -106,15 +106,14 @@
             };
             if let Delivery::Late(delay) | Delivery::Twice(delay) = delivery {
                 self.late
-                    .push((now + delay, sent.engine.clone(), sent.order));
+                    .push((now + delay, sent.engine.clone(), sent.order.clone()));
             }
             let outcome = match delivery {
                 Delivery::Answered => outcome,
                 _ => Outcome::Unknown,
             };
             let known_at = now + self.outcome_lag;
-            self.outcomes
-                .push((known_at, planner.token(), sent.engine, outcome));
+            self.outcomes.push((known_at, sent, outcome));
         }
         self.record_outcomes(planner, now);
     }
@@ -123,10 +122,10 @@
     fn record_outcomes(&mut self, planner: &mut Planner, now: Moment) {
         let (known, later) = std::mem::take(&mut self.outcomes)
             .into_iter()
-            .partition(|(at, token, ..)| *token == planner.token() && now >= *at);
+            .partition(|(at, sent, _)| sent.order.token == planner.token() && now >= *at);
         self.outcomes = later;
-        for (_, _, id, outcome) in known {
-            planner.record_outcome(&id, outcome, now);
+        for (_, sent, outcome) in known {
+            planner.record_outcome(&sent.engine, &sent.order, outcome, now);
         }
     }
 }
