--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -112,12 +112,12 @@
         self.apply_read(vec![change], next, next == 1);
     }
 
-    fn advance(&self, time: Duration) {
+    pub(crate) fn advance(&self, time: Duration) {
         let millis = u64::try_from(time.as_millis()).expect("a short time");
         self.millis.fetch_add(millis, Ordering::Relaxed);
     }
 
-    fn apply_read(&self, records: Vec<Change>, next: u64, is_snapshot: bool) {
+    pub(crate) fn apply_read(&self, records: Vec<Change>, next: u64, is_snapshot: bool) {
         let started = self.shared.now();
         let batch = batch(records, next, is_snapshot);
         apply_servers(&self.shared, batch, started, &ReceivedSequences::default());
--- a/crates/edge/src/plan/tests.rs
+++ b/crates/edge/src/plan/tests.rs
@@ -4,8 +4,11 @@
 mod fleet;
 mod nodes;
 
+use super::{MAX_VIEW_AGE_TO_PLAN, reason_to_step_down};
+use crate::follow::tests::Node;
 use fleet::Fleet;
 use nodes::{Deployment, Nodes};
+use site::{feed, fixture, server::Change};
 use std::time::Duration;
 
 /// Returns nodes of which one in twenty has a fast link, and no fault.
@@ -226,3 +229,67 @@
         assert!(ratio <= 1.0, "{count} nodes: {ratio}");
     }
 }
+
+/// Guards against a planner whose claim the store has lost with its return from an older
+/// copy: until its view was too old it gave orders beside the next planner, which had claimed
+/// at the same offset.
+#[test]
+fn planner_steps_down_when_the_store_may_have_lost_its_claim() {
+    struct Case {
+        what: &'static str,
+        /// The eras and offsets of the claim and of the last read.
+        claim: (u64, u64),
+        read: (u64, u64),
+        read_age: Duration,
+        reason: Option<&'static str>,
+    }
+    const LOST: Option<&str> = Some("claim of an earlier era of the store");
+    let cases = [
+        Case {
+            what: "no return since the claim",
+            claim: (1, 6),
+            read: (1, 40),
+            read_age: Duration::ZERO,
+            reason: None,
+        },
+        Case {
+            what: "the store has returned",
+            claim: (1, 6),
+            read: (2, 5),
+            read_age: Duration::ZERO,
+            reason: LOST,
+        },
+        Case {
+            what: "it has returned twice, with a higher offset",
+            claim: (1, 6),
+            read: (3, 90),
+            read_age: Duration::ZERO,
+            reason: LOST,
+        },
+        Case {
+            what: "the claim is of an era that this node has not read yet",
+            claim: (2, 6),
+            read: (1, 40),
+            read_age: Duration::ZERO,
+            reason: None,
+        },
+        Case {
+            what: "a view that is too old",
+            claim: (1, 6),
+            read: (1, 40),
+            read_age: MAX_VIEW_AGE_TO_PLAN + Duration::from_millis(1),
+            reason: Some("view of the store too old"),
+        },
+    ];
+    for case in cases {
+        let node = Node::new();
+        let server = || Change::Updated(Box::new(fixture::server("a")));
+        node.apply_read(vec![server()], feed::position(1, 4), true);
+        let (era, offset) = case.read;
+        node.apply_read(vec![server()], feed::position(era, offset), era > 1);
+        node.advance(case.read_age);
+        let token = feed::position(case.claim.0, case.claim.1);
+        let reason = reason_to_step_down(&node.shared, token, node.shared.now());
+        assert_eq!(reason, case.reason, "{}", case.what);
+    }
+}
--- a/crates/form/tests/planner/cluster.rs
+++ b/crates/form/tests/planner/cluster.rs
@@ -372,6 +372,13 @@
         self.engines.insert(server.id.clone(), running(server));
     }
 
+    /// Stages all models on all hosts.
+    pub(crate) fn stage_all(&mut self) {
+        for engine in self.engines.values_mut() {
+            engine.server.engine.staged_models = ["large", "small"].map(model).to_vec();
+        }
+    }
+
     /// Removes an engine and its orders.
     pub(crate) fn remove(&mut self, id: &Instance) {
         self.engines.remove(id);
--- a/crates/form/tests/planner/handover.rs
+++ b/crates/form/tests/planner/handover.rs
@@ -7,6 +7,7 @@
 use form::{Demand, Engine, Inputs, Planner};
 use name::Instance;
 use site::{
+    feed,
     fixture::model_spec,
     order::{Command, Order},
     server::Phase,
@@ -186,3 +187,68 @@
         assert!(most <= allowed, "{}: {most} of {allowed} loads", case.name);
     }
 }
+
+/// Guards against planners of two eras of the store that claimed at the same offset: engines
+/// took the orders of both, and both named their first replica alike, so that a member of one
+/// replica was ordered to join another one while its head was open.
+#[test]
+fn planners_that_claimed_at_one_offset_in_two_eras_keep_their_replicas_apart() {
+    struct Case {
+        name: &'static str,
+        /// The eras of the claims.
+        eras: (u64, u64),
+        /// How long the first planner goes on after the second one's claim.
+        overlap: Duration,
+        /// The rank and the planner of the engine that leaves.
+        drained: (usize, usize),
+    }
+    const OFFSET: u64 = 6;
+    let case = |name, eras, overlap_ms, drained| Case {
+        name,
+        eras,
+        overlap: Duration::from_millis(overlap_ms),
+        drained,
+    };
+    let cases = [
+        case("a member of the first planner's replica", (1, 2), 0, (1, 0)),
+        case("a member of the second one's", (1, 2), 0, (1, 1)),
+        case("the head of the first one's", (1, 2), 0, (0, 0)),
+        case("two returns of the store", (1, 3), 0, (1, 0)),
+        case("the first planner goes on", (1, 2), 2_000, (1, 0)),
+        case("it goes on, the second one's member", (1, 2), 2_000, (1, 1)),
+    ];
+    let mut violations = Vec::new();
+    for case in cases {
+        let tokens = [case.eras.0, case.eras.1].map(|era| feed::position(era, OFFSET));
+        let mut cluster = Cluster::new(1, 2);
+        cluster.spec.models = vec![model_spec("large", 2, 1.0)];
+        cluster.stage_all();
+        cluster.set_demand(3.0, 0.0);
+        let mut first = Planner::new(tokens[0]);
+        cluster.run(&mut first, Duration::from_secs(6));
+        for id in ["e80", "e81"] {
+            cluster.add(id, "f0");
+        }
+        cluster.stage_all();
+        let mut second = Planner::new(tokens[1]);
+        let end = cluster.now + case.overlap;
+        while cluster.now < end {
+            cluster.run(&mut first, STEP);
+            cluster.run(&mut second, STEP);
+        }
+        cluster.run(&mut second, Duration::from_secs(6));
+        assert_eq!(cluster.serving("large"), 2, "{}", case.name);
+        let members = [["e00", "e01"], ["e80", "e81"]];
+        let (rank, planner) = case.drained;
+        let drained: Instance = members[planner][rank].parse().expect("a name");
+        let drained = cluster.engines.get_mut(&drained).expect("an engine");
+        drained.server.is_leaving = true;
+        cluster.add("e90", "f0");
+        cluster.stage_all();
+        cluster.run(&mut second, Duration::from_secs(8));
+        let found = cluster.violations.iter();
+        violations.extend(found.map(|text| format!("{}: {text}", case.name)));
+        assert_eq!(cluster.serving("large"), 2, "{}", case.name);
+    }
+    assert_eq!(violations, Vec::<String>::new());
+}
--- a/crates/form/tests/planner/late.rs
+++ b/crates/form/tests/planner/late.rs
@@ -1,7 +1,7 @@
 //! Sequences in which orders get no response and are carried out late.
 
 use crate::{
-    cluster::{Cluster, REPORT_LAG, STEP, model},
+    cluster::{Cluster, REPORT_LAG, STEP},
     link::{Delivery, Link},
 };
 use form::{OutgoingOrder, Planner};
@@ -69,22 +69,15 @@
             faulty: None,
             last_faulty: None,
         };
-        sequence.stage_all();
+        sequence.cluster.stage_all();
         sequence.run(FORMATION_TIME);
         sequence
     }
 
-    /// Stages all models on all hosts.
-    fn stage_all(&mut self) {
-        for engine in self.cluster.engines.values_mut() {
-            engine.server.engine.staged_models = ["large", "small"].map(model).to_vec();
-        }
-    }
-
     /// Adds an engine.
     fn add(&mut self, id: &str) {
         self.cluster.add(id, "f0");
-        self.stage_all();
+        self.cluster.stage_all();
     }
 
     /// Returns the violations with the name of the case.
