--- a/tests/all/leaving.rs
+++ b/tests/all/leaving.rs
@@ -1,18 +1,26 @@
 //! Servers that leave while something keeps nodes from noticing.
 
-use soak::{Plan, Scene, run};
+use soak::{INCOMPLETE, Plan, Scene, run};
 use std::{env, path::PathBuf, time::Duration};
 use tokio::task::JoinSet;
 
 /// The variable that names another build of the program, to show that a scene fails there.
 const PROGRAM: &str = "ARBUTUSFORD_PROGRAM";
 
-/// How the soak reports a request to a server that had left.
+/// How the soak reports a request to a server that had left, and a join of a member whose
+/// head was open.
 const LATE: &str = "draining server";
+const TAKEN: &str = "one open replica";
 
 /// Plays scenes at the same time, each with nodes of its own, and checks that no request
 /// reached a server that had left.
 async fn assert_no_late_request(scenes: &[Scene]) {
+    assert_none(scenes, LATE).await;
+}
+
+/// Plays scenes at the same time, each with nodes of its own, and checks that a guarantee was
+/// not violated.
+async fn assert_none(scenes: &[Scene], guarantee: &str) {
     let program = env::var_os(PROGRAM)
         .map_or_else(|| env!("CARGO_BIN_EXE_arbutusford").into(), PathBuf::from);
     let mut runs = JoinSet::new();
@@ -31,9 +39,11 @@
     while let Some(ended) = runs.join_next().await {
         let (scene, report) = ended.unwrap();
         let lines = report.unwrap().violations.into_iter();
-        let late: Vec<String> = lines.filter(|line| line.starts_with(LATE)).collect();
-        let first = late.first();
-        broken.extend(first.map(|line| format!("{scene:?}: {} such as {line}", late.len())));
+        let is_relevant =
+            |line: &String| line.starts_with(guarantee) || line.starts_with(INCOMPLETE);
+        let found: Vec<String> = lines.filter(is_relevant).collect();
+        let first = found.first();
+        broken.extend(first.map(|line| format!("{scene:?}: {} such as {line}", found.len())));
     }
     broken.sort();
     assert_eq!(broken, Vec::<String>::new());
@@ -58,3 +68,10 @@
     let scenes = [Scene::LateRenewalAfterRemoval, Scene::LateRenewalAtNewNode];
     assert_no_late_request(&scenes).await;
 }
+
+/// Guards against an order to open that got no response and is taken for one without effect:
+/// a member of the head joined another replica while the head opened.
+#[tokio::test(flavor = "multi_thread")]
+async fn members_of_a_head_that_opens_late_join_no_other_replica() {
+    assert_none(&[Scene::LateOpen], TAKEN).await;
+}
