--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -143,8 +143,8 @@
                 if self.may_open(&engines[head], open_time) =>
             {
                 // An order of this planner to open may be carried out as long as the head
-                // has accepted no other one. Closing is no order to a head that is not
-                // open, and may not even count as obeying.
+                // has accepted no other one. An order to close does not change that for a
+                // head that is not open, but leaving does.
                 commands.push((head.clone(), replica.leave_command()));
             }
             (Some(_), _) => {
--- a/crates/form/src/sent.rs
+++ b/crates/form/src/sent.rs
@@ -2,8 +2,9 @@
 //!
 //! An order that gets no response may be carried out many seconds later, after newer ones.
 //! What excludes it is the sequence number that it expects: once the engine has accepted
-//! another order, it refuses it. So nothing here ends after a time, and nothing depends on
-//! when an outcome becomes known, which the planner's node may be too slow to handle.
+//! another order, it refuses it. So the orders to a known engine do not expire, and they are
+//! recorded when they are sent: a slow node learns an outcome long after the call has ended.
+//! The planner forgets those to an engine whose state has not been known for a minute.
 
 use crate::Engine;
 use clock::Moment;
