Ask once whether an order may take a member away, formations included

No change of behaviour: a replica that is itself in a formation does not get there, so any formation with one of its members is of another one.

--- a/crates/form/src/maintain.rs
+++ b/crates/form/src/maintain.rs
@@ -169,9 +169,8 @@
     ///
     /// A join into another replica that an earlier planner ordered, or that this one got no
     /// response to, may still be carried out while the head is open. Members that have
-    /// obeyed this planner refuse the former. Members that this planner forms another
-    /// replica with may be sent a join at any step. Returns false if a member may be taken
-    /// and the replica has to be formed anew, which supersedes all earlier orders.
+    /// obeyed this planner refuse the former. Returns false if a member may be taken and
+    /// the replica has to be formed anew, which supersedes all earlier orders.
     fn open_if_held(
         &mut self,
         replica: &ReportedReplica,
@@ -184,15 +183,13 @@
             return false;
         };
         let may_be_taken = |id: &Instance| self.may_be_taken(&engines[id], &replica.replica);
-        let forming = self.forming_engines();
-        let is_forming = members.iter().any(|id| forming.contains(id));
-        if !is_forming && !members.iter().any(may_be_taken) {
+        if !members.iter().any(may_be_taken) {
             self.incomplete_since.remove(&replica.key());
             commands.push((head.clone(), replica.open_command()));
             return true;
         }
         let is_ordered_away = |id: &Instance| self.is_ordered_away(id, &replica.replica);
-        let has_late_order = members.iter().any(is_ordered_away);
+        let is_any_ordered_away = members.iter().any(is_ordered_away);
         let unfenced = members.iter().filter(|id| self.is_unfenced(&engines[*id]));
         commands.extend(unfenced.map(|id| {
             let join = Command::Join {
@@ -203,7 +200,7 @@
             };
             (id.clone(), join)
         }));
-        !is_forming && !has_late_order && !members.iter().any(|id| self.is_disobedient(id, now))
+        !is_any_ordered_away && !members.iter().any(|id| self.is_disobedient(id, now))
     }
 
     /// Returns whether an engine has not obeyed this planner some time after its first order.
--- a/crates/form/src/planner.rs
+++ b/crates/form/src/planner.rs
@@ -354,9 +354,13 @@
     }
 
     /// Returns whether an order of this planner may still take an engine out of a replica.
+    ///
+    /// A formation may send its members a join at any step.
     pub(crate) fn is_ordered_away(&self, engine: &Instance, replica: &Replica) -> bool {
         let sent = self.sent_orders.get(engine);
+        let mut formations = self.formations.iter();
         sent.is_some_and(|sent| sent.takes_from(replica))
+            || formations.any(|f| f.replica != *replica && f.members.contains(engine))
     }
 
     /// Returns whether this planner has given a replica its name.
