--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -197,6 +197,11 @@
         request_timeout_ms: u64 = 60_000,
         /// The maximum number of connections from callers.
         max_connections: u32 = 4_096,
+        /// The memory that the process may use, socket buffers included; not enforced yet.
+        memory_mib: u64 = 1_024,
+        /// The number of file descriptors that the process may open; not enforced yet.
+        /// The process's own limit by default.
+        max_descriptors: Option<u32> = None,
         /// The maximum number of queued requests of all client accounts.
         queue_requests: u32 = 1_024,
         /// The maximum number of queued requests of one client account.
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -45,7 +45,7 @@
         }
         page.push_str("\n| key | unit | default | effect |\n|---|---|---|---|\n");
         for key in keys {
-            let is_optional = ["advertise", "peers", "metrics"].contains(&section);
+            let is_optional = ["advertise", "peers", "metrics", "limits"].contains(&section);
             let default = match key.default.as_str() {
                 "" if is_optional => "none".into(),
                 "" => "required".into(),
