Keep one account of what clients of `edge` hold

Callers saw: a node ended by the platform, since it was over its memory, with all that it had accepted; or a node that answered neither callers nor the readiness check, because clients held all descriptors.

Cause: the memory budget counted bodies that the program kept, and 16 KiB for a connection. It did not count the kernel's receive queues, which grow by themselves while a body waits, nor heads of up to 64 KiB; nothing was refused at the limit, and nothing bounded connections at any port. `max-header-bytes` and `header-timeout-ms` of the configuration were not applied: a head had the idle time. A stalled body kept its memory for 5 s, and bodies that stalled went before those that made progress.

The crate `budget` divides the memory and the descriptors of the settings into a reserve (program, store, servers, nodes), connections and bodies. The receive buffer of each connection is fixed on its listener, so that a connection is charged for all that it can hold: its state, a head and the receive queue. Each port has its part of the descriptors. Heads have their own size and time, from the first byte. When little room is left, stalled heads and bodies are closed, then idle connections, of the address with the most connections first; if there are none, connections end with their responses in progress. A complete request is never closed. `table::closable` and `table::finishable` decide this as pure functions. What is closed is counted and logged once a second for each port and reason.

The budget for bodies is 7/10 of the memory beyond 64 MiB, where 3/4 were for bodies and connections. The tests of the former `edge::memory` moved with it; `charge` is gone, so the table of limits reserves what it had charged.

--- a/crates/edge/src/memory/tests.rs
+++ b/crates/budget/src/memory/tests.rs
@@ -1,8 +1,6 @@
 //! Reservations never exceed the budget, and are given back.
 
-use super::{BLOCK_BYTES, Blocks, DEFAULT_CAPACITY, Memory, SHORT_BODY_BYTES, WholeBody};
-use bytes::Bytes;
-use http_body_util::BodyExt;
+use super::{BLOCK_BYTES, DEFAULT_CAPACITY, Memory, SHORT_BODY_BYTES};
 use std::time::Duration;
 use tokio::time::timeout;
 
@@ -65,14 +63,14 @@
     for case in cases {
         let memory = Memory::new(Some(case.limit));
         let mut reservation = memory.reserve();
-        reservation.charge(case.used << 20);
+        assert!(reservation.resize(case.used << 20), "{}", case.what);
         assert_eq!(
             memory.refuses_body(case.length),
             case.is_refused,
             "{}",
             case.what
         );
-        assert!(memory.capacity as u64 + (64 << 20) < case.limit);
+        assert!(memory.capacity() as u64 + (64 << 20) < case.limit);
     }
 }
 
@@ -96,51 +94,44 @@
     assert!(!rest.resize(DEFAULT_CAPACITY));
 }
 
-#[tokio::test]
-async fn body_is_put_together_from_blocks() {
-    let memory = Memory::new(None);
-    let sent: Vec<u8> = (0..3 * BLOCK_BYTES + 100).map(|n| n as u8).collect();
-    for piece_length in [1_000, BLOCK_BYTES, sent.len()] {
-        let mut blocks = Blocks::new(&memory);
-        for piece in sent.chunks(piece_length) {
-            assert!(blocks.push(piece, sent.len()).await);
-        }
-        let (whole, reservation) = blocks.into_bytes();
-        assert_eq!(whole, sent, "pieces of {piece_length} bytes");
-        let mut rest = memory.reserve();
-        assert!(!rest.resize(DEFAULT_CAPACITY - sent.len() + 1));
-        drop(reservation);
-        assert!(rest.resize(DEFAULT_CAPACITY));
+/// Guards against connections and bodies that together use more than the process has.
+#[test]
+fn connections_and_bodies_share_what_neither_needs() {
+    const LIMIT: u64 = 160_000_000;
+    struct Case {
+        what: &'static str,
+        /// The connections, in units of [`UNIT`].
+        connections: usize,
+        /// The bodies, in the same units.
+        bodies: usize,
+        has_room_for_connection: bool,
+        has_room_for_body: bool,
     }
-}
-
-/// Guards against a block for each chunk of a body without a known length: a caller with
-/// chunks of one byte used many times the memory that was counted.
-#[tokio::test]
-async fn small_chunks_share_blocks() {
-    let memory = Memory::new(None);
-    let mut blocks = Blocks::new(&memory);
-    for n in 0..20_000 {
-        assert!(blocks.push(&[n as u8], 0).await);
+    /// A hundredth of what the reserve leaves.
+    const UNIT: usize = (LIMIT as usize - (64 << 20)) / 100;
+    let case = |what, connections, bodies, has_room_for_connection, has_room_for_body| Case {
+        what,
+        connections,
+        bodies,
+        has_room_for_connection,
+        has_room_for_body,
+    };
+    let cases = [
+        case("nothing in use", 0, 0, true, true),
+        case("connections use what no body needs", 90, 0, true, true),
+        case("connections use all", 94, 0, false, false),
+        case("bodies use their part", 0, 69, true, false),
+        case("connections have a part beside them", 23, 69, true, false),
+        case("both parts are used", 25, 69, false, false),
+    ];
+    for case in cases {
+        let memory = Memory::new(Some(LIMIT));
+        let mut bodies = memory.reserve();
+        assert!(bodies.resize(case.bodies * UNIT), "{}", case.what);
+        memory.charge_connection(case.connections * UNIT);
+        let has_room = memory.has_room_for(2 * UNIT);
+        assert_eq!(has_room, case.has_room_for_connection, "{}", case.what);
+        let has_room = memory.reserve().resize(2 * UNIT);
+        assert_eq!(has_room, case.has_room_for_body, "{}", case.what);
     }
-    assert!(blocks.blocks.len() <= 5, "{} blocks", blocks.blocks.len());
-    let (whole, _) = blocks.into_bytes();
-    assert_eq!(whole.len(), 20_000);
-}
-
-/// Guards against giving the memory of a response back while a slow caller still reads it.
-#[tokio::test]
-async fn memory_of_a_response_is_held_until_it_is_read() {
-    let memory = Memory::new(None);
-    let length = DEFAULT_CAPACITY;
-    let mut reservation = memory.reserve();
-    assert!(reservation.resize(length));
-    let mut body = WholeBody::new(Bytes::from(vec![7; length]), reservation);
-    let first = body.frame().await.expect("a piece").expect("no error");
-    let read = first.into_data().expect("data").len();
-    let mut other = memory.reserve();
-    assert!(!other.resize(read + 1));
-    assert!(other.resize(read));
-    let rest = body.collect().await.expect("no error").to_bytes();
-    assert_eq!(rest.len() + read, length);
 }
--- a/crates/edge/src/admit.rs
+++ b/crates/edge/src/admit.rs
@@ -1,6 +1,7 @@
 //! Admission of requests, and the choice of their service.
 
-use crate::{memory::Reservation, state::Shared};
+use crate::state::Shared;
+use budget::Reservation;
 use clock::Moment;
 use name::{Account, Service};
 use place::Urgency;
--- a/crates/edge/src/follow/tests.rs
+++ b/crates/edge/src/follow/tests.rs
@@ -63,6 +63,7 @@
         store_address: address,
         link_mbit_per_s: None,
         memory_bytes: None,
+        max_descriptors: None,
         is_first_start: true,
         bounds: fixture::bounds(),
     }
--- a/crates/edge/src/lib.rs
+++ b/crates/edge/src/lib.rs
@@ -45,7 +45,6 @@
 mod isolation;
 mod level;
 mod listener;
-mod memory;
 mod metrics;
 mod node_records;
 mod outcome;
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -1,19 +1,17 @@
 //! The HTTP listeners: callers, readiness, directory, operators.
 
 use crate::{
-    admin, directory,
-    memory::CONNECTION_BYTES,
-    serve,
+    admin, directory, serve,
     state::Shared,
     stream::{Body, full_body},
 };
+use budget::{Closed, Port, Reason, Ticket, Timeouts};
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use hyper::{body::Incoming, server::conn::http1, service::service_fn};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper::body::Incoming;
 use site::node::NodeRecord;
 use slog::{debug, warn};
-use std::{convert::Infallible, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::watch,
@@ -25,11 +23,6 @@
 /// If descriptors ran out, some become free as requests end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
-/// The maximum size of a connection's buffer, in bytes.
-///
-/// It holds the longest head of a request.
-const MAX_BUFFER_BYTES: usize = 64 << 10;
-
 /// What a listener serves.
 #[derive(Debug, Clone)]
 pub(crate) enum Role {
@@ -43,6 +36,18 @@
     Admin,
 }
 
+impl Role {
+    /// Returns the part of the account for the listener's connections.
+    fn port(&self) -> Port {
+        match self {
+            Self::Requests => Port::Callers,
+            Self::Readiness => Port::Readiness,
+            Self::Directory(_) => Port::Directory,
+            Self::Admin => Port::Operators,
+        }
+    }
+}
+
 /// Accepts connections for as long as the node runs.
 ///
 /// When `closing` becomes true, idle connections are closed at once, and busy ones
@@ -55,10 +60,17 @@
 ) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => {
-                let connection =
-                    serve_connection(Arc::clone(&shared), stream, role.clone(), closing.clone());
-                tokio::spawn(connection);
+            Ok((stream, peer)) => {
+                // Without room for it, the connection is closed at once.
+                if let Some(ticket) = shared.budget.open(role.port(), peer.ip()) {
+                    tokio::spawn(serve_connection(
+                        Arc::clone(&shared),
+                        ticket,
+                        stream,
+                        role.clone(),
+                        closing.clone(),
+                    ));
+                }
             }
             Err(error) => {
                 warn!(shared.log, "accepting connection failed"; "error" => %error);
@@ -71,6 +83,7 @@
 /// Serves one connection to its end.
 async fn serve_connection(
     shared: Arc<Shared>,
+    ticket: Ticket,
     stream: TcpStream,
     role: Role,
     mut closing: watch::Receiver<bool>,
@@ -78,44 +91,52 @@
     if let Err(error) = net::set_socket_options(&stream) {
         debug!(shared.log, "setting socket options failed"; "error" => %error);
     }
-    let mut reservation = shared.memory.reserve();
-    reservation.charge(CONNECTION_BYTES);
-    let idle = {
-        let tables = shared.tables();
-        let limits = tables.config.as_ref().map(|c| c.limits.clone());
-        limits.unwrap_or_default().idle_timeout
-    };
-    let handler = Arc::clone(&shared);
     let is_local = is_from_same_machine(&stream);
-    let service =
-        service_fn(move |request| answer(Arc::clone(&handler), role.clone(), is_local, request));
-    // The header timeout also runs while a connection is idle, so it must not be
-    // shorter than the idle timeout.
-    let served = http1::Builder::new()
-        .timer(TokioTimer::new())
-        .header_read_timeout(idle)
-        .max_buf_size(MAX_BUFFER_BYTES)
-        .serve_connection(TokioIo::new(stream), service);
-    tokio::pin!(served);
-    loop {
-        tokio::select! {
-            ended = served.as_mut() => {
-                if let Err(error) = ended {
-                    debug!(shared.log, "caller connection failed"; "error" => %error);
-                }
-                return;
-            }
-            changed = closing.changed() => {
-                if changed.is_err() || *closing.borrow() {
-                    served.as_mut().graceful_shutdown();
-                    let _ = served.await;
-                    return;
-                }
-            }
-        }
+    let service = |request| answer(&shared, &role, is_local, request);
+    let max_head_bytes = limits(&shared).max_header_bytes;
+    let closing = async move {
+        // An error means that the node has ended.
+        let _ = closing.wait_for(|is_closing| *is_closing).await;
+    };
+    let served = budget::http::serve(ticket, stream, max_head_bytes, service, closing);
+    if let Err(error) = served.await {
+        debug!(shared.log, "caller connection failed"; "error" => %error);
     }
 }
 
+/// Closes connections that are late or in the way, for as long as the node runs.
+pub(crate) async fn watch_connections(shared: Arc<Shared>) {
+    let timeouts = || {
+        let limits = limits(&shared);
+        Timeouts {
+            first_byte: limits.idle_timeout,
+            head: limits.header_timeout,
+            idle: limits.idle_timeout,
+        }
+    };
+    let report = |closed: Closed| {
+        let label = format!("{}, {}", closed.port.as_str(), closed.reason.as_str());
+        shared
+            .metrics
+            .add("connections_closed", &label, closed.count);
+        // Clients that are idle for too long are usual.
+        if closed.reason != Reason::Idle {
+            warn!(shared.log, "connections closed"; "port" => closed.port.as_str(),
+                "reason" => closed.reason.as_str(), "count" => closed.count,
+                "last_peer" => %closed.peer);
+        }
+    };
+    shared.budget.run(timeouts, report).await;
+}
+
+/// Returns the limits on callers in force.
+fn limits(shared: &Shared) -> site::config::Limits {
+    let config = shared.tables().config.clone();
+    config
+        .map(|config| config.limits.clone())
+        .unwrap_or_default()
+}
+
 /// Returns whether a connection comes from this machine.
 fn is_from_same_machine(stream: &TcpStream) -> bool {
     match (stream.peer_addr(), stream.local_addr()) {
@@ -126,17 +147,17 @@
 
 /// Answers one request.
 async fn answer(
-    shared: Arc<Shared>,
-    role: Role,
+    shared: &Arc<Shared>,
+    role: &Role,
     is_local: bool,
     request: Request<Incoming>,
-) -> Result<Response<Body>, Infallible> {
-    Ok(match role {
-        Role::Requests => serve::handle(&shared, request).await,
-        Role::Readiness => readiness(&shared, request),
-        Role::Directory(record) => resolve(&shared, &record, request),
-        Role::Admin => admin::answer(&shared, is_local, &request),
-    })
+) -> Response<Body> {
+    match role {
+        Role::Requests => serve::handle(shared, request).await,
+        Role::Readiness => readiness(shared, request),
+        Role::Directory(record) => resolve(shared, record, request),
+        Role::Admin => admin::answer(shared, is_local, &request),
+    }
 }
 
 /// Answers a readiness check.
--- a/crates/edge/src/metrics.rs
+++ b/crates/edge/src/metrics.rs
@@ -33,8 +33,13 @@
 impl Metrics {
     /// Adds one to a counter.
     pub(crate) fn count(&self, name: &'static str, label: &str) {
+        self.add(name, label, 1);
+    }
+
+    /// Adds a number to a counter.
+    pub(crate) fn add(&self, name: &'static str, label: &str, count: u64) {
         let mut series = self.series.lock().unwrap_or_else(PoisonError::into_inner);
-        *series.counters.entry((name, label.into())).or_default() += 1;
+        *series.counters.entry((name, label.into())).or_default() += count;
     }
 
     /// Records a time.
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -5,22 +5,28 @@
     attempt::{Answer, Attempts, attempt, jitter},
     evidence::{Progress, format_digest},
     forward::{self, SERVER, server_mark},
-    memory::{Blocks, MAX_RESPONSE_BYTES, Reservation, WholeBody},
     outcome::BodyEnd,
     state::Shared,
     stream::{Body, full_body, relay},
 };
+use budget::{
+    Connection, Reservation,
+    body::{self, Refusal, Whole},
+};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version, header};
 use http_body_util::BodyExt;
-use hyper::body::{Body as _, Incoming};
+use hyper::body::Incoming;
 use net::Framing;
 use site::{CallerRequest, call::OutgoingRequest};
 use slog::info;
 use std::{sync::Arc, time::Duration};
-use tokio::time::{Instant, timeout, timeout_at};
+use tokio::time::{Instant, timeout_at};
 use verdict::{Error, Kind};
 
+/// The maximum length of a response that is not a stream, in bytes.
+const MAX_RESPONSE_BYTES: usize = 4 << 20;
+
 /// How long a request's body may take to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -64,9 +70,18 @@
             &error.with_retry_after(RETRY_ELSEWHERE),
         );
     };
-    let (body, reservation) = match read_body(shared, body, limits.max_body_bytes).await {
-        Ok(body) => body,
-        Err(error) => {
+    let connection = parts.extensions.get::<Arc<Connection>>().cloned();
+    let collect = |body, max_bytes| {
+        let memory = shared.budget.memory();
+        body::collect(memory, connection.as_deref(), body, max_bytes, BODY_TIMEOUT)
+    };
+    let Whole {
+        bytes: body,
+        reservation,
+    } = match collect(body, limits.max_body_bytes).await {
+        Ok(body) => body.into(),
+        Err(refusal) => {
+            let error = body_error(refusal, limits.max_body_bytes);
             let mut response = refuse(shared, Some(&call), &error);
             // The rest of the body is not read.
             close_after(&mut response);
@@ -104,57 +119,18 @@
     }
 }
 
-/// Reads the whole body of a request, and returns it with its memory.
-async fn read_body(
-    shared: &Shared,
-    body: Incoming,
-    max_bytes: usize,
-) -> Result<(Bytes, Reservation), Error> {
-    match timeout(BODY_TIMEOUT, collect_body(shared, body, max_bytes)).await {
-        Ok(result) => result,
-        Err(_) => Err(Error::not_run(
-            Kind::SlowRequest,
-            "the body came too slowly",
-        )),
-    }
-}
-
-/// Reads the whole body of a request without a time limit.
-async fn collect_body(
-    shared: &Shared,
-    mut body: Incoming,
-    max_bytes: usize,
-) -> Result<(Bytes, Reservation), Error> {
-    let too_long = || {
-        let message = format!("the body is longer than {max_bytes} bytes");
-        Error::not_run(Kind::TooLarge, message)
-    };
-    let no_memory = || {
-        Error::not_run(Kind::Overloaded, "no memory for the body")
-            .with_retry_after(jitter(RETRY_WITHOUT_MEMORY))
-    };
-    let announced = body.size_hint().exact().unwrap_or(0);
-    let announced = usize::try_from(announced).map_err(|_| too_long())?;
-    if announced > max_bytes {
-        return Err(too_long());
-    }
-    if announced > 0 && shared.memory.refuses_body(announced) {
-        return Err(no_memory());
-    }
-    let mut blocks = Blocks::new(&shared.memory);
-    while let Some(frame) = body.frame().await {
-        let frame = frame.map_err(|_| Error::not_run(Kind::Malformed, "the body broke off"))?;
-        let Ok(data) = frame.into_data() else {
-            continue;
-        };
-        if blocks.len() + data.len() > max_bytes {
-            return Err(too_long());
-        }
-        if !blocks.push(&data, announced).await {
-            return Err(no_memory());
+/// Returns the error for a body that was not read.
+fn body_error(refusal: Refusal, max_bytes: usize) -> Error {
+    match refusal {
+        Refusal::TooLong => {
+            let message = format!("the body is longer than {max_bytes} bytes");
+            Error::not_run(Kind::TooLarge, message)
         }
+        Refusal::NoMemory => Error::not_run(Kind::Overloaded, "no memory for the body")
+            .with_retry_after(jitter(RETRY_WITHOUT_MEMORY)),
+        Refusal::TooSlow => Error::not_run(Kind::SlowRequest, "the body came too slowly"),
+        Refusal::Broken => Error::not_run(Kind::Malformed, "the body broke off"),
     }
-    Ok(blocks.into_bytes())
 }
 
 /// Builds the caller's response from a server's response.
@@ -202,7 +178,7 @@
                     Some(&server),
                     Some(body_end),
                 );
-                let body = WholeBody::new(bytes, reservation).boxed();
+                let body = Whole { bytes, reservation }.boxed();
                 return response(shared, status, headers, body);
             }
             Err(reason) => {
@@ -275,7 +251,7 @@
     shared: &Shared,
     mut body: Incoming,
 ) -> Result<(Bytes, Reservation), &'static str> {
-    let mut reservation = shared.memory.reserve();
+    let mut reservation = shared.budget.memory().reserve();
     let mut whole = BytesMut::new();
     while let Some(frame) = body.frame().await {
         let frame = frame.map_err(|_| BROKE_OFF)?;
--- a/crates/edge/src/start.rs
+++ b/crates/edge/src/start.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     directory, exchange, follow, heartbeat, isolation,
-    listener::{Role, listen},
+    listener::{Role, listen, watch_connections},
     node_records, plan, quarantine_store,
     state::Shared,
 };
@@ -11,7 +11,7 @@
 use slog::{Logger, info};
 use std::{io, net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
-    net::{TcpListener, UdpSocket},
+    net::UdpSocket,
     sync::watch,
     task::JoinSet,
     time::{Instant, sleep, sleep_until},
@@ -75,7 +75,7 @@
         );
         listeners.extend(admin.map(|at| (at, Role::Admin)));
         for (address, role) in listeners {
-            let listener = TcpListener::bind(address).await?;
+            let listener = budget::listener::bind(address)?;
             tasks.spawn(listen(
                 Arc::clone(&shared),
                 listener,
@@ -83,6 +83,7 @@
                 closing.subscribe(),
             ));
         }
+        tasks.spawn(watch_connections(Arc::clone(&shared)));
         let socket = Arc::new(UdpSocket::bind(settings.peer_address).await?);
         let node = record.node.clone();
         tasks.spawn(follow::operators(Arc::clone(&shared)));
--- a/crates/edge/src/state.rs
+++ b/crates/edge/src/state.rs
@@ -1,12 +1,13 @@
 //! The state that a node's tasks share.
 
 use crate::{
-    end_check::EndChecks, era::Era, exchange::Outbox, level, memory::Memory, metrics::Metrics,
-    peers::Peers, slot::Waiter,
+    end_check::EndChecks, era::Era, exchange::Outbox, level, metrics::Metrics, peers::Peers,
+    slot::Waiter,
 };
+use budget::{Budget, Limits};
 use clock::{Clock, Moment};
 use name::{Instance, Model, Service};
-use place::{CostModel, Delays, Fleet, Limits, LoadTracker, Queue, Reach, RetryBudget, Target};
+use place::{CostModel, Delays, Fleet, LoadTracker, Queue, Reach, RetryBudget, Target};
 use site::{Config, Platform, Settings, settings::Bounds};
 use slog::Logger;
 use std::{
@@ -42,8 +43,8 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) pool: net::Pool,
-    /// The memory for requests and responses.
-    pub(crate) memory: Memory,
+    /// The memory and descriptors for callers' connections, requests and responses.
+    pub(crate) budget: Arc<Budget>,
     pub(crate) metrics: Metrics,
     /// The number of changes of the fleet so far.
     pub(crate) fleet_changes: watch::Sender<u64>,
@@ -116,7 +117,7 @@
     /// The priorities of each service's routes, most urgent first.
     pub(crate) priorities: HashMap<Service, Vec<u32>>,
     /// The rates that servers named.
-    pub(crate) limits: Limits,
+    pub(crate) limits: place::Limits,
     pub(crate) queue: Queue<Waiter>,
     /// The retry credit of each service.
     pub(crate) budgets: HashMap<Service, RetryBudget>,
@@ -136,14 +137,18 @@
     /// Returns the state of a node that has read nothing yet.
     pub(crate) fn new(settings: Settings, platform: Platform, clock: Clock, log: Logger) -> Self {
         let tables = Tables::new(clock.now(), settings.is_first_start);
-        let memory = Memory::new(settings.memory_bytes);
+        let budget = Budget::new(Limits {
+            memory_bytes: settings.memory_bytes,
+            descriptors: settings.max_descriptors,
+            caller_connections: None,
+        });
         Self {
             settings,
             platform,
             clock,
             log,
             pool: net::Pool::default(),
-            memory,
+            budget,
             metrics: Metrics::default(),
             fleet_changes: watch::Sender::new(0),
             heartbeat_requested: Notify::new(),
@@ -262,7 +267,7 @@
             delays: Delays::default(),
             levels: level::Table::default(),
             priorities: HashMap::new(),
-            limits: Limits::default(),
+            limits: place::Limits::default(),
             queue: Queue::default(),
             budgets: HashMap::new(),
             peers: Peers::default(),
--- a/crates/edge/src/stream.rs
+++ b/crates/edge/src/stream.rs
@@ -5,10 +5,10 @@
     attempt::{Answer, Attempts, attempt},
     events::EventSplitter,
     evidence::{Progress, format_digest},
-    memory::{MAX_EVENT_BYTES, Reservation},
     outcome::BodyEnd,
     state::Shared,
 };
+use budget::Reservation;
 use bytes::Bytes;
 use http_body::Frame;
 use http_body_util::{BodyExt, Full, combinators::BoxBody};
@@ -24,6 +24,9 @@
 };
 use tokio::{sync::mpsc, time::sleep_until};
 
+/// The maximum length of an incomplete event, in bytes.
+const MAX_EVENT_BYTES: usize = 256 << 10;
+
 /// The maximum number of parts that are buffered for a slow caller.
 const MAX_BUFFERED_PARTS: usize = 32;
 
@@ -190,7 +193,7 @@
         job,
         attempts,
         sink,
-        reservation: shared.memory.reserve(),
+        reservation: shared.budget.memory().reserve(),
         events_before: 0,
     };
     tokio::spawn(relay.run(answer));
@@ -352,7 +355,7 @@
             };
             if let Some(bytes) = bytes {
                 // Without memory for a slow caller, the server's response is not read on.
-                let mut reservation = self.shared.memory.reserve();
+                let mut reservation = self.shared.budget.memory().reserve();
                 if !reservation.grow(bytes.len(), deadline).await {
                     return End::DeadlineExceeded;
                 }
--- a/crates/edge/src/stream/tests.rs
+++ b/crates/edge/src/stream/tests.rs
@@ -1,7 +1,7 @@
 //! A response is completed only if its stream is known to be complete.
 
 use super::{ChannelBody, End, Fault, Part, end_of_stream};
-use crate::memory::Memory;
+use budget::Memory;
 use bytes::Bytes;
 use http_body_util::BodyExt;
 use net::Framing;
--- a/crates/site/src/config.rs
+++ b/crates/site/src/config.rs
@@ -192,9 +192,11 @@
 /// The limits of callers' connections.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Limits {
+    /// The maximum size of the head of a request, in bytes.
+    pub max_header_bytes: usize,
     /// The maximum size of a request body, in bytes.
     pub max_body_bytes: usize,
-    /// The time limit for receiving the headers.
+    /// The time limit for receiving the head of a request, from its first byte.
     pub header_timeout: Duration,
     /// The idle timeout of a connection.
     pub idle_timeout: Duration,
@@ -204,6 +206,7 @@
     /// Returns the limits that apply before a configuration is known.
     fn default() -> Self {
         Self {
+            max_header_bytes: 16 << 10,
             max_body_bytes: 4 << 20,
             header_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(60),
--- a/crates/site/src/settings.rs
+++ b/crates/site/src/settings.rs
@@ -24,6 +24,8 @@
     pub link_mbit_per_s: Option<f64>,
     /// The memory above which the platform kills the process, in bytes, if it gives it.
     pub memory_bytes: Option<u64>,
+    /// The number of descriptors for sockets and pipes, if the platform limits it.
+    pub max_descriptors: Option<usize>,
     /// Whether the whole deployment starts for the first time.
     pub is_first_start: bool,
     /// The limits that the deployment guarantees.
--- a/tests/clients/edge.rs
+++ b/tests/clients/edge.rs
@@ -100,40 +100,27 @@
 }
 
 crowds! { meet;
-    #[ignore = "issue 55"]
     idle_connections_leave_descriptors: callers(Kind::Idle),
-    #[ignore = "issue 55"]
     idle_connections_at_the_readiness_port_leave_descriptors: Case {
         kind: Kind::Idle,
         port: Port::Readiness,
     },
-    #[ignore = "issue 55"]
     idle_connections_at_the_directory_leave_descriptors: Case {
         kind: Kind::Idle,
         port: Port::Directory,
     },
-    #[ignore = "issue 55"]
     heads_over_the_limit_stay_within_memory: callers(Kind::HeadOverLimit),
-    #[ignore = "issue 55"]
     stalled_heads_stay_within_memory: callers(Kind::HeadStalled),
     heads_without_end_stay_within_memory: callers(Kind::HeadWithoutEnd),
-    #[ignore = "issue 55"]
     stalled_empty_lines_stay_within_memory: callers(Kind::EmptyLinesStalled),
     empty_lines_without_end_stay_within_memory: callers(Kind::EmptyLinesWithoutEnd),
-    #[ignore = "issue 55"]
     whole_bodies_stay_within_memory: callers(Kind::BodyWhole),
-    #[ignore = "issue 55"]
     unfinished_bodies_stay_within_memory: callers(Kind::BodyUnfinished),
-    #[ignore = "issue 55"]
     bodies_in_pieces_stay_within_memory: callers(Kind::BodyInPieces),
-    #[ignore = "issue 55"]
     unfinished_short_bodies_stay_within_memory: callers(Kind::ShortBodyUnfinished),
-    #[ignore = "issue 55"]
     unfinished_chunks_stay_within_memory: callers(Kind::ChunksUnfinished),
-    #[ignore = "issue 55"]
     unfinished_tiny_chunks_stay_within_memory: callers(Kind::TinyChunksUnfinished),
     chunk_extensions_without_end_stay_within_memory: callers(Kind::ChunkExtensionWithoutEnd),
     trailers_without_end_stay_within_memory: callers(Kind::TrailersWithoutEnd),
-    #[ignore = "issue 55"]
     unread_responses_stay_within_memory: callers(Kind::ResponsesUnread),
 }
