Keep `entry` within the same account

Callers saw: a node that used 1.2 GB with 1,000 unfinished bodies, and kept it after they had left; no setting said what it may use.

Cause: each request could hold `limits.max_body_bytes`, with no budget over all; a frame was kept for each chunk, so that a body of chunks of one byte took many times its length; a body was parsed to a tree of values only to check it; a place was kept for each of 4,096 connections of callers and as many of operators, and connections to the peers' port were not bounded once they had sent their preface. Idle connections and slow heads shared one time.

`entry` now serves its ports with the crate `budget`, from `limits.memory_mib` and `limits.max_descriptors`. Bodies are read into blocks within the budget, and their reservation covers the copy and the values that are parsed from them; it is held until the response ends. A call's body is checked without keeping its values, with the same limit on their depth. `limits.idle_timeout_ms` is new; a connection that has sent nothing still has the time of a head.

--- a/crates/entry/src/admin/commands.rs
+++ b/crates/entry/src/admin/commands.rs
@@ -7,12 +7,11 @@
 use crate::{
     admin::operator::identify,
     driver::writer::{Decided, Undecided, commit},
-    http::{Failure, json as parse_json, read_body},
+    http::{Failure, Upload, json as parse_json},
     node::Node,
 };
 use axum::{
     Json,
-    body::Body,
     extract::State,
     response::{IntoResponse, Response},
 };
@@ -73,16 +72,16 @@
 }
 
 /// Reads the body of a command.
-async fn read_command<T: DeserializeOwned>(body: Body) -> Result<T, Failure> {
-    let bytes = read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await?;
-    Ok(parse_json(&bytes)?)
+async fn read_command<T: DeserializeOwned>(body: Upload) -> Result<T, Failure> {
+    let whole = body.read(MAX_BODY_BYTES, BODY_TIMEOUT).await?;
+    Ok(parse_json(&whole.bytes)?)
 }
 
 /// Serves `PUT /admin/v1/lists`.
 pub(super) async fn publish_lists(
     State(node): State<Arc<Node>>,
     headers: HeaderMap,
-    request: Body,
+    request: Upload,
 ) -> Result<Response, Failure> {
     let operator = identify(&node, &headers)?;
     let ListsRequest { base, text } = read_command(request).await?;
@@ -118,7 +117,7 @@
 pub(super) async fn apply_operation(
     State(node): State<Arc<Node>>,
     headers: HeaderMap,
-    request: Body,
+    request: Upload,
 ) -> Result<Response, Failure> {
     let operator = identify(&node, &headers)?;
     let requested: OperationRequest = read_command(request).await?;
--- a/crates/entry/src/admin/queries.rs
+++ b/crates/entry/src/admin/queries.rs
@@ -2,13 +2,12 @@
 
 use crate::{
     admin::operator::identify,
-    http::{Failure, json as parse_json, read_body},
+    http::{Failure, Upload, json as parse_json},
     node::Node,
 };
 use admit::stats;
 use axum::{
     Json,
-    body::Body,
     extract::State,
     response::{IntoResponse, Response},
 };
@@ -39,7 +38,7 @@
 pub(super) async fn check(
     State(node): State<Arc<Node>>,
     headers: HeaderMap,
-    body: Body,
+    body: Upload,
 ) -> Result<Response, Failure> {
     #[derive(serde::Deserialize)]
     #[serde(deny_unknown_fields)]
@@ -47,8 +46,8 @@
         text: String,
     }
     identify(&node, &headers)?;
-    let bytes = read_body(body, MAX_BODY_BYTES, BODY_TIMEOUT).await?;
-    let Text { text } = parse_json(&bytes)?;
+    let whole = body.read(MAX_BODY_BYTES, BODY_TIMEOUT).await?;
+    let Text { text } = parse_json(&whole.bytes)?;
     Ok(match plan::parse(&text) {
         Ok(_) => Json(json!({"valid": true, "faults": []})).into_response(),
         Err(faults) => {
--- a/crates/entry/src/http/drafts.rs
+++ b/crates/entry/src/http/drafts.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{
-        body::{self, Route},
+        body::{self, Route, Upload},
         caller::{self, Caller},
         reply::{Completion, Failure, VERDICT_HEADER, chunk, error_body},
         stream_id::{StreamId, StreamPosition},
@@ -15,13 +15,13 @@
 };
 use axum::{
     Json,
-    body::Body,
     extract::State,
     response::{
         IntoResponse, Response,
         sse::{self, Sse},
     },
 };
+use budget::{Reservation, body::Whole};
 use futures_util::{Stream, StreamExt, stream};
 use http::{HeaderMap, HeaderValue};
 use route::answer::ResumePoint;
@@ -36,12 +36,12 @@
 const DONE_MARKER: &str = "[DONE]";
 
 /// Serves `/v1/completions`.
-pub(crate) async fn text(node: State<Arc<Node>>, headers: HeaderMap, body: Body) -> Response {
+pub(crate) async fn text(node: State<Arc<Node>>, headers: HeaderMap, body: Upload) -> Response {
     serve_completion(node.0, Route::Text, headers, body).await
 }
 
 /// Serves `/v1/chat/completions`.
-pub(crate) async fn chat(node: State<Arc<Node>>, headers: HeaderMap, body: Body) -> Response {
+pub(crate) async fn chat(node: State<Arc<Node>>, headers: HeaderMap, body: Upload) -> Response {
     serve_completion(node.0, Route::Chat, headers, body).await
 }
 
@@ -50,7 +50,7 @@
     node: Arc<Node>,
     route: Route,
     headers: HeaderMap,
-    body: Body,
+    body: Upload,
 ) -> Response {
     match prepare(&node, route, &headers, body).await {
         Ok(prepared) if prepared.stream => stream_response(node, route, prepared).await,
@@ -64,6 +64,8 @@
     draft: Draft,
     stream: bool,
     id: StreamId,
+    /// The memory of the prompt.
+    memory: Reservation,
 }
 
 /// Checks the caller, the body, and the caller's access to the model.
@@ -71,22 +73,25 @@
     node: &Node,
     route: Route,
     headers: &HeaderMap,
-    body: Body,
+    body: Upload,
 ) -> Result<PreparedDraft, Error> {
     let caller = caller::identify(node, headers)?;
     let limits = &node.settings.limits;
-    let bytes = body::read(
-        body,
-        usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
-        Duration::from_millis(limits.body_timeout_ms),
-    )
-    .await?;
+    let max_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    let timeout = Duration::from_millis(limits.body_timeout_ms);
+    let Whole {
+        bytes,
+        mut reservation,
+    } = body.read(max_bytes, timeout).await?;
     let request = body::parse_completion(route, &bytes)?;
     if !caller.plan.models.contains(&request.model) {
         let text = format!("the plan does not include the model {}", request.model);
         return Err(Error::not_run(Kind::NotFound, text));
     }
     let (id, tokens) = resume_position(node, &caller, headers, &bytes, request.seed)?;
+    drop(bytes);
+    // A smaller reservation is always granted.
+    reservation.resize(request.prompt.len());
     let draft = Draft {
         class: caller.class(request.class.clone())?,
         account: caller.account,
@@ -104,6 +109,7 @@
         draft,
         stream: request.stream,
         id,
+        memory: reservation,
     })
 }
 
@@ -145,6 +151,7 @@
 /// Responds with the complete text in one body.
 async fn completion_response(node: Arc<Node>, route: Route, prepared: PreparedDraft) -> Response {
     let model = prepared.draft.model.clone();
+    let _memory = prepared.memory;
     let mut events = draft::start(&node, prepared.draft);
     let mut text = String::new();
     let mut tokens = 0;
@@ -197,6 +204,7 @@
         route,
         id: prepared.id,
         model,
+        _memory: prepared.memory,
     };
     let mut response = Sse::new(body_events(encoder, first, events)).into_response();
     let verdict = HeaderValue::from_static(Verdict::Ran.as_str());
@@ -209,6 +217,8 @@
     route: Route,
     id: StreamId,
     model: name::Model,
+    /// The memory of the prompt, until the answer ends.
+    _memory: Reservation,
 }
 
 impl ChunkEncoder {
--- a/crates/entry/src/http/mod.rs
+++ b/crates/entry/src/http/mod.rs
@@ -25,7 +25,7 @@
 use std::sync::Arc;
 use verdict::{Error, Kind};
 
-pub(crate) use body::{json, read as read_body};
+pub(crate) use body::{Upload, json};
 
 /// The routes for callers' work; a planned stop waits for their requests.
 pub(crate) const WORK_ROUTES: &[RouteEntry] = &[
--- a/crates/entry/src/http/services.rs
+++ b/crates/entry/src/http/services.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     http::{
-        body,
+        body::{self, Upload},
         caller::{self, Caller},
         reply::{Failure, VERDICT_HEADER},
     },
@@ -11,11 +11,11 @@
 };
 use axum::{
     Json,
-    body::Body,
     extract::{Path, State},
     response::{IntoResponse, Response},
 };
 use backend::proto::IDEMPOTENCY_KEY_HEADER;
+use budget::{Reservation, body::Whole};
 use http::{HeaderMap, StatusCode, header::CONTENT_TYPE};
 use name::Service;
 use serde_json::json;
@@ -31,7 +31,7 @@
     node: State<Arc<Node>>,
     Path((service, name)): Path<(String, String)>,
     headers: HeaderMap,
-    body: Body,
+    body: Upload,
 ) -> Response {
     match run_call(&node, &service, &name, &headers, body).await {
         Ok(body) => success_response(body),
@@ -54,10 +54,14 @@
     service: &str,
     name: &str,
     headers: &HeaderMap,
-    body: Body,
+    body: Upload,
 ) -> Result<Vec<u8>, Error> {
     let prepared = prepare(node, service, name, headers, body).await;
-    let (call, is_idempotent) = prepared.map_err(|error| error_before_lookup(headers, error))?;
+    let Prepared {
+        call,
+        is_idempotent,
+        _memory,
+    } = prepared.map_err(|error| error_before_lookup(headers, error))?;
     if is_idempotent {
         return call::run(node, call).await;
     }
@@ -83,36 +87,48 @@
     }
 }
 
+/// A checked call.
+struct Prepared {
+    call: Call,
+    is_idempotent: bool,
+    /// The memory of the body.
+    _memory: Reservation,
+}
+
 /// Checks the caller, its access to the service, and the body.
-///
-/// Returns the call and whether it is idempotent.
 async fn prepare(
     node: &Node,
     service: &str,
     name: &str,
     headers: &HeaderMap,
-    body: Body,
-) -> Result<(Call, bool), Error> {
+    body: Upload,
+) -> Result<Prepared, Error> {
     let caller = caller::identify(node, headers)?;
     let (service, is_idempotent) = find_service(node, &caller, service, name)?;
     let limits = &node.settings.limits;
-    let bytes = body::read(
-        body,
-        usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX),
-        Duration::from_millis(limits.body_timeout_ms),
-    )
-    .await?;
-    body::json::<serde_json::Value>(&bytes)?;
+    let max_bytes = usize::try_from(limits.max_body_bytes).unwrap_or(usize::MAX);
+    let timeout = Duration::from_millis(limits.body_timeout_ms);
+    let Whole {
+        bytes,
+        mut reservation,
+    } = body.read(max_bytes, timeout).await?;
+    body::check_json(&bytes)?;
+    // A smaller reservation is always granted.
+    reservation.resize(bytes.len());
     let call = Call {
         account: caller.account,
         service,
         call: name.into(),
-        body: bytes.into(),
+        body: bytes[..].into(),
         deadline: node.clock.now() + caller.timeout,
         attempts: 0,
         forwarded: false,
     };
-    Ok((call, is_idempotent))
+    Ok(Prepared {
+        call,
+        is_idempotent,
+        _memory: reservation,
+    })
 }
 
 /// Returns the body of an answer.
--- a/crates/entry/src/metrics.rs
+++ b/crates/entry/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Metrics in the StatsD format over UDP.
 
+use budget::{Port, Reason};
 use cadence::{
     BufferedUdpMetricSink, Counted, NopMetricSink, QueuingMetricSink, StatsdClient, Timed,
 };
@@ -57,6 +58,16 @@
             .send();
     }
 
+    /// Counts connections that were closed or not accepted.
+    pub(crate) fn connections_closed(&self, port: Port, reason: Reason, count: u64) {
+        let count = i64::try_from(count).unwrap_or(i64::MAX);
+        self.client
+            .count_with_tags("connections_closed", count)
+            .with_tag("port", port.as_str())
+            .with_tag("reason", reason.as_str())
+            .send();
+    }
+
     /// Reports one percentile of a histogram.
     pub(crate) fn percentile(&self, name: &str, account: &Account, class: &Class, time: Duration) {
         let metric = self.client.time_with_tags(name, time);
--- a/crates/entry/src/node.rs
+++ b/crates/entry/src/node.rs
@@ -14,6 +14,7 @@
 };
 use admit::stats::Stats;
 use backend::Pool;
+use budget::Budget;
 use clock::{Clock, Moment};
 use log::Outbox;
 use member::{Freshness, Reachability, Status, Table};
@@ -62,6 +63,8 @@
     pub(crate) log: Logger,
     /// The client that sends metrics over UDP.
     pub(crate) metrics: Metrics,
+    /// The memory and descriptors for clients' connections and bodies.
+    pub(crate) budget: Arc<Budget>,
     /// Connections to backend servers.
     pub(crate) pool: Pool,
     /// Connections to the other entry nodes.
@@ -139,6 +142,7 @@
     pub(crate) clock: Clock,
     pub(crate) log: Logger,
     pub(crate) metrics: Metrics,
+    pub(crate) budget: Arc<Budget>,
     pub(crate) pool: Pool,
     pub(crate) peers: Peers,
     pub(crate) outbox: Outbox<Decided>,
@@ -159,6 +163,7 @@
             clock: components.clock,
             log: components.log,
             metrics: components.metrics,
+            budget: components.budget,
             pool: components.pool,
             peers: components.peers,
             outbox: components.outbox,
--- a/crates/entry/src/peer/server.rs
+++ b/crates/entry/src/peer/server.rs
@@ -2,7 +2,6 @@
 
 use crate::{
     driver::{control, heartbeats, observe},
-    http::listen::Limits,
     node::Node,
     peer::{Authenticator, ObservationQuery, accept, decode_heartbeat, encode_heartbeat_reply},
     serve::{
@@ -49,10 +48,9 @@
     node: Arc<Node>,
     authenticator: Authenticator,
     listener: TcpListener,
-    bounds: Limits,
     stop: CancellationToken,
 ) -> Result<(), tonic::transport::Error> {
-    let connections = accept::connections(listener, bounds, node.log.clone());
+    let connections = accept::connections(listener, Arc::clone(&node));
     let service_impl = PeerService {
         node,
         authenticator,
--- a/crates/entry/src/start.rs
+++ b/crates/entry/src/start.rs
@@ -9,7 +9,7 @@
         watch::{self, Monitor},
         writer,
     },
-    http::{self, listen},
+    http::{self, listen::Listener},
     identity::Identity,
     metrics::Metrics,
     node::{Components, Node, Tables},
@@ -23,12 +23,14 @@
 };
 use admit::{slot::Timing, stats::Stats};
 use backend::{Limits, Pool};
+use budget::{Budget, Closed, Port, Reason};
 use clock::Clock;
 use log::{Client, Store, Timeouts};
 use member::{Freshness, Proposer, Stage, Table};
 use name::Incarnation;
 use once::Tickets;
 use replica::{FailureDetector, OrderTracker, Pacer, Policy, View};
+use rustix::process::{Resource, getrlimit};
 use slog::{Logger, info, o, warn};
 use state::Follower;
 use std::{
@@ -46,6 +48,9 @@
 /// The time limit for sending the request of a permit, after which the permit is void.
 const PERMIT_SEND_TIMEOUT: Duration = Duration::from_millis(250);
 
+/// The number of descriptors that are kept for files and for the runtime.
+const FILE_DESCRIPTORS: usize = 32;
+
 /// The maximum lag of the load in reports.
 const MAX_LOAD_REPORT_LAG: Duration = Duration::from_secs(2);
 
@@ -113,7 +118,7 @@
     /// Binds the listeners for callers, peers and operators.
     fn bind(settings: &settings::Listen) -> Result<Self, Failure> {
         let bind = |audience: &str, address: SocketAddr| {
-            listen::bind(address).map_err(failure_of(format!(
+            budget::listener::bind(address).map_err(failure_of(format!(
                 "cannot listen for {audience} on {address}"
             )))
         };
@@ -308,6 +313,7 @@
         secret: secret.clone(),
         peers: Peers::new(Authenticator::new(&secret, clock.clone())),
         outbox: writer::new_outbox(identity.incarnation.0.as_u64_pair().0),
+        budget: budget(&settings.limits),
         pool: Pool::new(limits),
         metrics,
         identity,
@@ -318,6 +324,20 @@
     Ok((components, tables))
 }
 
+/// Returns the budget of the process.
+fn budget(limits: &settings::Limits) -> Arc<Budget> {
+    let number = |value: u32| usize::try_from(value).unwrap_or(usize::MAX);
+    let own_limit = getrlimit(Resource::Nofile).current;
+    let own_limit = own_limit.map(|limit| usize::try_from(limit).unwrap_or(usize::MAX));
+    let configured = limits.max_descriptors.map(number);
+    let descriptors = configured.into_iter().chain(own_limit).min();
+    Budget::new(budget::Limits {
+        memory_bytes: Some(limits.memory_mib.saturating_mul(1 << 20)),
+        descriptors: descriptors.map(|all| all.saturating_sub(FILE_DESCRIPTORS)),
+        caller_connections: Some(number(limits.max_connections)),
+    })
+}
+
 /// Returns the empty tables of a node.
 fn tables(
     settings: &settings::Entry,
@@ -491,49 +511,58 @@
 
 /// Spawns the servers for callers, operators and peers.
 fn spawn_servers(node: &Arc<Node>, listeners: Listeners, tasks: &mut JoinSet<()>) {
-    let limits = &node.settings.limits;
-    let listen_limits = listen::Limits {
-        connections: usize::try_from(limits.max_connections).unwrap_or(usize::MAX),
-        header_timeout: millis(limits.header_timeout_ms),
-    };
-    let callers = http::routes(Arc::clone(node));
-    let operators = admin::routes(Arc::clone(node));
     let draining = node.draining.clone();
     let shutdown = node.shutdown.clone();
-    tasks.spawn(listen::serve(
-        listeners.caller,
-        callers,
-        listen_limits,
-        draining,
-        node.log.clone(),
-    ));
-    tasks.spawn(listen::serve(
-        listeners.admin,
-        operators,
-        listen_limits,
-        shutdown.clone(),
-        node.log.clone(),
-    ));
-    tasks.spawn(serve_peers(
-        Arc::clone(node),
-        listeners.peer,
-        listen_limits,
-        shutdown,
-    ));
+    let listeners_of_http = [
+        Listener {
+            socket: listeners.caller,
+            port: Port::Callers,
+            router: http::routes(Arc::clone(node)),
+            stop: draining,
+        },
+        Listener {
+            socket: listeners.admin,
+            port: Port::Operators,
+            router: admin::routes(Arc::clone(node)),
+            stop: shutdown.clone(),
+        },
+    ];
+    for listener in listeners_of_http {
+        tasks.spawn(listener.serve(Arc::clone(node)));
+    }
+    tasks.spawn(watch_connections(Arc::clone(node)));
+    tasks.spawn(serve_peers(Arc::clone(node), listeners.peer, shutdown));
+}
+
+/// Closes connections that are late or in the way until the node shuts down.
+async fn watch_connections(node: Arc<Node>) {
+    let limits = &node.settings.limits;
+    let timeouts = budget::Timeouts {
+        first_byte: millis(limits.header_timeout_ms),
+        head: millis(limits.header_timeout_ms),
+        idle: millis(limits.idle_timeout_ms),
+    };
+    let report = |closed: Closed| {
+        node.metrics
+            .connections_closed(closed.port, closed.reason, closed.count);
+        // Clients that are idle for too long are usual.
+        if closed.reason != Reason::Idle {
+            warn!(node.log, "connections closed"; "port" => closed.port.as_str(),
+                "reason" => closed.reason.as_str(), "count" => closed.count,
+                "last_peer" => %closed.peer);
+        }
+    };
+    tokio::select! {
+        () = node.budget.run(|| timeouts, report) => {}
+        () = node.shutdown.cancelled() => {}
+    }
 }
 
 /// Serves the peers until the node shuts down.
-async fn serve_peers(
-    node: Arc<Node>,
-    listener: TcpListener,
-    listen_limits: listen::Limits,
-    shutdown: CancellationToken,
-) {
+async fn serve_peers(node: Arc<Node>, listener: TcpListener, shutdown: CancellationToken) {
     let authenticator = Authenticator::new(&node.secret, node.clock.clone());
     let log = node.log.clone();
-    if let Err(error) =
-        peer::server::serve(node, authenticator, listener, listen_limits, shutdown).await
-    {
+    if let Err(error) = peer::server::serve(node, authenticator, listener, shutdown).await {
         warn!(log, "server for peers failed"; "error" => %error);
     }
 }
--- a/crates/settings/src/entry.rs
+++ b/crates/settings/src/entry.rs
@@ -189,18 +189,20 @@
     Limits {
         /// The maximum size of a request body.
         max_body_bytes: u64 = 1 << 20,
-        /// The timeout for receiving the head of a request.
+        /// The timeout for receiving the head of a request, from its first byte.
         header_timeout_ms: u64 = 5_000,
+        /// The timeout between two requests of a connection.
+        idle_timeout_ms: u64 = 60_000,
         /// The timeout for receiving the body of a request.
         body_timeout_ms: u64 = 10_000,
         /// The timeout of a request that has no deadline of its own.
         request_timeout_ms: u64 = 60_000,
         /// The maximum number of connections from callers.
         max_connections: u32 = 4_096,
-        /// The memory that the process may use, socket buffers included; not enforced yet.
+        /// The memory that the process may use, socket buffers included, in MiB.
         memory_mib: u64 = 1_024,
-        /// The number of file descriptors that the process may open; not enforced yet.
-        /// The process's own limit by default.
+        /// The number of file descriptors that the process may open; at most its own limit,
+        /// which is the default.
         max_descriptors: Option<u32> = None,
         /// The maximum number of queued requests of all client accounts.
         queue_requests: u32 = 1_024,
--- a/crates/settings/src/page.rs
+++ b/crates/settings/src/page.rs
@@ -34,9 +34,13 @@
     write_tables::<Entry>(&mut page);
     page.push_str("\n## `arbutusford standin`\n");
     write_tables::<Standin>(&mut page);
+    page.push_str(RESOURCES);
     page
 }
 
+/// How the limits of a process are divided, for both entry nodes.
+const RESOURCES: &str = include_str!("resources.md");
+
 /// Writes a table of keys for each section.
 fn write_tables<T: Document>(page: &mut String) {
     for (section, keys) in T::sections() {
--- a/tests/clients/entry.rs
+++ b/tests/clients/entry.rs
@@ -194,40 +194,27 @@
 }
 
 crowds! { meet;
-    #[ignore = "issue 55"]
     idle_connections_leave_descriptors: callers(Kind::Idle),
-    #[ignore = "issue 55"]
     idle_connections_at_the_peers_port_leave_descriptors: Case {
         kind: Kind::Idle,
         port: Port::Peers,
     },
-    #[ignore = "issue 55"]
     idle_connections_at_the_operators_port_leave_descriptors: Case {
         kind: Kind::Idle,
         port: Port::Operators,
     },
     heads_over_the_limit_stay_within_memory: callers(Kind::HeadOverLimit),
     stalled_heads_stay_within_memory: callers(Kind::HeadStalled),
-    #[ignore = "issue 55"]
     heads_without_end_stay_within_memory: callers(Kind::HeadWithoutEnd),
     stalled_empty_lines_stay_within_memory: callers(Kind::EmptyLinesStalled),
-    #[ignore = "issue 55"]
     empty_lines_without_end_stay_within_memory: callers(Kind::EmptyLinesWithoutEnd),
-    #[ignore = "issue 55"]
     whole_bodies_stay_within_memory: callers(Kind::BodyWhole),
-    #[ignore = "issue 55"]
     unfinished_bodies_stay_within_memory: callers(Kind::BodyUnfinished),
-    #[ignore = "issue 55"]
     bodies_in_pieces_stay_within_memory: callers(Kind::BodyInPieces),
-    #[ignore = "issue 55"]
     unfinished_short_bodies_stay_within_memory: callers(Kind::ShortBodyUnfinished),
-    #[ignore = "issue 55"]
     unfinished_chunks_stay_within_memory: callers(Kind::ChunksUnfinished),
-    #[ignore = "issue 55"]
     unfinished_tiny_chunks_stay_within_memory: callers(Kind::TinyChunksUnfinished),
     chunk_extensions_without_end_stay_within_memory: callers(Kind::ChunkExtensionWithoutEnd),
-    #[ignore = "issue 55"]
     trailers_without_end_stay_within_memory: callers(Kind::TrailersWithoutEnd),
-    #[ignore = "issue 55"]
     unread_responses_stay_within_memory: callers(Kind::ResponsesUnread),
 }
