Keep one copy of a request's body

Cause: a body was read in blocks and then copied into one piece, which its reservation did not cover. A node whose budget was full of nearly complete bodies could hold almost twice that at the moment at which they were completed.

--- a/crates/edge/src/evidence.rs
+++ b/crates/edge/src/evidence.rs
@@ -213,12 +213,14 @@
     pub(crate) fn whole(&self) -> Part {
         *self.whole.get_or_init(|| {
             let account = self.account.as_ref().map_or("", |account| account.as_str());
-            Part::request(&[
-                account.as_bytes(),
-                self.outgoing.method.as_str().as_bytes(),
-                self.call.host.as_bytes(),
-                self.outgoing.path_and_query.as_bytes(),
-                &self.outgoing.body,
+            let body = self.outgoing.body.pieces().iter();
+            let body: Vec<&[u8]> = body.map(|piece| &piece[..]).collect();
+            Part::request_in_pieces(&[
+                &[account.as_bytes()],
+                &[self.outgoing.method.as_str().as_bytes()],
+                &[self.call.host.as_bytes()],
+                &[self.outgoing.path_and_query.as_bytes()],
+                &body,
             ])
         })
     }
--- a/crates/edge/src/forward.rs
+++ b/crates/edge/src/forward.rs
@@ -12,9 +12,9 @@
     slot::Slot,
     state::Shared,
 };
-use bytes::Bytes;
 use http::{HeaderMap, HeaderName, HeaderValue, Request, StatusCode};
 use name::{Instance, Node};
+use net::Payload;
 use place::Target;
 use rand::seq::IndexedRandom;
 use site::{call::ForwardContext, node::NodeRecord};
@@ -106,7 +106,7 @@
     }
 
     /// Builds the request to another node.
-    pub(crate) fn forwarded_request(&self, shared: &Shared, runs: u32) -> Request<Bytes> {
+    pub(crate) fn forwarded_request(&self, shared: &Shared, runs: u32) -> Request<Payload> {
         let left = shared.now().until(self.deadline);
         let context = ForwardContext {
             time_left: left.saturating_sub(REPLY_MARGIN),
--- a/crates/edge/src/serve.rs
+++ b/crates/edge/src/serve.rs
@@ -11,7 +11,7 @@
 };
 use budget::{
     Connection, Reservation,
-    body::{self, Refusal, Whole},
+    body::{self, Refusal, Upload, Whole},
 };
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, Request, Response, StatusCode, Version, header};
@@ -75,11 +75,11 @@
         let memory = shared.budget.memory();
         body::collect(memory, connection.as_deref(), body, max_bytes, BODY_TIMEOUT)
     };
-    let Whole {
-        bytes: body,
+    let Upload {
+        blocks,
         reservation,
     } = match collect(body, limits.max_body_bytes).await {
-        Ok(body) => body.into(),
+        Ok(body) => body,
         Err(refusal) => {
             let error = body_error(refusal, limits.max_body_bytes);
             let mut response = refuse(shared, Some(&call), &error);
@@ -96,7 +96,7 @@
         method: parts.method,
         path_and_query: target.into(),
         headers: parts.headers,
-        body,
+        body: blocks.into(),
     };
     let mut job = match admit(shared, call.clone(), outgoing, arrived, begin) {
         Ok(job) => job,
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -6,9 +6,13 @@
 //! without a reset, so every wait has a time limit, and a TCP user timeout
 //! closes sockets whose sent bytes stay unacknowledged.
 
+mod payload;
+
+pub use payload::Payload;
+
 use bytes::Bytes;
 use http::{Request, Response, StatusCode, header};
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::{BodyExt, Limited};
 use hyper::{
     body::{Body, Incoming},
     client::conn::http1::SendRequest,
@@ -145,7 +149,7 @@
 #[derive(Debug)]
 pub struct Connection {
     address: SocketAddr,
-    sender: SendRequest<Full<Bytes>>,
+    sender: SendRequest<Payload>,
     is_reused: bool,
 }
 
@@ -223,8 +227,11 @@
     ///
     /// Returns an error if there is no response; it states whether the request was
     /// certainly not sent.
-    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, Failure> {
-        let request = request.map(Full::new);
+    pub async fn send(
+        &mut self,
+        request: Request<impl Into<Payload>>,
+    ) -> Result<Response<Incoming>, Failure> {
+        let request = request.map(Into::into);
         self.sender
             .try_send_request(request)
             .await
--- a/crates/quarantine/src/digest.rs
+++ b/crates/quarantine/src/digest.rs
@@ -2,6 +2,7 @@
 
 use name::{Instance, Service};
 use sha2::{Digest, Sha256};
+use std::slice;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a request consists of that may crash backend servers.
@@ -25,7 +26,12 @@
 
     /// Returns the whole request that has these fields, in a fixed order.
     pub fn request(fields: &[&[u8]]) -> Self {
-        Self::Request(request_digest(fields))
+        Self::Request(request_digest(fields.iter().map(slice::from_ref)))
+    }
+
+    /// Returns the whole request that has these fields, each given by its pieces.
+    pub fn request_in_pieces(fields: &[&[&[u8]]]) -> Self {
+        Self::Request(request_digest(fields.iter().copied()))
     }
 
     /// Returns the digest.
@@ -64,12 +70,15 @@
 ///
 /// The hash is cryptographic, since callers choose the content: none can make a request
 /// whose digest is that of another caller's request.
-fn request_digest(fields: &[&[u8]]) -> u64 {
+fn request_digest<'a>(fields: impl Iterator<Item = &'a [&'a [u8]]>) -> u64 {
     let mut hasher = Sha256::new();
     for field in fields {
         // The length separates a field from the next one.
-        hasher.update((field.len() as u64).to_be_bytes());
-        hasher.update(field);
+        let length: usize = field.iter().map(|piece| piece.len()).sum();
+        hasher.update((length as u64).to_be_bytes());
+        for piece in field {
+            hasher.update(piece);
+        }
     }
     let hash = hasher.finalize();
     let (first, _) = hash.split_at(size_of::<u64>());
--- a/crates/site/src/call.rs
+++ b/crates/site/src/call.rs
@@ -1,8 +1,8 @@
 //! Requests of callers and responses of backend servers, independent of the platform.
 
-use bytes::Bytes;
 use http::{HeaderMap, Method};
 use name::{Account, Instance, Model};
+use net::Payload;
 use std::{sync::Arc, time::Duration};
 use verdict::Error;
 
@@ -52,7 +52,7 @@
     /// The headers of the caller's request.
     pub headers: HeaderMap,
     /// The whole body.
-    pub body: Bytes,
+    pub body: Payload,
 }
 
 /// The data that a node adds to a request for one backend server.
--- a/crates/site/src/platform.rs
+++ b/crates/site/src/platform.rs
@@ -16,6 +16,7 @@
 use bytes::Bytes;
 use http::{HeaderMap, Request, Response, request::Parts};
 use name::Instance;
+use net::Payload;
 use std::{fmt, net::SocketAddr, pin::Pin, sync::Arc, time::Duration};
 use verdict::Error as CallerError;
 
@@ -57,9 +58,9 @@
     /// Parses a caller's request.
     pub parse_request: fn(&Parts) -> Result<CallerRequest, MalformedRequest>,
     /// Builds the request to a backend server.
-    pub build_request: fn(&OutgoingRequest, &RequestContext) -> Request<Bytes>,
+    pub build_request: fn(&OutgoingRequest, &RequestContext) -> Request<Payload>,
     /// Builds the request to another node, which handles it as the caller's.
-    pub build_forwarded_request: fn(&OutgoingRequest, &ForwardContext) -> Request<Bytes>,
+    pub build_forwarded_request: fn(&OutgoingRequest, &ForwardContext) -> Request<Payload>,
     /// Parses the headers of a backend server's response.
     pub parse_response_head: fn(&HeaderMap) -> ResponseHead,
     /// Builds the response to a caller for an error of this system.
