Do not pass on responses with statuses that no response may have

Cause: the HTTP library accepts 100 to 999, and the check of a response knew only refusals, unsigned successes and server errors. The attempt now fails with "invalid status", so that the request goes to another server, or ends with 502.

`response_without_a_valid_status_is_not_passed_on` failed before for 101, 600, 666 and 999, on plain, unsafe and resumable routes and streams. It held already for 000, 020, 099, two, four and signed digits, no status, and status lines of other protocols, which the library does not parse. A resumed stream and an answer of another node pass the same check; calls to the store and `entry` take only the statuses that they know (by reading).

--- a/crates/edge/src/attempt.rs
+++ b/crates/edge/src/attempt.rs
@@ -579,6 +579,9 @@
 
     /// Checks whether a response to this request is one for the caller.
     fn check(&self, answer: Answer, attempts: &mut Attempts) -> Result<Answer, AttemptError> {
+        if !is_final_status(answer.status) {
+            return Err(AttemptError::Failed("invalid status"));
+        }
         let is_refused =
             answer.head.is_not_executed || answer.status == StatusCode::MISDIRECTED_REQUEST;
         if is_refused {
@@ -596,5 +599,13 @@
     }
 }
 
+/// Returns whether a status may end a request.
+///
+/// The HTTP library also accepts 600 to 999, and 101 without an upgrade; a caller would take
+/// such a response of a faulty server for an answer.
+fn is_final_status(status: StatusCode) -> bool {
+    (200..600).contains(&status.as_u16())
+}
+
 #[cfg(test)]
 mod tests;
