Charge connections for heads that may be longer than usual

A configuration may allow heads of more than 16 KiB, for which connections were not charged. The allowance for headers that nodes add belongs to `edge` alone: `entry` passes no heads on.

Tables of tests for the parts of a budget and for what is closed for its age.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -17,10 +17,10 @@
 /// The memory of a connection's own state and of the buffers of its protocol, in bytes.
 const CONNECTION_STATE_BYTES: usize = 24 << 10;
 
-/// The longest head of a request for which a connection is charged, in bytes.
+/// The usual length of the longest head, in bytes.
 const HEAD_BYTES: usize = 16 << 10;
 
-/// All that a connection may hold, in bytes.
+/// All that a connection with heads of the usual length may hold, in bytes.
 pub(crate) const CONNECTION_BYTES: usize =
     CONNECTION_STATE_BYTES + HEAD_BYTES + RECEIVE_QUEUE_BYTES;
 
@@ -220,6 +220,7 @@
             connection,
             port,
             id,
+            bytes: CONNECTION_BYTES,
         })
     }
 
@@ -362,9 +363,18 @@
     connection: Arc<Connection>,
     port: Port,
     id: u64,
+    /// What the connection is charged.
+    bytes: usize,
 }
 
 impl Ticket {
+    /// Charges the connection for heads of this length, if they may be longer than usual.
+    pub(crate) fn charge_head(&mut self, head_bytes: usize) {
+        let added = head_bytes.saturating_sub(HEAD_BYTES);
+        self.budget.memory.charge_connection(added);
+        self.bytes += added;
+    }
+
     /// Returns the connection.
     pub fn connection(&self) -> &Arc<Connection> {
         &self.connection
@@ -379,6 +389,9 @@
         }
         table.fruitless_search = None;
         drop(table);
-        self.budget.memory.release_connection(CONNECTION_BYTES);
+        self.budget.memory.release_connection(self.bytes);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/budget/src/http.rs
+++ b/crates/budget/src/http.rs
@@ -25,10 +25,6 @@
 /// The least size of a connection's buffer that the HTTP library accepts, in bytes.
 const MIN_BUFFER_BYTES: usize = 8 << 10;
 
-/// The allowance beyond the longest head, for headers that nodes add when they pass a
-/// request on, in bytes.
-const ADDED_HEADER_BYTES: usize = 2 << 10;
-
 /// The time to send a refusal on a connection that is closed within a request.
 const REFUSAL_TIME: Duration = Duration::from_millis(500);
 
@@ -42,7 +38,7 @@
 ///
 /// Returns the library's error if the client broke the protocol or the connection.
 pub async fn serve<S, F, B>(
-    ticket: Ticket,
+    mut ticket: Ticket,
     stream: TcpStream,
     max_head_bytes: usize,
     service: S,
@@ -54,6 +50,8 @@
     B: Body<Data = Bytes> + Unpin + 'static,
     B::Error: Into<Box<dyn error::Error + Send + Sync>>,
 {
+    let buffer_bytes = max_head_bytes.max(MIN_BUFFER_BYTES);
+    ticket.charge_head(buffer_bytes);
     let connection = Arc::clone(ticket.connection());
     let tracked = Arc::clone(&connection);
     let service = service_fn(move |mut request: Request<Incoming>| {
@@ -77,7 +75,7 @@
     let served = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(None)
-        .max_buf_size((max_head_bytes + ADDED_HEADER_BYTES).max(MIN_BUFFER_BYTES))
+        .max_buf_size(buffer_bytes)
         .serve_connection(io, service);
     tokio::pin!(served, closing);
     let mut is_closing = false;
--- a/crates/edge/src/listener.rs
+++ b/crates/edge/src/listener.rs
@@ -23,6 +23,10 @@
 /// If descriptors ran out, some become free as requests end.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
 
+/// The allowance beyond the longest head, for headers that nodes add when they pass a
+/// request on, in bytes.
+const ADDED_HEADER_BYTES: usize = 2 << 10;
+
 /// What a listener serves.
 #[derive(Debug, Clone)]
 pub(crate) enum Role {
@@ -93,7 +97,7 @@
     }
     let is_local = is_from_same_machine(&stream);
     let service = |request| answer(&shared, &role, is_local, request);
-    let max_head_bytes = limits(&shared).max_header_bytes;
+    let max_head_bytes = limits(&shared).max_header_bytes + ADDED_HEADER_BYTES;
     let closing = async move {
         // An error means that the node has ended.
         let _ = closing.wait_for(|is_closing| *is_closing).await;
