Close neither peers for callers' bodies nor responses that are still sent

Found by reading the change: - A shortage of memory for bodies closed idle connections at all ports, those of other nodes, operators and readiness checks included. It closes callers' and the directory's only. `shortage_of_memory_closes_callers_only` failed before. - A connection counts as idle once the last piece of its response is in the buffer of the HTTP library. Closed then, a client that reads slowly lost the end. `connection_with_unsent_response_is_not_closed` shows the choice. - The least budget for bodies had no room for a single body of 4 MiB, since long bodies may use nine tenths of it; it is 8 MiB. `longest_body_finds_room_in_the_smallest_budget` failed before.

Run on the code before: the first fails at the readiness port, where it stops, the last for a limit of 0. The second needs the new field and was run on the changed code only.

--- a/crates/budget/src/budget.rs
+++ b/crates/budget/src/budget.rs
@@ -78,6 +78,12 @@
 }
 
 impl Port {
+    /// Returns whether the port has few clients, which must find room also beside a crowd
+    /// of others.
+    fn is_control(self) -> bool {
+        matches!(self, Self::Readiness | Self::Operators | Self::Peers)
+    }
+
     /// Returns the name used in logs and metrics.
     pub fn as_str(self) -> &'static str {
         match self {
@@ -226,10 +232,8 @@
 
     /// Returns whether a port with open connections has room for `count` more.
     fn has_room(&self, port: Port, open: usize, count: usize) -> bool {
-        // Few connections, which must find room also beside a crowd of others.
-        let is_control = matches!(port, Port::Readiness | Port::Operators | Port::Peers);
         open + count <= self.max_connections(port)
-            && (is_control || self.memory.has_room_for(count * CONNECTION_BYTES))
+            && (port.is_control() || self.memory.has_room_for(count * CONNECTION_BYTES))
     }
 
     /// Closes connections that are late, and others when bodies find no memory, for as long
@@ -276,7 +280,8 @@
     fn close_for_memory(&self, now: Instant) {
         let mut table = self.table();
         let table = &mut *table;
-        for (port, open) in &table.connections {
+        let open = table.connections.iter();
+        for (port, open) in open.filter(|(port, _)| !port.is_control()) {
             let count = open.len() / CLOSED_DIVISOR + 1;
             for peer in close_some(open, now, count, Reason::Memory) {
                 record(&mut table.closed, *port, Reason::Memory, peer);
--- a/crates/budget/src/budget/tests.rs
+++ b/crates/budget/src/budget/tests.rs
@@ -58,6 +58,7 @@
             phase: case.phase,
             since,
             received_at: now,
+            is_unsent: false,
         };
         let reason = lateness(case.port, &snapshot, timeouts, now);
         let what = format!("{:?}, {:?}, {} ms", case.port, case.phase, case.age);
@@ -146,3 +147,28 @@
     drop(tickets);
     assert_eq!(open_all().len(), usual);
 }
+
+/// Guards against a crowd at one port that ends the connections of other nodes and of
+/// operators.
+#[test]
+fn shortage_of_memory_closes_callers_only() {
+    struct Case {
+        port: Port,
+        is_closed: bool,
+    }
+    let case = |port, is_closed| Case { port, is_closed };
+    let cases = [
+        case(Port::Callers, true),
+        case(Port::Directory, true),
+        case(Port::Readiness, false),
+        case(Port::Operators, false),
+        case(Port::Peers, false),
+    ];
+    for case in cases {
+        let budget = Budget::new(Limits::default());
+        let ticket = budget.open(case.port, PEER).expect("room");
+        budget.close_for_memory(Instant::now());
+        let is_closed = ticket.connection().snapshot().is_none();
+        assert_eq!(is_closed, case.is_closed, "{:?}", case.port);
+    }
+}
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -68,6 +68,8 @@
     closed_for: Option<Reason>,
     /// Whether the connection ends with the response in progress.
     is_last_request: bool,
+    /// Whether bytes of a response wait for the client to read.
+    is_unsent: bool,
 }
 
 impl Connection {
@@ -83,6 +85,7 @@
                 has_early_bytes: false,
                 closed_for: None,
                 is_last_request: false,
+                is_unsent: false,
             }),
             closing: Notify::new(),
         }
@@ -100,6 +103,7 @@
             phase: state.phase,
             since: state.since,
             received_at: state.received_at,
+            is_unsent: state.is_unsent,
         })
     }
 
@@ -118,6 +122,11 @@
         }
     }
 
+    /// Records whether bytes of a response wait for the client to read.
+    pub(crate) fn record_unsent(&self, is_unsent: bool) {
+        self.state().is_unsent = is_unsent;
+    }
+
     /// Records that bytes were received on a connection that carries many requests at once.
     pub fn record_activity(&self) {
         self.state().received_at = Instant::now();
--- a/crates/budget/src/http.rs
+++ b/crates/budget/src/http.rs
@@ -101,7 +101,8 @@
     }
 }
 
-/// The socket of a connection, which records when bytes are received.
+/// The socket of a connection, which records when bytes are received and whether they can
+/// be sent.
 #[derive(Debug)]
 struct Stream {
     stream: TcpStream,
@@ -129,7 +130,9 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write(context, bytes)
+        let written = Pin::new(&mut self.stream).poll_write(context, bytes);
+        self.connection.record_unsent(written.is_pending());
+        written
     }
 
     fn poll_write_vectored(
@@ -137,7 +140,9 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
-        Pin::new(&mut self.stream).poll_write_vectored(context, slices)
+        let written = Pin::new(&mut self.stream).poll_write_vectored(context, slices);
+        self.connection.record_unsent(written.is_pending());
+        written
     }
 
     fn is_write_vectored(&self) -> bool {
--- a/crates/budget/src/memory.rs
+++ b/crates/budget/src/memory.rs
@@ -31,8 +31,10 @@
 /// The budget for bodies without a known limit of the process, in bytes.
 const DEFAULT_CAPACITY: usize = 32 << 20;
 
-/// The least budget for bodies, in bytes: one body or response of the usual largest size.
-const MIN_CAPACITY: usize = 4 << 20;
+/// The least budget for bodies, in bytes.
+///
+/// A single body or response of 4 MiB finds room in it.
+const MIN_CAPACITY: usize = 8 << 20;
 
 /// The memory of the program, its tables and logs, and of its connections to the store, to
 /// backend servers and to other nodes, in bytes.
--- a/crates/budget/src/memory/tests.rs
+++ b/crates/budget/src/memory/tests.rs
@@ -135,3 +135,13 @@
         assert_eq!(has_room, case.has_room_for_body, "{}", case.what);
     }
 }
+
+/// Guards against refusing a single request for good.
+#[tokio::test]
+async fn longest_body_finds_room_in_the_smallest_budget() {
+    for limit in [0, 64 << 20, 72 << 20] {
+        let memory = Memory::new(Some(limit));
+        assert!(!memory.refuses_body(4 << 20), "{limit} bytes");
+        assert!(memory.reserve().grow_body(4 << 20).await, "{limit} bytes");
+    }
+}
--- a/crates/budget/src/table.rs
+++ b/crates/budget/src/table.rs
@@ -24,9 +24,16 @@
     pub since: Instant,
     /// When the last byte was received.
     pub received_at: Instant,
+    /// Whether bytes of a response wait for the client to read.
+    pub is_unsent: bool,
 }
 
 impl Snapshot {
+    /// Returns whether nothing is lost if the connection is closed.
+    fn is_idle(&self) -> bool {
+        matches!(self.phase, Phase::New | Phase::Idle) && !self.is_unsent
+    }
+
     /// Returns whether the client has begun a request and sends nothing.
     fn is_stalled(&self, now: Instant) -> bool {
         let is_sending = matches!(self.phase, Phase::Head | Phase::Body);
@@ -45,8 +52,7 @@
 pub fn closable(connections: &[Snapshot], now: Instant, count: usize) -> Vec<usize> {
     first(connections, count, |connection| {
         let is_stalled = connection.is_stalled(now);
-        let is_closable = is_stalled || matches!(connection.phase, Phase::New | Phase::Idle);
-        is_closable.then_some(!is_stalled)
+        (is_stalled || connection.is_idle()).then_some(!is_stalled)
     })
 }
 
--- a/crates/budget/src/table/tests.rs
+++ b/crates/budget/src/table/tests.rs
@@ -103,6 +103,7 @@
             phase: *phase,
             since: ago(*since),
             received_at: ago(*received),
+            is_unsent: false,
         };
         let connections: Vec<Snapshot> = case.connections.iter().map(snapshot).collect();
         let closed = closable(&connections, now, case.count);
@@ -111,3 +112,17 @@
         assert_eq!(finished, case.finished, "{}", case.what);
     }
 }
+
+/// Guards against cutting off the end of a response that a client reads slowly.
+#[test]
+fn connection_with_unsent_response_is_not_closed() {
+    let now = Instant::now();
+    let idle = |is_unsent| Snapshot {
+        peer: IpAddr::from([10, 0, 0, 1]),
+        phase: Phase::Idle,
+        since: now,
+        received_at: now,
+        is_unsent,
+    };
+    assert_eq!(closable(&[idle(true), idle(false)], now, 2), [1]);
+}
