Run no request whose connection is being closed

Cause, by reading: a stalled request could become complete at the moment at which its connection was selected to be closed. It then ran, and its connection was closed without the response, which only a request that has not run may meet.

A connection that is being closed enters no further phase: its request is refused with 408, or is not run. A request that runs cannot be selected.

--- a/crates/budget/src/body.rs
+++ b/crates/budget/src/body.rs
@@ -97,11 +97,7 @@
 where
     B: Body<Data = Bytes> + Unpin,
 {
-    let enter = |phase| {
-        if let Some(connection) = connection {
-            connection.enter(phase);
-        }
-    };
+    let enter = |phase| connection.is_none_or(|connection| connection.enter(phase));
     let closed = async {
         match connection {
             Some(connection) => {
@@ -118,14 +114,16 @@
         collected = timeout(time, read(memory, &enter, body, max_bytes)) => collected,
         () = closed => Ok(Err(Refusal::TooSlow)),
     };
-    enter(Phase::Busy);
+    if !enter(Phase::Busy) {
+        return Err(Refusal::TooSlow);
+    }
     collected.unwrap_or(Err(Refusal::TooSlow))
 }
 
 /// Reads a body without a time limit.
 async fn read<B>(
     memory: &Memory,
-    enter: &impl Fn(Phase),
+    enter: &impl Fn(Phase) -> bool,
     mut body: B,
     max_bytes: usize,
 ) -> Result<Upload, Refusal>
@@ -176,7 +174,12 @@
 
     /// Appends bytes of a body of about `expected` bytes; returns false if there is no
     /// memory for them.
-    async fn push(&mut self, mut data: &[u8], expected: usize, enter: &impl Fn(Phase)) -> bool {
+    async fn push(
+        &mut self,
+        mut data: &[u8],
+        expected: usize,
+        enter: &impl Fn(Phase) -> bool,
+    ) -> bool {
         while !data.is_empty() {
             let is_full = |block: &BytesMut| block.len() == block.capacity();
             if self.blocks.last().is_none_or(is_full) {
--- a/crates/budget/src/connection.rs
+++ b/crates/budget/src/connection.rs
@@ -132,12 +132,17 @@
         self.state().received_at = Instant::now();
     }
 
-    /// Begins a phase of the current request.
-    pub(crate) fn enter(&self, phase: Phase) {
+    /// Begins a phase of the current request; returns false if the connection is being
+    /// closed, in which case the request must not run.
+    pub(crate) fn enter(&self, phase: Phase) -> bool {
         let mut state = self.state();
+        if state.closed_for.is_some() {
+            return false;
+        }
         state.phase = phase;
         state.since = Instant::now();
         state.has_early_bytes = false;
+        true
     }
 
     /// Records that the response was sent, or that nothing is sent any more.
--- a/crates/budget/src/http.rs
+++ b/crates/budget/src/http.rs
@@ -10,7 +10,9 @@
 use hyper::{body::Incoming, server::conn::http1, service::service_fn};
 use hyper_util::rt::{TokioIo, TokioTimer};
 use std::{
-    error, io,
+    error,
+    future::pending,
+    io,
     pin::Pin,
     sync::Arc,
     task::{Context, Poll, ready},
@@ -55,12 +57,16 @@
     let connection = Arc::clone(ticket.connection());
     let tracked = Arc::clone(&connection);
     let service = service_fn(move |mut request: Request<Incoming>| {
-        tracked.enter(Phase::Busy);
+        let is_open = tracked.enter(Phase::Busy);
         request.extensions_mut().insert(Arc::clone(&tracked));
-        let responding = service(request);
+        let responding = is_open.then(|| service(request));
         let tracked = Arc::clone(&tracked);
         async move {
-            let response = responding.await;
+            let response = match responding {
+                Some(responding) => responding.await,
+                // The loop below closes the connection.
+                None => pending().await,
+            };
             Ok::<_, io::Error>(response.map(|body| TrackedBody {
                 body,
                 connection: tracked,
